--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# `make demo` and `make test` need nothing but Python 3.11 and make.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format modelcheck bench measure capacity thrift
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt -r requirements-dev.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy oleanderpin
+
+test: lint
+	$(BIN)/pytest
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+
+# Needs the Thrift compiler (Debian package thrift-compiler); its output is
+# committed, so that no other target needs it.
+thrift:
+	for file in oleanderpin/wire/*.thrift; do \
+	  rm -rf build/thrift && mkdir -p build/thrift && \
+	  thrift --gen py:slots -out build/thrift $$file && \
+	  rm -f build/thrift/oleanderpin/wire/generated/*/*-remote && \
+	  cp -r build/thrift/oleanderpin/wire/generated/*/ oleanderpin/wire/generated/ ; done
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration run by ``make demo``."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,211 @@
+"""Runs instances and targets on loopback and shows the main job."""
+
+import hashlib
+import json
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from oleanderpin.testing import FakeTarget, free_ports, settings_text
+
+_PLACES = (
+    ('north-1', 'north', 'north-a'),
+    ('central-1', 'central', 'central-a'),
+    ('south-1', 'south', 'south-a'),
+)
+_CONTROL_MEMBERS = 1
+_HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
+
+
+class DemoFailureError(Exception):
+    """An outcome that differs from what the demo promises."""
+
+
+class Fleet:
+    """The daemons of the demo, one process each."""
+
+    def __init__(self, folder: Path) -> None:
+        """Write one settings file for each instance."""
+        ports = free_ports(len(_PLACES) * 3)
+        self.ports = [ports[i * 3 : i * 3 + 3] for i in range(len(_PLACES))]
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._folder = folder
+        seeds = [each[2] for each in self.ports]
+        names = [place[0] for place in _PLACES]
+        members = list(zip(names, seeds, strict=True))[:_CONTROL_MEMBERS]
+        for place, own_ports in zip(_PLACES, self.ports, strict=True):
+            name, region, failure_domain = place
+            text = settings_text(
+                name=name,
+                ports=own_ports,
+                seeds=seeds,
+                control_members=members,
+                region=region,
+                failure_domain=failure_domain,
+                data_dir=str(folder / name)
+                if (name, own_ports[2]) in members
+                else '',
+                extra='[forwarding]\nlookup_ttl_s = 1\n',
+            )
+            (folder / f'{name}.ini').write_text(text)
+
+    def start(self) -> None:
+        """Start all daemons."""
+        for name, _region, _domain in _PLACES:
+            log_file = (self._folder / f'{name}.log').open('wb')
+            settings = str(self._folder / f'{name}.ini')
+            command = [sys.executable, '-m', 'oleanderpin.daemon']
+            self._processes.append(
+                subprocess.Popen(
+                    [*command, '--settings', settings], stderr=log_file
+                )
+            )
+
+    def stop(self) -> list[int]:
+        """Stop all daemons; return their exit codes."""
+        for process in self._processes:
+            process.send_signal(signal.SIGTERM)
+        return [process.wait(timeout=15) for process in self._processes]
+
+
+def admin(
+    port: int, method: str, path: str, document: Any = None
+) -> tuple[int, Any]:
+    """Call the admin port; return status and decoded body."""
+    body = json.dumps(document) if document is not None else None
+    answer = _HTTP.request(method, f'http://127.0.0.1:{port}{path}', body=body)
+    return answer.status, json.loads(answer.data)
+
+
+def change(port: int, command: str, **arguments: Any) -> Any:
+    """Make a change and wait until it is in force."""
+    status, document = admin(
+        port,
+        'POST',
+        '/v1/changes',
+        {
+            'request_id': secrets.token_hex(8),
+            'command': command,
+            'arguments': arguments,
+            'operator': 'demo',
+            'wait': 'in_force',
+        },
+    )
+    if status != 200:
+        raise DemoFailureError(f'{command}: {document}')
+    return document
+
+
+def ask(
+    port: int, service: str, key: str | None = None, path: str = '/panel'
+) -> Any:
+    """Send one request through an instance."""
+    headers = {'Host': service}
+    if key is not None:
+        headers['Authorization'] = f'Bearer {key}'
+    return _HTTP.request(
+        'GET', f'http://127.0.0.1:{port}{path}', headers=headers
+    )
+
+
+def wait_until(what: str, condition: Callable[[], bool]) -> float:
+    """Wait until ``condition`` holds; return the seconds it took."""
+    started = time.monotonic()
+    while time.monotonic() < started + 20:
+        try:
+            if condition():
+                return time.monotonic() - started
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(0.05)
+    raise DemoFailureError(f'{what}: did not happen within 20 s')
+
+
+def expect(what: str, condition: bool, seen: Any) -> None:
+    """Print an outcome, or fail naming it."""
+    if not condition:
+        raise DemoFailureError(f'{what}: saw {seen}')
+    print(f'ok  {what} ({seen})')
+
+
+def run(fleet: Fleet, targets: list[FakeTarget]) -> None:
+    """Show the main job step by step."""
+    admin_ports = [each[1] for each in fleet.ports]
+    callers = [each[0] for each in fleet.ports]
+    took_s = wait_until(
+        'instances ready',
+        lambda: all(
+            admin(port, 'GET', '/readyz')[0] == 200 for port in admin_ports
+        ),
+    )
+    expect('three instances are ready', True, f'{took_s:.1f} s')
+    key = secrets.token_urlsafe(24)
+    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    change(admin_ports[1], 'profile.put', name='counter')
+    change(
+        admin_ports[1], 'account.put', name='shop', rate_per_s=200, burst=400
+    )
+    change(admin_ports[1], 'service.put', name='desk', profile='counter')
+    change(admin_ports[2], 'key.add', key_hash=key_hash, account='shop')
+    for target in targets:
+        target.start()
+    wait_until('targets', lambda: ask(callers[2], 'desk', key).status == 200)
+
+    answer = _HTTP.request('GET', f'http://127.0.0.1:{callers[0]}/lookup/desk')
+    names = [each['name'] for each in json.loads(answer.data)['instances']]
+    expect(
+        'look-up names the nearest instance first', names[0] == 'north-1', names
+    )
+    statuses = [ask(port, 'desk', key).status for port in callers]
+    expect('requests with the key are served', statuses == [200] * 3, statuses)
+    leaked = [
+        seen
+        for target in targets
+        for seen in target.seen
+        if key in str(seen.headers)
+    ]
+    expect('no target saw the key', not leaked, len(leaked))
+    status = ask(callers[0], 'desk').status
+    expect('a request without a key is refused', status == 401, status)
+    change(admin_ports[0], 'key.revoke', key_hash=key_hash)
+    statuses = [ask(port, 'desk', key).status for port in callers]
+    expect('the revoked key is refused', statuses == [401] * 3, statuses)
+
+
+def main() -> int:
+    """Run the demo; return its exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder))
+        admin_ports = [each[1] for each in fleet.ports]
+        targets = [
+            FakeTarget(
+                'desk',
+                f'desk-{domain}',
+                admin_ports=admin_ports,
+                region=region,
+                failure_domain=domain,
+            )
+            for _name, region, domain in _PLACES
+        ]
+        fleet.start()
+        try:
+            run(fleet, targets)
+        except DemoFailureError as error:
+            print(f'FAILED  {error}')
+            return 1
+        finally:
+            codes = fleet.stop()
+        print(f'ok  all instances stopped (exit statuses {codes})')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/oleanderpin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""``oleanderpin``: the operators' command line."""
--- /dev/null
+++ b/oleanderpin/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control state: commands, replicated log, distribution and freshness."""
--- /dev/null
+++ b/oleanderpin/control/authority.py
@@ -0,0 +1,75 @@
+"""Decides which client account a key stands for."""
+
+import hashlib
+from typing import Any
+
+from ..core.errors import Refusal, RefusalDetails
+from ..core.plugin import Plugin, plugins
+from .state import Account, Service
+from .view import ControlView
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a key's text, in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@plugins.register('authority')
+class Authority(Plugin):
+    """Checks keys against the fresh control state."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Keep the view of the control state."""
+        super().__init__(kernel)
+        self._view = kernel.plugin(ControlView)
+
+    def check(self, *, key_hash: str | None, service: Service) -> Account:
+        """Return the client account that may use ``service`` by this key.
+
+        Parameters
+        ----------
+        key_hash : str or None
+            Hash of the key that came with the request.
+        service : Service
+            Service that is asked for.
+
+        Raises
+        ------
+        Refusal
+            If there is no fresh authority, no key, an unknown or revoked
+            key, or an account without access to the service.
+        """
+        if key_hash is None:
+            raise Refusal(
+                'missing_key',
+                f'service {service.name!r} needs a key',
+                remedy='send it as Authorization: Bearer',
+                details=RefusalDetails(status=401),
+            )
+        if not self._view.is_fresh():
+            raise Refusal(
+                'no_fresh_authority',
+                'this instance cannot confirm that the key is still valid',
+                remedy='try another instance',
+                details=RefusalDetails(
+                    retry_after_s=1.0, suggest_instances=True
+                ),
+            )
+        state = self._view.state
+        key = state.keys.get(key_hash)
+        account = state.accounts.get(key.account) if key else None
+        if account is None:
+            raise Refusal(
+                'unknown_key',
+                'the key is unknown or revoked',
+                remedy='ask the operator for a valid key',
+                details=RefusalDetails(status=401),
+            )
+        if service.accounts and account.name not in service.accounts:
+            raise Refusal(
+                'account_not_allowed',
+                f'account {account.name!r} may not use {service.name!r}',
+                remedy='ask the operator for access',
+                details=RefusalDetails(status=403),
+            )
+        return account
--- /dev/null
+++ b/oleanderpin/control/commands.py
@@ -0,0 +1,411 @@
+"""Commands that operators can propose, each with a validated model.
+
+A command is a pure function of the state and its arguments, so that every
+instance that applies the log reaches the same state.
+"""
+
+import ipaddress
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from ..core.errors import NotFoundError, ValidationError
+from ..core.registry import Registry
+from .state import (
+    Account,
+    Block,
+    ControlState,
+    Drain,
+    Key,
+    Move,
+    Profile,
+    Service,
+)
+
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9._:-]{0,62}$')]
+Percent = Annotated[float, Field(ge=0, le=100)]
+_MAX_BLOCKS_PER_CHANGE = 10000
+
+
+def _network(cidr: str) -> str:
+    return str(ipaddress.ip_network(cidr))
+
+
+class _Arguments(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A registered command.
+
+    ``table`` and ``key_field`` name the object whose revision is checked;
+    both are empty for a command that changes many objects.
+    """
+
+    arguments_model: type[_Arguments]
+    table: str
+    key_field: str
+    apply: Callable[[ControlState, Any, float], ControlState]
+
+
+commands: Registry[Command] = Registry('command')
+
+_Apply = Callable[[ControlState, Any, float], ControlState]
+
+
+def command(
+    name: str, model: type[_Arguments], *, table: str = '', key_field: str = ''
+) -> Callable[[_Apply], _Apply]:
+    """Return a decorator that registers a command.
+
+    Parameters
+    ----------
+    name : str
+        Name as ``object.verb``.
+    model : type
+        Pydantic model of the arguments.
+    table : str
+        Table of the object whose revision is checked.
+    key_field : str
+        Argument that names the object.
+    """
+
+    def decorator(function: _Apply) -> _Apply:
+        commands.register(name)(Command(model, table, key_field, function))
+        return function
+
+    return decorator
+
+
+class ProfilePut(_Arguments):
+    """Arguments of ``profile.put``."""
+
+    name: Name
+    traffic_class: Literal['small', 'bulk'] = 'small'
+    request_timeout_s: Annotated[float, Field(gt=0, le=3600)] = 10.0
+    first_byte_timeout_s: Annotated[float, Field(gt=0, le=600)] = 5.0
+    progress_timeout_s: Annotated[float, Field(gt=0, le=600)] = 10.0
+    queue_timeout_s: Annotated[float, Field(ge=0, le=60)] = 1.0
+    max_attempts: Annotated[int, Field(ge=1, le=5)] = 3
+    retry_budget_percent: Annotated[float, Field(ge=0, le=50)] = 10.0
+    hedge_after_ms: Annotated[float, Field(ge=0, le=10000)] = 0.0
+    idempotency_required: bool = False
+    shift_cap_percent: Annotated[float, Field(gt=0, le=100)] = 20.0
+    shift_interval_s: Annotated[float, Field(gt=0, le=3600)] = 10.0
+    slow_start_s: Annotated[float, Field(ge=0, le=600)] = 10.0
+    move_watch_s: Annotated[float, Field(ge=0, le=86400)] = 30.0
+
+
+@command('profile.put', ProfilePut, table='profiles', key_field='name')
+def _put_profile(
+    state: ControlState, arguments: ProfilePut, _unix_s: float
+) -> ControlState:
+    profile = Profile(**arguments.model_dump())
+    return state.with_record('profiles', profile.name, profile)
+
+
+class Named(_Arguments):
+    """Arguments of commands that only name an object."""
+
+    name: Name
+
+
+@command('profile.delete', Named, table='profiles', key_field='name')
+def _delete_profile(
+    state: ControlState, arguments: Named, _unix_s: float
+) -> ControlState:
+    users = [
+        service.name
+        for service in state.services.values()
+        if service.profile == arguments.name
+    ]
+    if users:
+        raise ValidationError(
+            f'profile {arguments.name!r} is used by services {users}',
+            remedy='assign another profile to them first',
+        )
+    return state.without_record('profiles', arguments.name)
+
+
+class ServicePut(_Arguments):
+    """Arguments of ``service.put``."""
+
+    name: Name
+    profile: Name
+    is_open: bool = False
+    accounts: tuple[Name, ...] = ()
+    version: str = ''
+
+
+@command('service.put', ServicePut, table='services', key_field='name')
+def _put_service(
+    state: ControlState, arguments: ServicePut, _unix_s: float
+) -> ControlState:
+    _require(state, 'profiles', arguments.profile)
+    for account in arguments.accounts:
+        _require(state, 'accounts', account)
+    if _running_move(state, arguments.name) is not None:
+        current = state.services[arguments.name]
+        if arguments.version != current.version:
+            raise ValidationError(
+                f'version {arguments.version!r} differs from the version '
+                f'{current.version!r} of the running move',
+                remedy='wait for the move to end or cancel it',
+            )
+    service = Service(**arguments.model_dump())
+    return state.with_record('services', service.name, service)
+
+
+@command('service.delete', Named, table='services', key_field='name')
+def _delete_service(
+    state: ControlState, arguments: Named, _unix_s: float
+) -> ControlState:
+    if _running_move(state, arguments.name) is not None:
+        raise ValidationError(
+            f'service {arguments.name!r} has a running move',
+            remedy='cancel the move first',
+        )
+    return state.without_record('services', arguments.name)
+
+
+class AccountPut(_Arguments):
+    """Arguments of ``account.put``."""
+
+    name: Name
+    rate_per_s: Annotated[float, Field(gt=0, le=1e7)]
+    burst: Annotated[float, Field(ge=1, le=1e7)]
+
+
+@command('account.put', AccountPut, table='accounts', key_field='name')
+def _put_account(
+    state: ControlState, arguments: AccountPut, _unix_s: float
+) -> ControlState:
+    account = Account(**arguments.model_dump())
+    return state.with_record('accounts', account.name, account)
+
+
+@command('account.delete', Named, table='accounts', key_field='name')
+def _delete_account(
+    state: ControlState, arguments: Named, _unix_s: float
+) -> ControlState:
+    users = [
+        service.name
+        for service in state.services.values()
+        if arguments.name in service.accounts
+    ]
+    if users:
+        raise ValidationError(
+            f'account {arguments.name!r} is named by services {users}',
+            remedy='remove it from these services first',
+        )
+    for key in state.keys.values():
+        if key.account == arguments.name:
+            state = state.without_record('keys', key.key_hash)
+    return state.without_record('accounts', arguments.name)
+
+
+class KeyAdd(_Arguments):
+    """Arguments of ``key.add``; the key's text never enters the state."""
+
+    key_hash: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+    account: Name
+
+
+@command('key.add', KeyAdd, table='keys', key_field='key_hash')
+def _add_key(
+    state: ControlState, arguments: KeyAdd, _unix_s: float
+) -> ControlState:
+    _require(state, 'accounts', arguments.account)
+    key = Key(**arguments.model_dump())
+    return state.with_record('keys', key.key_hash, key)
+
+
+class KeyRevoke(_Arguments):
+    """Arguments of ``key.revoke``."""
+
+    key_hash: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+
+
+@command('key.revoke', KeyRevoke, table='keys', key_field='key_hash')
+def _revoke_key(
+    state: ControlState, arguments: KeyRevoke, _unix_s: float
+) -> ControlState:
+    return state.without_record('keys', arguments.key_hash)
+
+
+class DrainStart(_Arguments):
+    """Arguments of ``drain.start``."""
+
+    name: Name
+    kind: Literal['target', 'instance', 'failure_domain']
+
+
+@command('drain.start', DrainStart, table='drains', key_field='name')
+def _start_drain(
+    state: ControlState, arguments: DrainStart, _unix_s: float
+) -> ControlState:
+    drain = Drain(**arguments.model_dump())
+    return state.with_record('drains', drain.name, drain)
+
+
+@command('drain.cancel', Named, table='drains', key_field='name')
+def _cancel_drain(
+    state: ControlState, arguments: Named, _unix_s: float
+) -> ControlState:
+    return state.without_record('drains', arguments.name)
+
+
+class MoveStart(_Arguments):
+    """Arguments of ``move.start``."""
+
+    service: Name
+    to_version: Name
+    deadline_s: Annotated[float, Field(gt=0, le=604800)]
+
+
+@command('move.start', MoveStart, table='moves', key_field='service')
+def _start_move(
+    state: ControlState, arguments: MoveStart, unix_s: float
+) -> ControlState:
+    service = _require(state, 'services', arguments.service)
+    if _running_move(state, service.name) is not None:
+        raise ValidationError(
+            f'service {service.name!r} has a running move',
+            remedy='wait for its end or cancel it',
+        )
+    if arguments.to_version == service.version:
+        raise ValidationError(
+            f'to_version {arguments.to_version!r} is the current version',
+            remedy='name the version to move to',
+        )
+    move = Move(
+        service=service.name,
+        from_version=service.version,
+        to_version=arguments.to_version,
+        deadline_unix_s=unix_s + arguments.deadline_s,
+        started_unix_s=unix_s,
+    )
+    return state.with_record('moves', service.name, move)
+
+
+class MoveAdvance(_Arguments):
+    """Arguments of ``move.advance``, proposed by the move controller."""
+
+    service: Name
+    share_percent: Percent
+    evidence: str = ''
+
+
+@command('move.advance', MoveAdvance, table='moves', key_field='service')
+def _advance_move(
+    state: ControlState, arguments: MoveAdvance, _unix_s: float
+) -> ControlState:
+    move = _require_running_move(state, arguments.service)
+    advanced = replace(
+        move,
+        share_percent=arguments.share_percent,
+        evidence=arguments.evidence,
+    )
+    return state.with_record('moves', move.service, advanced)
+
+
+class MoveFinish(_Arguments):
+    """Arguments of ``move.finish``."""
+
+    service: Name
+    status: Literal['done', 'taken_back']
+    reason: str
+    evidence: str = ''
+
+
+@command('move.finish', MoveFinish, table='moves', key_field='service')
+def _finish_move(
+    state: ControlState, arguments: MoveFinish, _unix_s: float
+) -> ControlState:
+    move = _require_running_move(state, arguments.service)
+    is_done = arguments.status == 'done'
+    finished = replace(
+        move,
+        status=arguments.status,
+        share_percent=100.0 if is_done else 0.0,
+        reason=arguments.reason,
+        evidence=arguments.evidence,
+    )
+    state = state.with_record('moves', move.service, finished)
+    if is_done:
+        service = state.services[move.service]
+        service = replace(service, version=move.to_version)
+        state = state.with_record('services', service.name, service)
+    return state
+
+
+class BlocksPut(_Arguments):
+    """Arguments of ``blocks.put``: CIDR to site."""
+
+    blocks: Annotated[
+        dict[Annotated[str, AfterValidator(_network)], Name],
+        Field(min_length=1, max_length=_MAX_BLOCKS_PER_CHANGE),
+    ]
+
+
+@command('blocks.put', BlocksPut)
+def _put_blocks(
+    state: ControlState, arguments: BlocksPut, _unix_s: float
+) -> ControlState:
+    records = {
+        cidr: Block(cidr, site) for cidr, site in arguments.blocks.items()
+    }
+    return state.with_records('blocks', records)
+
+
+class BlocksDelete(_Arguments):
+    """Arguments of ``blocks.delete``."""
+
+    cidrs: Annotated[
+        tuple[str, ...],
+        Field(min_length=1, max_length=_MAX_BLOCKS_PER_CHANGE),
+    ]
+
+
+@command('blocks.delete', BlocksDelete)
+def _delete_blocks(
+    state: ControlState, arguments: BlocksDelete, _unix_s: float
+) -> ControlState:
+    removed = set(arguments.cidrs)
+    rest = {
+        cidr: block
+        for cidr, block in state.blocks.items()
+        if cidr not in removed
+    }
+    return replace(state, blocks=rest)
+
+
+def _require(state: ControlState, table: str, name: str) -> Any:
+    try:
+        return getattr(state, table)[name]
+    except KeyError:
+        known = sorted(getattr(state, table))
+        raise NotFoundError(
+            f'no {table.removesuffix("s")} {name!r}',
+            remedy=f'create it first; known: {known}',
+        ) from None
+
+
+def _running_move(state: ControlState, service: str) -> Move | None:
+    move = state.moves.get(service)
+    if move is not None and move.status == 'running':
+        return move
+    return None
+
+
+def _require_running_move(state: ControlState, service: str) -> Move:
+    move = _running_move(state, service)
+    if move is None:
+        raise NotFoundError(
+            f'service {service!r} has no running move',
+            remedy='start one with move.start',
+        )
+    return move
--- /dev/null
+++ b/oleanderpin/control/machine.py
@@ -0,0 +1,223 @@
+"""The replicated state machine: applies log entries in order."""
+
+import json
+from collections import OrderedDict, deque
+from collections.abc import Mapping
+from dataclasses import asdict
+from types import MappingProxyType
+from typing import Any
+
+import pydantic
+
+from ..core.errors import NotFoundError, OleanderpinError, ValidationError
+from .change import Change, Outcome, OutcomeKind, describe_validation
+from .commands import Command, commands
+from .state import RECORD_TYPES, ControlState, HistoryRecord, ObjectMeta
+
+# About two weeks of changes at the size the design is made for.
+_MAX_ANSWERS = 10000
+_MAX_HISTORY = 1000
+
+
+class StateMachine:
+    """Control state with the answers to past changes.
+
+    All instances that apply the same entries hold the same content.
+    """
+
+    def __init__(self) -> None:
+        """Start at revision 0 with empty tables."""
+        self.state = ControlState()
+        self.revision = 0
+        self.answers: OrderedDict[str, Outcome] = OrderedDict()
+        self.history: deque[HistoryRecord] = deque(maxlen=_MAX_HISTORY)
+
+    def apply(self, revision: int, payload: bytes) -> Outcome | None:
+        """Apply the entry with the given revision.
+
+        Parameters
+        ----------
+        revision : int
+            Index of the entry, one above the last one applied.
+        payload : bytes
+            JSON of a `Change`; empty for an entry without effect.
+
+        Returns
+        -------
+        Outcome or None
+            None for an entry without effect.
+
+        Raises
+        ------
+        ValueError
+            If an entry is skipped or repeated.
+        """
+        if revision != self.revision + 1:
+            raise ValueError(
+                f'revision {revision} does not follow {self.revision}'
+            )
+        self.revision = revision
+        if not payload:
+            return None
+        change = Change.decode(payload)
+        answered = self.answers.get(change.request_id)
+        if answered is not None:
+            return answered
+        outcome = self._execute(change)
+        self.answers[change.request_id] = outcome
+        if len(self.answers) > _MAX_ANSWERS:
+            self.answers.popitem(last=False)
+        return outcome
+
+    def encode(self) -> bytes:
+        """Return the whole content as JSON, for a snapshot."""
+        tables = {
+            table: {
+                name: asdict(record)
+                for name, record in getattr(self.state, table).items()
+            }
+            for table in RECORD_TYPES
+        }
+        document = {
+            'revision': self.revision,
+            'tables': tables,
+            'answers': [
+                [request_id, asdict(outcome)]
+                for request_id, outcome in self.answers.items()
+            ],
+            'history': [asdict(record) for record in self.history],
+        }
+        return json.dumps(document, separators=(',', ':')).encode()
+
+    @classmethod
+    def decode(cls, snapshot: bytes) -> 'StateMachine':
+        """Read the content of a snapshot.
+
+        Raises
+        ------
+        ValidationError
+            If the snapshot is malformed.
+        """
+        machine = cls()
+        try:
+            document = json.loads(snapshot)
+            tables = {
+                table: _decode_table(record_type, document['tables'][table])
+                for table, record_type in RECORD_TYPES.items()
+            }
+            machine.state = ControlState(**tables)
+            machine.revision = int(document['revision'])
+            for request_id, outcome in document['answers']:
+                machine.answers[request_id] = Outcome(**outcome)
+            machine.history.extend(
+                HistoryRecord(**record) for record in document['history']
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise ValidationError(
+                f'malformed snapshot: {error!r}',
+                remedy='fetch the snapshot again from another instance',
+            ) from error
+        return machine
+
+    def _execute(self, change: Change) -> Outcome:
+        try:
+            found = commands.get(change.command)
+            arguments = found.arguments_model.model_validate(change.arguments)
+        except ValidationError as error:
+            return self._failure('invalid_input', error)
+        except pydantic.ValidationError as error:
+            return self._failure(
+                'invalid_input',
+                ValidationError(
+                    describe_validation(error),
+                    remedy='correct the named fields',
+                ),
+            )
+        name = getattr(arguments, found.key_field) if found.table else ''
+        conflict = self._check_revision(change, found, name)
+        if conflict is not None:
+            return conflict
+        try:
+            state = found.apply(self.state, arguments, change.proposed_unix_s)
+        except NotFoundError as error:
+            return self._failure('not_found', error)
+        except ValidationError as error:
+            return self._failure('invalid_input', error)
+        self._commit(change, found, name, state)
+        return Outcome('ok', self.revision, object_revision=self.revision)
+
+    def _check_revision(
+        self, change: Change, found: Command, name: str
+    ) -> Outcome | None:
+        if not found.table:
+            return None
+        exists = name in getattr(self.state, found.table)
+        meta = self.state.metas.get(_meta_key(found.table, name))
+        current = meta.revision if meta is not None and exists else 0
+        creates = change.command.endswith(('.put', '.add', '.start'))
+        if not exists and not creates:
+            return self._failure(
+                'not_found',
+                NotFoundError(
+                    f'no {found.table.removesuffix("s")} {name!r}',
+                    remedy='list the existing ones',
+                ),
+            )
+        expected = change.expected_revision
+        if expected is None or expected == current:
+            return None
+        return Outcome(
+            'conflict',
+            self.revision,
+            object_revision=current,
+            problem=(
+                f'{name!r} is at revision {current}, '
+                f'not at the expected {expected}'
+            ),
+            remedy='read the object again and repeat the change against it',
+            winner_request_id=meta.request_id if meta else '',
+            winner_operator=meta.operator if meta else '',
+        )
+
+    def _commit(
+        self, change: Change, found: Command, name: str, state: ControlState
+    ) -> None:
+        if found.table:
+            meta = ObjectMeta(self.revision, change.request_id, change.operator)
+            state = state.with_record(
+                'metas', _meta_key(found.table, name), meta
+            )
+        self.state = state
+        self.history.append(
+            HistoryRecord(
+                revision=self.revision,
+                operator=change.operator,
+                command=change.command,
+                target=name,
+                request_id=change.request_id,
+                unix_s=change.proposed_unix_s,
+            )
+        )
+
+    def _failure(self, kind: OutcomeKind, error: OleanderpinError) -> Outcome:
+        return Outcome(
+            kind, self.revision, problem=error.problem, remedy=error.remedy
+        )
+
+
+def _meta_key(table: str, name: str) -> str:
+    return f'{table}/{name}'
+
+
+def _decode_table(
+    record_type: type, records: Mapping[str, Any]
+) -> Mapping[str, Any]:
+    decoded = {}
+    for name, fields in records.items():
+        # JSON has no tuples; records are hashable and hold tuples.
+        normalized = {
+            field: tuple(value) if isinstance(value, list) else value
+            for field, value in fields.items()
+        }
+        decoded[name] = record_type(**normalized)
+    return MappingProxyType(decoded)
--- /dev/null
+++ b/oleanderpin/control/state.py
@@ -0,0 +1,165 @@
+"""The control state: immutable tables of what operators have accepted."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
+from typing import Any, Literal, TypeVar
+
+RecordT = TypeVar('RecordT')
+
+TrafficClass = Literal['small', 'bulk']
+MoveStatus = Literal['running', 'done', 'taken_back']
+DrainKind = Literal['target', 'instance', 'failure_domain']
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """What a kind of traffic needs; see the operator page on profiles."""
+
+    name: str
+    traffic_class: TrafficClass = 'small'
+    request_timeout_s: float = 10.0
+    first_byte_timeout_s: float = 5.0
+    progress_timeout_s: float = 10.0
+    queue_timeout_s: float = 1.0
+    max_attempts: int = 3
+    retry_budget_percent: float = 10.0
+    hedge_after_ms: float = 0.0
+    idempotency_required: bool = False
+    shift_cap_percent: float = 20.0
+    shift_interval_s: float = 10.0
+    slow_start_s: float = 10.0
+    move_watch_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service; ``accounts`` empty means any client account."""
+
+    name: str
+    profile: str
+    is_open: bool = False
+    accounts: tuple[str, ...] = ()
+    version: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account with its fleet-wide rate and burst."""
+
+    name: str
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """An issued key, known by the SHA-256 of its text in hexadecimal."""
+
+    key_hash: str
+    account: str
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """A planned drain of a target, an instance or a failure domain."""
+
+    name: str
+    kind: DrainKind
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A version move of a service.
+
+    ``deadline_unix_s`` is wall-clock time of the operator's instance.
+    ``evidence`` is a sentence for the report.
+    """
+
+    service: str
+    from_version: str
+    to_version: str
+    deadline_unix_s: float
+    status: MoveStatus = 'running'
+    share_percent: float = 0.0
+    reason: str = ''
+    evidence: str = ''
+    started_unix_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """A client block in CIDR notation and the site that serves it."""
+
+    cidr: str
+    site: str
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectMeta:
+    """Last accepted change of an object."""
+
+    revision: int
+    request_id: str
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryRecord:
+    """One accepted change, for the operators' history."""
+
+    revision: int
+    operator: str
+    command: str
+    target: str
+    request_id: str
+    unix_s: float
+
+
+def _empty() -> Mapping[str, Any]:
+    return MappingProxyType({})
+
+
+@dataclass(frozen=True, slots=True)
+class ControlState:
+    """All tables; every change makes a new value that shares the others."""
+
+    profiles: Mapping[str, Profile] = field(default_factory=_empty)
+    services: Mapping[str, Service] = field(default_factory=_empty)
+    accounts: Mapping[str, Account] = field(default_factory=_empty)
+    keys: Mapping[str, Key] = field(default_factory=_empty)
+    drains: Mapping[str, Drain] = field(default_factory=_empty)
+    moves: Mapping[str, Move] = field(default_factory=_empty)
+    blocks: Mapping[str, Block] = field(default_factory=_empty)
+    metas: Mapping[str, ObjectMeta] = field(default_factory=_empty)
+
+    def with_record(self, table: str, name: str, record: Any) -> 'ControlState':
+        """Return a state whose ``table`` holds ``record`` under ``name``."""
+        return self.with_records(table, {name: record})
+
+    def with_records(
+        self, table: str, records: Mapping[str, Any]
+    ) -> 'ControlState':
+        """Return a state whose ``table`` also holds ``records``."""
+        merged = {**getattr(self, table), **records}
+        return replace(self, **{table: MappingProxyType(merged)})
+
+    def without_record(self, table: str, name: str) -> 'ControlState':
+        """Return a state whose ``table`` does not hold ``name``."""
+        rest = {**getattr(self, table)}
+        rest.pop(name, None)
+        return replace(self, **{table: MappingProxyType(rest)})
+
+
+RECORD_TYPES: Mapping[str, type] = MappingProxyType(
+    {
+        'profiles': Profile,
+        'services': Service,
+        'accounts': Account,
+        'keys': Key,
+        'drains': Drain,
+        'moves': Move,
+        'blocks': Block,
+        'metas': ObjectMeta,
+    }
+)
--- /dev/null
+++ b/oleanderpin/core/__init__.py
@@ -0,0 +1,32 @@
+"""The kernel: clock, errors, registries, settings, plug-ins and logs."""
+
+from .clock import Clock, MonotonicClock
+from .errors import (
+    ConflictError,
+    OleanderpinError,
+    Refusal,
+    SettingsError,
+    UnavailableError,
+    ValidationError,
+)
+from .kernel import Kernel
+from .plugin import Plugin, plugins
+from .registry import Registry
+from .settings import Settings, load_settings
+
+__all__ = (
+    'Clock',
+    'ConflictError',
+    'Kernel',
+    'MonotonicClock',
+    'OleanderpinError',
+    'Plugin',
+    'Refusal',
+    'Registry',
+    'Settings',
+    'SettingsError',
+    'UnavailableError',
+    'ValidationError',
+    'load_settings',
+    'plugins',
+)
--- /dev/null
+++ b/oleanderpin/core/kernel.py
@@ -0,0 +1,97 @@
+"""Life cycle of one instance: builds, starts, drains and stops plug-ins."""
+
+import logging
+import threading
+from typing import TypeVar
+
+from .clock import Clock, MonotonicClock
+from .plugin import Plugin, plugins
+from .settings import Settings
+
+_LOG = logging.getLogger(__name__)
+
+PluginT = TypeVar('PluginT', bound=Plugin)
+
+
+class Kernel:
+    """The plug-ins of one instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Validated settings of the instance.
+    clock : Clock, optional
+        Monotonic clock.
+    """
+
+    def __init__(
+        self, settings: Settings, *, clock: Clock | None = None
+    ) -> None:
+        """Build the plug-ins that the instance's roles need."""
+        self.settings = settings
+        self.clock = clock or MonotonicClock()
+        self.draining = threading.Event()
+        self.stopping = threading.Event()
+        self._plugins: dict[type[Plugin], Plugin] = {}
+        self._started: list[Plugin] = []
+        roles = set(settings.instance.roles)
+        for name in plugins:
+            plugin_class = plugins.get(name)
+            if plugin_class.roles & roles:
+                self._plugins[plugin_class] = plugin_class(self)
+
+    def plugin(self, plugin_class: type[PluginT]) -> PluginT:
+        """Return the instance's plug-in of the given class.
+
+        Raises
+        ------
+        KeyError
+            If the instance's roles do not include the plug-in.
+        """
+        return self._plugins[plugin_class]  # type: ignore[return-value]
+
+    def has(self, plugin_class: type[Plugin]) -> bool:
+        """Return whether the instance runs the plug-in."""
+        return plugin_class in self._plugins
+
+    def start(self) -> None:
+        """Start all plug-ins; on failure stop those already started."""
+        for plugin in self._plugins.values():
+            try:
+                plugin.start()
+            except Exception:
+                self.stop()
+                raise
+            self._started.append(plugin)
+        _LOG.info('instance started')
+
+    def drain(self, *, timeout_s: float) -> None:
+        """Finish work in progress, waiting at most ``timeout_s`` seconds."""
+        self.draining.set()
+        deadline_s = self.clock.now_s() + timeout_s
+        for plugin in reversed(self._started):
+            plugin.drain(deadline_s=deadline_s)
+
+    def stop(self) -> None:
+        """Stop the started plug-ins in reverse order.
+
+        Raises
+        ------
+        ExceptionGroup
+            If plug-ins failed to stop; all others are stopped all the same.
+        """
+        self.stopping.set()
+        failures: list[Exception] = []
+        while self._started:
+            plugin = self._started.pop()
+            try:
+                plugin.stop()
+            except Exception as error:
+                failures.append(error)
+        if failures:
+            raise ExceptionGroup('plug-ins failed to stop', failures)
+        _LOG.info('instance stopped')
+
+    def wait_while_running(self, duration_s: float) -> bool:
+        """Sleep; return False as soon as the instance is stopping."""
+        return not self.stopping.wait(duration_s)
--- /dev/null
+++ b/oleanderpin/core/logs.py
@@ -0,0 +1,30 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+
+
+def configure_logs(*, instance: str, level: str) -> None:
+    """Write all log records as JSON lines to standard error.
+
+    Parameters
+    ----------
+    instance : str
+        Instance name added to each line.
+    level : str
+        Name of the lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = JsonFormatter(
+        _FORMAT,
+        rename_fields={'asctime': 'time', 'levelname': 'level'},
+        static_fields={'instance': instance},
+    )
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
--- /dev/null
+++ b/oleanderpin/core/metrics.py
@@ -0,0 +1,41 @@
+"""Prometheus metrics shared by the concerns.
+
+Metrics live in one process-wide registry, as is usual for
+``prometheus_client``; labels carry the reason of each refusal and retry.
+"""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+REFUSALS = Counter(
+    'oleanderpin_refusals_total', 'Refused requests by reason.', ['reason']
+)
+RETRIES = Counter(
+    'oleanderpin_retries_total', 'Repeated attempts by reason.', ['reason']
+)
+REQUESTS = Counter(
+    'oleanderpin_requests_total',
+    'Answered requests by service and status class.',
+    ['service', 'status_class'],
+)
+REQUEST_DURATION_S = Histogram(
+    'oleanderpin_request_duration_seconds',
+    'Time from the request line to the last byte of the answer.',
+    ['service'],
+    buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
+)
+LOOKUPS = Counter(
+    'oleanderpin_lookups_total', 'Answered look-ups by service.', ['service']
+)
+CONTROL_REVISION = Gauge(
+    'oleanderpin_control_revision', 'Revision of the applied control state.'
+)
+PEER_BYTES = Counter(
+    'oleanderpin_peer_bytes_total',
+    'Bytes exchanged with peers by direction.',
+    ['direction'],
+)
+EVENTS = Counter(
+    'oleanderpin_events_total',
+    'Internal events by concern and name.',
+    ['concern', 'event'],
+)
--- /dev/null
+++ b/oleanderpin/core/plugin.py
@@ -0,0 +1,41 @@
+"""Plug-ins of the kernel."""
+
+from typing import TYPE_CHECKING
+
+from .registry import Registry
+
+if TYPE_CHECKING:
+    from .kernel import Kernel
+
+
+class Plugin:
+    """One concern of an instance, started and stopped by the kernel.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives settings, clock and the other plug-ins.
+
+    Notes
+    -----
+    ``roles`` names the roles that need the plug-in. Plug-ins start in the
+    order of registration and stop in reverse order.
+    """
+
+    roles: frozenset[str] = frozenset(('entry', 'control'))
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Keep the kernel; other plug-ins are looked up in ``start``."""
+        self.kernel = kernel
+
+    def start(self) -> None:
+        """Start threads and listeners."""
+
+    def drain(self, *, deadline_s: float) -> None:
+        """Finish work in progress before ``deadline_s`` (monotonic)."""
+
+    def stop(self) -> None:
+        """Stop threads and close files and sockets."""
+
+
+plugins: Registry[type[Plugin]] = Registry('plug-in')
--- /dev/null
+++ b/oleanderpin/core/settings.py
@@ -0,0 +1,224 @@
+"""Settings of one instance, read from an INI file and validated."""
+
+import configparser
+import re
+from pathlib import Path
+from typing import Annotated, Any
+
+import pydantic
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+
+from .errors import SettingsError
+
+_ADDRESS = re.compile(r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+_ROLES = ('entry', 'control')
+_MAX_PORT = 65535
+
+
+def _split(value: object) -> object:
+    if isinstance(value, str):
+        return [part.strip() for part in value.split(',') if part.strip()]
+    return value
+
+
+def _check_address(value: str) -> str:
+    if not _ADDRESS.match(value):
+        raise ValueError('write an IPv4 address and port, as 10.0.0.1:8080')
+    host, port = value.split(':')
+    if int(port) > _MAX_PORT or any(
+        int(part) > 255 for part in host.split('.')
+    ):
+        raise ValueError('use octets up to 255 and a port up to 65535')
+    return value
+
+
+def _check_role(value: str) -> str:
+    if value not in _ROLES:
+        raise ValueError(f'use one of {list(_ROLES)}')
+    return value
+
+
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Role = Annotated[str, pydantic.AfterValidator(_check_role)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class InstanceSettings(_Section):
+    """Identity and place of the instance."""
+
+    name: Name
+    region: Name
+    failure_domain: Name
+    site: Name | None = None
+    roles: Annotated[tuple[Role, ...], BeforeValidator(_split)] = ('entry',)
+    data_dir: Path | None = None
+
+
+class ListenSettings(_Section):
+    """Addresses of the three listeners."""
+
+    caller: Address
+    admin: Address
+    peer: Address
+
+
+class PeersSettings(_Section):
+    """Peer addresses through which the instance finds the others."""
+
+    seeds: Annotated[tuple[Address, ...], BeforeValidator(_split)] = ()
+    probe_interval_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
+    probe_timeout_s: Annotated[float, Field(ge=0.01, le=10)] = 0.4
+    suspect_timeout_s: Annotated[float, Field(ge=0.1, le=120)] = 3.0
+
+
+class ControlSettings(_Section):
+    """Replicated log and distribution of the control state.
+
+    ``initial_members`` lists ``name=peer address`` of the instances that
+    form the first group; it is used only while all of them are empty.
+    """
+
+    initial_members: Annotated[tuple[str, ...], BeforeValidator(_split)] = ()
+    heartbeat_interval_s: Annotated[float, Field(ge=0.02, le=5)] = 0.3
+    election_timeout_min_s: Annotated[float, Field(ge=0.05, le=30)] = 1.0
+    election_timeout_max_s: Annotated[float, Field(ge=0.1, le=60)] = 2.0
+    leader_lease_s: Annotated[float, Field(ge=0.03, le=30)] = 0.8
+    freshness_limit_s: Annotated[float, Field(ge=0.5, le=10)] = 6.0
+    watch_hold_s: Annotated[float, Field(ge=0.05, le=5)] = 1.0
+    snapshot_every_entries: Annotated[int, Field(ge=10, le=1000000)] = 500
+
+
+class LimitsSettings(_Section):
+    """Leases of the client accounts' shares."""
+
+    lease_s: Annotated[float, Field(ge=0.5, le=60)] = 4.0
+    renew_interval_s: Annotated[float, Field(ge=0.05, le=10)] = 0.5
+
+
+class ForwardingSettings(_Section):
+    """The caller listener and the connections to targets."""
+
+    threads: Annotated[int, Field(ge=2, le=1000)] = 64
+    max_header_bytes: Annotated[int, Field(ge=1024, le=1048576)] = 32768
+    replay_buffer_bytes: Annotated[int, Field(ge=0, le=16777216)] = 65536
+    connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 1.0
+    idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 15.0
+    link_mbit_per_s: Annotated[float, Field(ge=1, le=1000000)] = 300.0
+    drain_timeout_s: Annotated[float, Field(ge=0, le=3600)] = 60.0
+    lookup_ttl_s: Annotated[float, Field(ge=0, le=300)] = 5.0
+
+
+class LogSettings(_Section):
+    """Log output."""
+
+    level: Annotated[str, Field(pattern='^(DEBUG|INFO|WARNING|ERROR)$')] = (
+        'INFO'
+    )
+
+
+class Settings(_Section):
+    """All settings of one instance, one field a section of the file."""
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    peers: PeersSettings = PeersSettings()
+    control: ControlSettings = ControlSettings()
+    limits: LimitsSettings = LimitsSettings()
+    forwarding: ForwardingSettings = ForwardingSettings()
+    log: LogSettings = LogSettings()
+
+    @pydantic.model_validator(mode='after')
+    def _check_together(self) -> 'Settings':
+        listen = self.listen
+        addresses = (listen.caller, listen.admin, listen.peer)
+        if len(set(addresses)) != len(addresses):
+            raise ValueError(
+                f'listen: {list(addresses)} holds a duplicate address; '
+                'give each listener its own port'
+            )
+        control = self.control
+        if control.election_timeout_min_s >= control.election_timeout_max_s:
+            raise ValueError(
+                'control: election_timeout_min_s must be below '
+                'election_timeout_max_s'
+            )
+        if control.leader_lease_s >= control.election_timeout_min_s:
+            raise ValueError(
+                'control: leader_lease_s must be below election_timeout_min_s'
+            )
+        if 'control' in self.instance.roles and not self.instance.data_dir:
+            raise ValueError(
+                'instance: the control role needs a disk; set data_dir'
+            )
+        return self
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and validate an INI file.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file, in UTF-8.
+
+    Returns
+    -------
+    Settings
+        The validated settings.
+
+    Raises
+    ------
+    SettingsError
+        Names file, section, field, the bad value and the remedy.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding='utf-8') as settings_file:
+            parser.read_file(settings_file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise SettingsError(
+            f'{path}: cannot be read: {error}',
+            remedy='give a readable INI file',
+        ) from error
+    sections: dict[str, Any] = {
+        name: dict(parser[name]) for name in parser.sections()
+    }
+    try:
+        return Settings.model_validate(sections)
+    except pydantic.ValidationError as error:
+        raise _settings_error(path, error) from error
+
+
+def _settings_error(
+    path: Path, error: pydantic.ValidationError
+) -> SettingsError:
+    lines = [_describe(path, detail) for detail in error.errors()]
+    return SettingsError('\n'.join(lines))
+
+
+def _describe(path: Path, detail: Any) -> str:
+    location = [str(part) for part in detail['loc']]
+    section = location[0] if location else ''
+    field = '.'.join(location[1:])
+    if detail['type'] == 'extra_forbidden':
+        valid = _valid_names(section, is_section=not field)
+        what = f'field {field!r}' if field else 'section'
+        return f'{path}: [{section}] unknown {what}; remedy: use one of {valid}'
+    problem = detail['msg'].removeprefix('Value error, ')
+    if not location:
+        return f'{path}: {problem}'
+    bad_value = '' if detail['type'] == 'missing' else f' {detail["input"]!r}:'
+    return f'{path}: [{section}] {field}:{bad_value} remedy: {problem}'
+
+
+def _valid_names(section: str, *, is_section: bool) -> list[str]:
+    if is_section:
+        return sorted(Settings.model_fields)
+    annotation = Settings.model_fields[section].annotation
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return sorted(annotation.model_fields)
+    return []
--- /dev/null
+++ b/oleanderpin/daemon.py
@@ -0,0 +1,89 @@
+"""``oleanderpind``: the daemon."""
+
+import argparse
+import logging
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from .control import authority, distribution, log, view  # noqa: F401
+from .core.errors import SettingsError
+from .core.kernel import Kernel
+from .core.logs import configure_logs
+from .core.settings import load_settings
+from .forwarding import attempts, pipeline  # noqa: F401
+from .limits import limiter  # noqa: F401
+from .lookup import answer  # noqa: F401
+from .membership import peers  # noqa: F401
+from .operators import admin  # noqa: F401
+from .routing import router  # noqa: F401
+from .targets import exchange, table  # noqa: F401
+from .wire import network, server  # noqa: F401
+
+_LOG = logging.getLogger(__name__)
+_EXIT_SETTINGS = 2
+_EXIT_FAILED = 1
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Command line without the program name.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 1 if it could not start, 2 if the settings
+        are not valid.
+    """
+    parsed = _parser().parse_args(arguments)
+    path = parsed.file or parsed.settings
+    if path is None:
+        _parser().error('give --settings FILE or check FILE')
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        return _EXIT_SETTINGS
+    if parsed.command == 'check':
+        sys.stdout.write(f'{path}: valid\n')
+        return 0
+    configure_logs(instance=settings.instance.name, level=settings.log.level)
+    return _run(Kernel(settings))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog='oleanderpind')
+    parser.add_argument('--settings', type=Path, help='INI settings file')
+    parser.add_argument(
+        'command', nargs='?', choices=['check'], help='check FILE and exit'
+    )
+    parser.add_argument('file', nargs='?', type=Path)
+    return parser
+
+
+def _run(kernel: Kernel) -> int:
+    stopped = threading.Event()
+
+    def stop(*_ignored: object) -> None:
+        stopped.set()
+
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, stop)
+    try:
+        kernel.start()
+    except Exception:
+        _LOG.exception('instance cannot start')
+        return _EXIT_FAILED
+    stopped.wait()
+    kernel.drain(timeout_s=kernel.settings.forwarding.drain_timeout_s)
+    kernel.stop()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/oleanderpin/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts over the fleet."""
--- /dev/null
+++ b/oleanderpin/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Look-up: which instances a caller should use."""
--- /dev/null
+++ b/oleanderpin/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive, and where they can be reached."""
--- /dev/null
+++ b/oleanderpin/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves and drains."""
--- /dev/null
+++ b/oleanderpin/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The admin listener: operators, announcements, metrics and health."""
--- /dev/null
+++ b/oleanderpin/operators/admin.py
@@ -0,0 +1,205 @@
+"""HTTP interface of operators and targets."""
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any, TypeVar
+
+import pydantic
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from ..control.change import Change, describe_validation
+from ..control.distribution import Distribution
+from ..control.state import RECORD_TYPES
+from ..control.view import ControlView
+from ..core.errors import (
+    ConflictError,
+    NotFoundError,
+    OleanderpinError,
+    UnavailableError,
+    ValidationError,
+)
+from ..core.http import HttpAnswer, HttpListener, HttpRequest
+from ..core.plugin import Plugin, plugins
+from ..core.registry import Registry
+from ..membership.peers import Peers
+from ..targets.table import Announcement, Departure, TargetTable
+
+_THREADS = 8
+_MAX_BODY_BYTES = 4 * 1024 * 1024
+_MAX_HEADER_BYTES = 16384
+
+ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+Route = Callable[['Admin', HttpRequest], HttpAnswer]
+
+routes: Registry[Route] = Registry('admin route')
+
+
+def json_answer(document: Any, *, status: int = 200) -> HttpAnswer:
+    """Return ``document`` as a JSON answer."""
+    return HttpAnswer(status, json.dumps(document).encode())
+
+
+@plugins.register('admin')
+class Admin(Plugin):
+    """Serves registered routes on the admin port."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Prepare the listener."""
+        super().__init__(kernel)
+        self._listener = HttpListener(
+            kernel.settings.listen.admin,
+            self.handle,
+            threads=_THREADS,
+            max_header_bytes=_MAX_HEADER_BYTES,
+        )
+
+    def start(self) -> None:
+        """Accept operators and targets."""
+        self._listener.start()
+
+    def stop(self) -> None:
+        """Stop accepting operators and targets."""
+        self._listener.stop()
+
+    def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Serve one request."""
+        key = f'{request.method} {request.path}'
+        try:
+            if key in routes:
+                return routes.get(key)(self, request)
+            return self._table(request)
+        except OleanderpinError as error:
+            return error_answer(error)
+
+    def _table(self, request: HttpRequest) -> HttpAnswer:
+        table = request.path.removeprefix('/v1/')
+        if request.method != 'GET' or table not in RECORD_TYPES:
+            raise NotFoundError(
+                f'no route {request.method} {request.path}',
+                remedy=f'use one of {sorted(routes)}',
+            )
+        state = self.kernel.plugin(ControlView).state
+        records = []
+        for name, record in sorted(getattr(state, table).items()):
+            meta = state.metas.get(f'{table}/{name}')
+            revision = meta.revision if meta else 0
+            records.append(asdict(record) | {'revision': revision})
+        return json_answer(records)
+
+
+def error_answer(error: OleanderpinError) -> HttpAnswer:
+    """Return a typed error as a problem document."""
+    statuses = {
+        ConflictError.kind: 409,
+        NotFoundError.kind: 404,
+        UnavailableError.kind: 503,
+        ValidationError.kind: 400,
+    }
+    document = {
+        'kind': error.kind,
+        'problem': error.problem,
+        'remedy': error.remedy,
+    }
+    if isinstance(error, ConflictError):
+        document['winner_request_id'] = error.winner_request_id
+        document['winner_operator'] = error.winner_operator
+        document['revision'] = str(error.revision)
+    if isinstance(error, UnavailableError):
+        document['maybe_applied'] = str(error.maybe_applied).lower()
+    return HttpAnswer(
+        statuses.get(error.kind, 500),
+        json.dumps(document).encode(),
+        content_type='application/problem+json',
+    )
+
+
+def read_model(request: HttpRequest, model: type[ModelT]) -> ModelT:
+    """Read and validate a JSON body.
+
+    Raises
+    ------
+    ValidationError
+        If the body is not valid; the message quotes the bad values.
+    """
+    body = request.read_body(limit_bytes=_MAX_BODY_BYTES)
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise ValidationError(
+            describe_validation(error), remedy='correct the named fields'
+        ) from error
+
+
+class ChangeRequest(Change):
+    """Body of ``POST /v1/changes``."""
+
+    wait: str = 'accepted'
+
+
+@routes.register('POST /v1/changes')
+def _post_change(admin: Admin, request: HttpRequest) -> HttpAnswer:
+    asked = read_model(request, ChangeRequest)
+    fields = asked.model_dump(exclude={'wait'})
+    fields['proposed_unix_s'] = time.time()
+    distribution = admin.kernel.plugin(Distribution)
+    outcome = distribution.propose(Change(**fields))
+    outcome.raise_for_kind()
+    return json_answer(asdict(outcome) | {'state': 'accepted'})
+
+
+@routes.register('POST /targets/announce')
+def _post_announcement(admin: Admin, request: HttpRequest) -> HttpAnswer:
+    announcement = read_model(request, Announcement)
+    admin.kernel.plugin(TargetTable).announce(announcement)
+    return json_answer({'renew_after_s': 1.0})
+
+
+@routes.register('POST /targets/leave')
+def _post_departure(admin: Admin, request: HttpRequest) -> HttpAnswer:
+    admin.kernel.plugin(TargetTable).leave(read_model(request, Departure))
+    return json_answer({'state': 'leaving'})
+
+
+@routes.register('GET /v1/status')
+def _get_status(admin: Admin, _request: HttpRequest) -> HttpAnswer:
+    view = admin.kernel.plugin(ControlView)
+    peers = admin.kernel.plugin(Peers).alive()
+    return json_answer(
+        {
+            'instance': admin.kernel.settings.instance.name,
+            'revision': view.revision,
+            'is_fresh': view.is_fresh(),
+            'freshness_age_s': min(view.freshness_age_s(), 1e9),
+            'instances': [_as_document(peer) for peer in peers],
+        }
+    )
+
+
+@routes.register('GET /v1/history')
+def _get_history(admin: Admin, _request: HttpRequest) -> HttpAnswer:
+    records = admin.kernel.plugin(ControlView).history()
+    return json_answer([_as_document(record) for record in records])
+
+
+@routes.register('GET /metrics')
+def _get_metrics(_admin: Admin, _request: HttpRequest) -> HttpAnswer:
+    return HttpAnswer(200, generate_latest(), content_type=CONTENT_TYPE_LATEST)
+
+
+@routes.register('GET /healthz')
+def _get_health(_admin: Admin, _request: HttpRequest) -> HttpAnswer:
+    return json_answer({'state': 'alive'})
+
+
+@routes.register('GET /readyz')
+def _get_readiness(admin: Admin, _request: HttpRequest) -> HttpAnswer:
+    is_ready = admin.kernel.plugin(ControlView).is_fresh()
+    is_ready = is_ready and not admin.kernel.draining.is_set()
+    status = 200 if is_ready else 503
+    return json_answer({'is_ready': is_ready}, status=status)
+
+
+def _as_document(record: Any) -> Any:
+    return asdict(record)
--- /dev/null
+++ b/oleanderpin/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which target serves a request."""
--- /dev/null
+++ b/oleanderpin/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: announcements, the table of live targets, their exchange."""
--- /dev/null
+++ b/oleanderpin/tests/control/test_machine.py
@@ -0,0 +1,52 @@
+"""The state machine: conflicts, resends and snapshots."""
+
+from ...control.change import Change, Outcome
+from ...control.machine import StateMachine
+
+
+def put_account(
+    request_id: str, *, rate_per_s: float = 10, expected: int | None = None
+) -> bytes:
+    return Change(
+        request_id=request_id,
+        command='account.put',
+        arguments={'name': 'shop', 'rate_per_s': rate_per_s, 'burst': 5},
+        expected_revision=expected,
+        operator='anna',
+    ).encode()
+
+
+def apply(machine: StateMachine, payload: bytes) -> Outcome:
+    outcome = machine.apply(machine.revision + 1, payload)
+    assert outcome is not None
+    return outcome
+
+
+def test_race_with_equal_revisions_has_one_winner() -> None:
+    """Guards against two operators overwriting each other unseen."""
+    machine = StateMachine()
+    first = apply(machine, put_account('request-1', expected=0))
+    loser = apply(machine, put_account('request-2', rate_per_s=99, expected=0))
+    assert first.kind == 'ok'
+    assert loser.kind == 'conflict'
+    assert loser.winner_request_id == 'request-1'
+    assert loser.object_revision == first.revision
+    assert machine.state.accounts['shop'].rate_per_s == 10
+
+
+def test_resend_gets_first_answer_after_snapshot() -> None:
+    """Guards against a resent change that is applied a second time."""
+    machine = StateMachine()
+    first = apply(machine, put_account('request-1'))
+    apply(machine, put_account('request-2', rate_per_s=20))
+    restored = StateMachine.decode(machine.encode())
+    assert apply(restored, put_account('request-1')) == first
+    assert restored.state.accounts['shop'].rate_per_s == 20
+
+
+def test_malformed_arguments_change_nothing() -> None:
+    machine = StateMachine()
+    outcome = apply(machine, put_account('request-1', rate_per_s=-1))
+    assert outcome.kind == 'invalid_input'
+    assert 'rate_per_s=-1' in outcome.problem
+    assert not machine.state.accounts
--- /dev/null
+++ b/oleanderpin/tests/core/test_settings.py
@@ -0,0 +1,60 @@
+"""Settings files: what is accepted and how errors name their remedy."""
+
+from pathlib import Path
+
+import pytest
+
+from ...core.errors import SettingsError
+from ...core.settings import load_settings
+from ...testing import settings_text
+
+
+def write(folder: Path, text: str) -> Path:
+    path = folder / 'instance.ini'
+    path.write_text(text)
+    return path
+
+
+def valid_text(extra: str = '') -> str:
+    return settings_text(
+        name='north-1', ports=[8080, 8081, 8082], seeds=[8082], extra=extra
+    )
+
+
+def test_valid_file_is_loaded(tmp_path: Path) -> None:
+    settings = load_settings(write(tmp_path, valid_text()))
+    assert settings.listen.peer == '127.0.0.1:8082'
+    assert settings.instance.roles == ('entry',)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        (valid_text('[limts]\nlease_s = 1'), ['[limts]', 'limits']),
+        (
+            valid_text('[limits]\nlease_s = soon'),
+            ['[limits] lease_s', "'soon'", 'remedy'],
+        ),
+        (
+            valid_text('[forwarding]\ntimeout = 3'),
+            ['[forwarding]', "'timeout'", 'connect_timeout_s'],
+        ),
+        (valid_text().replace('8081', '8080'), ['duplicate address']),
+        (valid_text().replace('127.0.0.1:8080', 'host:80'), ["'host:80'"]),
+        (
+            valid_text().replace('roles = entry', 'roles = entry, control'),
+            ['data_dir'],
+        ),
+    ],
+)
+def test_bad_file_is_refused_with_remedy(
+    tmp_path: Path, text: str, expected: list[str]
+) -> None:
+    """Guards against a daemon that starts with settings it misreads."""
+    path = write(tmp_path, text)
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path)
+    message = str(caught.value)
+    assert str(path) in message
+    for part in expected:
+        assert part in message
--- /dev/null
+++ b/oleanderpin/wire/__init__.py
@@ -0,0 +1,6 @@
+"""Thrift messages between instances: server, client and generated code."""
+
+from .network import PeerNetwork
+from .server import PeerServer
+
+__all__ = ('PeerNetwork', 'PeerServer')
--- /dev/null
+++ b/oleanderpin/wire/network.py
@@ -0,0 +1,174 @@
+"""Calls to peers over pooled connections."""
+
+import importlib
+import threading
+from collections import defaultdict, deque
+from typing import Any
+
+from thrift.protocol.TMultiplexedProtocol import TMultiplexedProtocol
+from thrift.Thrift import TApplicationException, TException
+from thrift.transport.TTransport import TTransportException
+
+from ..core.errors import UnavailableError
+from ..core.plugin import Plugin, plugins
+from .transport import CountingSocket, framed_protocol
+
+_MAX_IDLE_CONNECTIONS = 4
+_GENERATED = 'oleanderpin.wire.generated'
+
+
+class PeerCallError(UnavailableError):
+    """A call to a peer that got no answer.
+
+    ``sent`` tells whether the peer may have received the request.
+    """
+
+    kind = 'peer_call_failed'
+
+    def __init__(self, problem: str, *, sent: bool) -> None:
+        """Keep whether the request may have been received."""
+        super().__init__(
+            problem,
+            remedy='check that the peer runs and its peer port is reachable',
+            maybe_applied=sent,
+        )
+        self.sent = sent
+
+
+class _Connection:
+    """One open connection to a peer."""
+
+    def __init__(self, address: str, *, timeout_s: float) -> None:
+        host, port = address.split(':')
+        self._socket = CountingSocket(host, int(port))
+        self.set_timeout(timeout_s)
+        self._protocol = framed_protocol(self._socket)
+        self._socket.open()
+
+    def set_timeout(self, timeout_s: float) -> None:
+        self._socket.setTimeout(max(1, int(timeout_s * 1000)))
+
+    def call(
+        self, service_name: str, method: str, arguments: tuple[Any, ...]
+    ) -> Any:
+        protocol = TMultiplexedProtocol(self._protocol, service_name)
+        client = _client_class(service_name)(protocol)
+        return getattr(client, method)(*arguments)
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+@plugins.register('peer-network')
+class PeerNetwork(Plugin):
+    """The only way to call another instance, so that tests can cut it."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Start without connections."""
+        super().__init__(kernel)
+        self._idle: dict[str, deque[_Connection]] = defaultdict(deque)
+        self._lock = threading.Lock()
+
+    def call(
+        self,
+        address: str,
+        service_name: str,
+        method: str,
+        *arguments: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Call ``method`` of a peer's Thrift service.
+
+        Parameters
+        ----------
+        address : str
+            Peer address as ``ip:port``.
+        service_name : str
+            Thrift service; its generated module must be known.
+        method : str
+            Method name.
+        *arguments : Any
+            Thrift arguments.
+        timeout_s : float
+            Time for connecting and for each read or write, in seconds.
+
+        Returns
+        -------
+        Any
+            The Thrift result.
+
+        Raises
+        ------
+        PeerCallError
+            If no answer came.
+        TException
+            An exception declared by the method.
+        """
+        connection = self._take(address, timeout_s=timeout_s)
+        reusable = False
+        try:
+            answer = connection.call(service_name, method, arguments)
+            reusable = True
+        except (TTransportException, OSError) as error:
+            raise PeerCallError(
+                f'{service_name}.{method} at {address} failed: {error}',
+                sent=True,
+            ) from error
+        except TApplicationException as error:
+            raise PeerCallError(
+                f'{service_name}.{method} at {address} is refused: {error}',
+                sent=True,
+            ) from error
+        except TException:
+            reusable = True
+            raise
+        finally:
+            # A connection that still owes an answer is never reused.
+            self._give_back(address, connection, reusable=reusable)
+        return answer
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to ``address``."""
+        with self._lock:
+            connections = self._idle.pop(address, deque())
+        for connection in connections:
+            connection.close()
+
+    def stop(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.close_idle(address)
+
+    def _take(self, address: str, *, timeout_s: float) -> _Connection:
+        with self._lock:
+            idle = self._idle[address]
+            connection = idle.pop() if idle else None
+        if connection is not None:
+            connection.set_timeout(timeout_s)
+            return connection
+        try:
+            return _Connection(address, timeout_s=timeout_s)
+        except (TTransportException, OSError) as error:
+            raise PeerCallError(
+                f'no connection to {address}: {error}', sent=False
+            ) from error
+
+    def _give_back(
+        self, address: str, connection: _Connection, *, reusable: bool
+    ) -> None:
+        if not reusable:
+            connection.close()
+            # A silent path affects all connections that were opened before.
+            self.close_idle(address)
+            return
+        with self._lock:
+            idle = self._idle[address]
+            if len(idle) < _MAX_IDLE_CONNECTIONS:
+                idle.append(connection)
+                return
+        connection.close()
+
+
+def _client_class(service_name: str) -> Any:
+    module_name = f'{_GENERATED}.{service_name.lower()}.{service_name}'
+    return importlib.import_module(module_name).Client
--- /dev/null
+++ b/oleanderpin/wire/server.py
@@ -0,0 +1,120 @@
+"""Listener for requests from peers, one thread per connection."""
+
+import logging
+import socket
+import threading
+from typing import Any
+
+from thrift.Thrift import TException
+from thrift.TMultiplexedProcessor import TMultiplexedProcessor
+from thrift.transport.TTransport import TTransportException
+
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from .transport import CountingSocket, framed_protocol
+
+_LOG = logging.getLogger(__name__)
+_BACKLOG = 128
+_MAX_CONNECTIONS = 1024
+# An idle peer connection is closed so that silent peers cannot hold threads.
+_IDLE_TIMEOUT_S = 120.0
+
+
+@plugins.register('peer-server')
+class PeerServer(Plugin):
+    """Accepts peer connections and dispatches to registered services."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Prepare an empty multiplexed processor."""
+        super().__init__(kernel)
+        self._processor = TMultiplexedProcessor()
+        self._listener: socket.socket | None = None
+        self._connections: set[socket.socket] = set()
+        self._lock = threading.Lock()
+
+    def register(self, service_name: str, processor: Any) -> None:
+        """Serve ``processor`` under ``service_name``.
+
+        Parameters
+        ----------
+        service_name : str
+            Name of the Thrift service.
+        processor : TProcessor
+            Generated processor around a handler.
+        """
+        self._processor.registerProcessor(service_name, processor)
+
+    def start(self) -> None:
+        """Listen on the peer address."""
+        host, port = self.kernel.settings.listen.peer.split(':')
+        listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        self._listener = listener
+        threading.Thread(
+            target=self._accept, name='peer-accept', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._listener is not None:
+            # Wakes up the thread that is blocked in accept().
+            _shutdown(self._listener)
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            _shutdown(connection)
+
+    def _accept(self) -> None:
+        listener = self._listener
+        while listener is not None and not self.kernel.stopping.is_set():
+            try:
+                connection, _address = listener.accept()
+            except OSError:
+                return
+            self._admit(connection)
+
+    def _admit(self, connection: socket.socket) -> None:
+        with self._lock:
+            accepted = len(self._connections) < _MAX_CONNECTIONS
+            if accepted:
+                self._connections.add(connection)
+        if not accepted:
+            EVENTS.labels('wire', 'connection_limit').inc()
+            connection.close()
+            return
+        threading.Thread(
+            target=self._serve,
+            args=(connection,),
+            name='peer-connection',
+            daemon=True,
+        ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.settimeout(_IDLE_TIMEOUT_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        peer_socket = CountingSocket()
+        peer_socket.setHandle(connection)
+        protocol = framed_protocol(peer_socket)
+        try:
+            while not self.kernel.stopping.is_set():
+                self._processor.process(protocol, protocol)
+        except (TTransportException, OSError):
+            EVENTS.labels('wire', 'connection_closed').inc()
+        except (TException, ValueError, TypeError) as error:
+            EVENTS.labels('wire', 'malformed_message').inc()
+            _LOG.warning('malformed peer message: %s', error)
+        except Exception:
+            EVENTS.labels('wire', 'malformed_message').inc()
+            _LOG.exception('peer connection failed')
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+            peer_socket.close()
+
+
+def _shutdown(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The other end may have closed the connection already.
+        EVENTS.labels('wire', 'closed_before_shutdown').inc()
+    connection.close()
--- /dev/null
+++ b/oleanderpin/wire/transport.py
@@ -0,0 +1,31 @@
+"""Framed compact protocol over a socket that counts bytes."""
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from ..core.metrics import PEER_BYTES
+
+# A larger frame is refused before it is read; snapshots travel in chunks.
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+
+class CountingSocket(TSocket):
+    """Socket that counts the bytes exchanged with peers."""
+
+    def read(self, sz: int) -> bytes:
+        """Read at most ``sz`` bytes."""
+        chunk: bytes = super().read(sz)
+        PEER_BYTES.labels('received').inc(len(chunk))
+        return chunk
+
+    def write(self, buff: bytes) -> None:
+        """Write all bytes of ``buff``."""
+        super().write(buff)
+        PEER_BYTES.labels('sent').inc(len(buff))
+
+
+def framed_protocol(peer_socket: TSocket) -> TCompactProtocolAccelerated:
+    """Return the protocol that peers speak over ``peer_socket``."""
+    transport = TFramedTransport(peer_socket, MAX_FRAME_BYTES)
+    return TCompactProtocolAccelerated(transport)
