Define the seams that the concerns build on

Cause: limits, routing, moves and exchange were entangled in the first path. Change: leader client, generic exchange of soft state, fair queue, version split, drains and observers of attempts as plug-ins of their own. Conclusion: each concern can now be replaced behind its interface.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/mypy oleanderpin
 
 test: lint
-	$(BIN)/pytest
+	$(BIN)/python -m pytest
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -9,16 +9,15 @@
 from ..core.plugin import Plugin, plugins
 from ..wire.generated.control import Control
 from ..wire.generated.control.ttypes import (
-    NotLeader,
     ProposeReply,
     ProposeRequest,
-    Unavailable,
     WatchReply,
     WatchRequest,
 )
 from ..wire.network import PeerNetwork
 from ..wire.server import PeerServer
 from .change import Change, Outcome
+from .leader import LeaderClient
 from .log import ControlLog
 from .view import ControlView
 
@@ -83,26 +82,10 @@
             If no leader could be reached.
         """
         request = ProposeRequest(payload=change.encode(), hops=0)
-        if self.kernel.has(ControlLog):
-            return self.propose_here(request)
-        for address in self._sources():
-            try:
-                reply = self._network.call(
-                    address,
-                    'Control',
-                    'propose',
-                    request,
-                    timeout_s=_PROPOSE_TIMEOUT_S,
-                )
-            except (UnavailableError, NotLeader, Unavailable):
-                EVENTS.labels('control', 'propose_failed').inc()
-                continue
-            return Outcome.decode(reply.payload)
-        raise UnavailableError(
-            'no control instance accepted the change',
-            remedy='send it again with the same request id',
-            maybe_applied=True,
+        reply = self.kernel.plugin(LeaderClient).call(
+            'Control', 'propose', request, timeout_s=_PROPOSE_TIMEOUT_S
         )
+        return Outcome.decode(reply.payload)
 
     def propose_here(self, request: ProposeRequest) -> Outcome:
         """Append a change to the log of this control instance."""
--- /dev/null
+++ b/oleanderpin/control/leader.py
@@ -0,0 +1,112 @@
+"""Calls to the control leader, wherever it is."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from ..wire.generated.common.ttypes import NotLeader, Unavailable
+from ..wire.network import PeerCallError, PeerNetwork
+
+_MAX_REDIRECTS = 3
+
+
+@dataclass(slots=True)
+class _Search:
+    """Addresses still to be asked and what the others answered."""
+
+    candidates: list[str]
+    redirects: int = 0
+    maybe_applied: bool = False
+
+    def note(self, error: NotLeader | Unavailable | PeerCallError) -> None:
+        if isinstance(error, PeerCallError):
+            self.maybe_applied = self.maybe_applied or error.sent
+        elif isinstance(error, Unavailable):
+            self.maybe_applied = self.maybe_applied or error.maybe_applied
+        elif error.leader_address and self.redirects < _MAX_REDIRECTS:
+            self.redirects += 1
+            self.candidates.insert(0, error.leader_address)
+
+
+@plugins.register('leader-client')
+class LeaderClient(Plugin):
+    """Finds the leader by asking control instances and caches its address.
+
+    Thrift methods called through it declare ``NotLeader``.
+    """
+
+    def __init__(self, kernel: Any) -> None:
+        """Start without a known leader."""
+        super().__init__(kernel)
+        self._network = kernel.plugin(PeerNetwork)
+        self._peers = kernel.plugin(Peers)
+        self._leader_address = ''
+
+    def call(
+        self,
+        service_name: str,
+        method: str,
+        *arguments: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Call a Thrift method on the leader.
+
+        Parameters
+        ----------
+        service_name, method : str
+            Thrift service and method.
+        *arguments : Any
+            Thrift arguments.
+        timeout_s : float
+            Time for each call, in seconds.
+
+        Returns
+        -------
+        Any
+            The Thrift result.
+
+        Raises
+        ------
+        UnavailableError
+            If no leader answered; ``maybe_applied`` tells whether a request
+            may have reached one.
+        """
+        search = _Search(self._candidates())
+        while search.candidates:
+            address = search.candidates.pop(0)
+            try:
+                answer = self._network.call(
+                    address,
+                    service_name,
+                    method,
+                    *arguments,
+                    timeout_s=timeout_s,
+                )
+            except (NotLeader, Unavailable, PeerCallError) as error:
+                search.note(error)
+                continue
+            self._leader_address = address
+            return answer
+        EVENTS.labels('control', 'leader_not_found').inc()
+        raise UnavailableError(
+            f'no control leader answered {service_name}.{method}',
+            remedy='send it again with the same request id',
+            maybe_applied=search.maybe_applied,
+        )
+
+    def _candidates(self) -> list[str]:
+        settings = self.kernel.settings
+        configured = [
+            member.partition('=')[2]
+            for member in settings.control.initial_members
+        ]
+        announced = [
+            peer.peer_address
+            for peer in self._peers.alive()
+            if 'control' in peer.roles
+        ]
+        known = [self._leader_address, *announced, *configured]
+        return [address for address in dict.fromkeys(known) if address]
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -7,15 +7,16 @@
 import threading
 from pathlib import Path
 
-from .control import authority, distribution, log, view  # noqa: F401
+from .control import authority, distribution, leader, log, view  # noqa: F401
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs
 from .core.settings import load_settings
 from .forwarding import attempts, pipeline  # noqa: F401
-from .limits import limiter  # noqa: F401
+from .limits import fair_queue, limiter  # noqa: F401
 from .lookup import answer  # noqa: F401
 from .membership import peers  # noqa: F401
+from .moves import drains, split  # noqa: F401
 from .operators import admin  # noqa: F401
 from .routing import router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
--- a/oleanderpin/forwarding/pipeline.py
+++ b/oleanderpin/forwarding/pipeline.py
@@ -12,6 +12,7 @@
 from ..core.http import HttpAnswer, HttpListener, HttpRequest
 from ..core.metrics import REQUEST_DURATION_S, REQUESTS
 from ..core.plugin import Plugin, plugins
+from ..limits.fair_queue import FairQueue
 from ..limits.limiter import RateLimiter
 from ..lookup.answer import PATH_PREFIX, Lookup
 from .attempts import Attempts
@@ -34,6 +35,7 @@
         self._view = kernel.plugin(ControlView)
         self._authority = kernel.plugin(Authority)
         self._limiter = kernel.plugin(RateLimiter)
+        self._queue = kernel.plugin(FairQueue)
         self._lookup = kernel.plugin(Lookup)
         self._attempts = kernel.plugin(Attempts)
         forwarding = kernel.settings.forwarding
@@ -78,18 +80,26 @@
         service = self._service(caller_request.service_name)
         profile = self._profile(service)
         deadline_s = started_s + _timeout_s(caller_request, profile)
+        account_name = ''
         if not service.is_open:
             account = self._authority.check(
                 key_hash=caller_request.key_hash, service=service
             )
+            account_name = account.name
             self._limiter.admit(account, deadline_s=deadline_s)
-        status = self._attempts.run(
-            request,
-            caller_request,
-            service=service,
-            deadline_s=deadline_s,
-            request_id=request_id,
-        )
+        with self._queue.enter(
+            service,
+            account_name,
+            traffic_class=profile.traffic_class,
+            deadline_s=min(deadline_s, started_s + profile.queue_timeout_s),
+        ):
+            status = self._attempts.run(
+                request,
+                caller_request,
+                service=service,
+                deadline_s=deadline_s,
+                request_id=request_id,
+            )
         REQUESTS.labels(service.name, f'{status // 100}xx').inc()
         duration_s = self.kernel.clock.now_s() - started_s
         REQUEST_DURATION_S.labels(service.name).observe(duration_s)
--- a/oleanderpin/lookup/answer.py
+++ b/oleanderpin/lookup/answer.py
@@ -12,6 +12,7 @@
 from ..core.metrics import LOOKUPS
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peer, Peers
+from ..moves.drains import Drains
 
 PATH_PREFIX = '/lookup/'
 
@@ -36,6 +37,7 @@
         super().__init__(kernel)
         self._view = kernel.plugin(ControlView)
         self._peers = kernel.plugin(Peers)
+        self._drains = kernel.plugin(Drains)
 
     def answer(self, request: HttpRequest) -> HttpAnswer:
         """Return the instances to use, nearest first.
@@ -70,7 +72,7 @@
         candidates = [
             peer
             for peer in self._peers.alive()
-            if 'entry' in peer.roles and not peer.draining
+            if 'entry' in peer.roles and not self._drains.is_draining_peer(peer)
         ]
         candidates.sort(key=lambda peer: (_distance(own, peer), peer.name))
         return [
--- a/oleanderpin/routing/router.py
+++ b/oleanderpin/routing/router.py
@@ -2,13 +2,15 @@
 
 import threading
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any, Literal
 
 from ..control.state import Service
 from ..core.errors import Refusal, RefusalDetails
 from ..core.plugin import Plugin, plugins
+from ..moves.drains import Drains
+from ..moves.split import VersionSplit
 from ..targets.table import Target, TargetTable
 
 AttemptResult = Literal[
@@ -22,6 +24,20 @@
 
     result: AttemptResult
     first_byte_ms: float = 0.0
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """An attempt's outcome with its place, for statistics of versions."""
+
+    service: str
+    route: str
+    target: Target
+    outcome: AttemptOutcome
+
+
+Observer = Callable[[Observation], None]
 
 
 class Selection:
@@ -30,9 +46,10 @@
     Used as a context manager; leaving it gives the permits back.
     """
 
-    def __init__(self, router: 'Router', target: Target) -> None:
+    def __init__(self, router: 'Router', target: Target, route: str) -> None:
         """Hold the permits of ``target``."""
         self._router = router
+        self._route = route
         self.target = target
 
     def __enter__(self) -> 'Selection':
@@ -45,6 +62,9 @@
 
     def record(self, outcome: AttemptOutcome) -> None:
         """Tell the router what the attempt came to."""
+        self._router.observe(
+            Observation(self.target.service, self._route, self.target, outcome)
+        )
 
 
 @plugins.register('router')
@@ -55,8 +75,25 @@
         """Start without requests in flight."""
         super().__init__(kernel)
         self._table = kernel.plugin(TargetTable)
+        self._split = kernel.plugin(VersionSplit)
+        self._drains = kernel.plugin(Drains)
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
+        self._observers: list[Observer] = []
+
+    def on_outcome(self, observer: Observer) -> None:
+        """Call ``observer`` with each attempt's outcome."""
+        self._observers.append(observer)
+
+    def observe(self, observation: Observation) -> None:
+        """Pass an attempt's outcome to the observers."""
+        for observer in self._observers:
+            observer(observation)
+
+    def slots(self, service: Service) -> int:
+        """Return how many requests of a service may run at once."""
+        targets = self._table.targets(service.name)
+        return sum(target.slots for target in targets)
 
     def choose(
         self, service: Service, *, route: str, exclude: Collection[str] = ()
@@ -78,10 +115,13 @@
             If no target can take the request.
         """
         own = self.kernel.settings.instance
+        weights = self._split.weights(service)
         targets = [
             target
             for target in self._table.targets(service.name)
             if target.address not in exclude
+            and weights.get(target.version, weights.get('', 0)) > 0
+            and not self._drains.is_draining(target)
         ]
         if not targets:
             raise Refusal(
@@ -100,7 +140,7 @@
                 ),
             )
             self._in_flight[target.address] += 1
-        return Selection(self, target)
+        return Selection(self, target, route)
 
     def release(self, target: Target) -> None:
         """Count one request in flight less."""
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -2,7 +2,6 @@
 
 import json
 import threading
-from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Annotated, Any
 
@@ -10,6 +9,8 @@
 
 from ..core.plugin import Plugin, plugins
 from ..core.settings import Address, Name
+from ..wire.generated.exchange.ttypes import SoftRecord
+from .exchange import Exchange
 
 TARGET_LEASE_S = 3.0
 
@@ -60,10 +61,6 @@
     target: Target
     expires_s: float
     first_seen_s: float
-    version: int
-
-
-Publisher = Callable[[Target, int], None]
 
 
 @plugins.register('target-table')
@@ -75,12 +72,8 @@
         super().__init__(kernel)
         self._lock = threading.Lock()
         self._rows: dict[tuple[str, str], _Row] = {}
-        self._publishers: list[Publisher] = []
-        self._version = 0
-
-    def on_change(self, publisher: Publisher) -> None:
-        """Call ``publisher`` with each target that this instance hears."""
-        self._publishers.append(publisher)
+        self._exchange = kernel.plugin(Exchange)
+        self._exchange.on_record('target', self._merge)
 
     def announce(self, announcement: Announcement) -> Target:
         """Record or renew a target that announced itself here."""
@@ -97,11 +90,6 @@
         fields = asdict(row.target) | {'leaving': True}
         self._store_own(Target(**fields))
 
-    def merge(self, payload: bytes, *, version: int, ttl_s: float) -> None:
-        """Record a target that another instance heard."""
-        target = Target(**json.loads(payload))
-        self._store(target, version=version, ttl_s=ttl_s)
-
     def targets(self, service: str) -> tuple[Target, ...]:
         """Return the live targets of a service that take new work."""
         now_s = self.kernel.clock.now_s()
@@ -115,17 +103,23 @@
             )
 
     def _store_own(self, target: Target) -> None:
-        with self._lock:
-            self._version += 1
-            version = self._version
-        self._store(target, version=version, ttl_s=TARGET_LEASE_S)
-        for publisher in self._publishers:
-            publisher(target, version)
-
-    def _store(self, target: Target, *, version: int, ttl_s: float) -> None:
+        self._store(target, ttl_s=TARGET_LEASE_S)
+        self._exchange.publish(
+            'target',
+            f'{target.service}/{target.target_id}',
+            json.dumps(asdict(target)).encode(),
+            ttl_s=TARGET_LEASE_S,
+            is_urgent=target.leaving,
+        )
+
+    def _merge(self, record: SoftRecord) -> None:
+        target = Target(**json.loads(record.payload))
+        self._store(target, ttl_s=record.ttl_ms / 1000)
+
+    def _store(self, target: Target, *, ttl_s: float) -> None:
         now_s = self.kernel.clock.now_s()
         key = (target.service, target.target_id)
         with self._lock:
             known = self._rows.get(key)
             first_seen_s = known.first_seen_s if known else now_s
-            self._rows[key] = _Row(target, now_s + ttl_s, first_seen_s, version)
+            self._rows[key] = _Row(target, now_s + ttl_s, first_seen_s)
--- a/oleanderpin/wire/control.thrift
+++ b/oleanderpin/wire/control.thrift
@@ -1,3 +1,5 @@
+include "common.thrift"
+
 namespace py oleanderpin.wire.generated.control
 
 /** One committed change of the control state. */
@@ -20,17 +22,6 @@
   1: binary payload,
 }
 
-/** The request cannot be served here; try the named leader. */
-exception NotLeader {
-  1: string leader_address,
-}
-
-/** No majority can be reached; maybe_applied tells whether to ask again. */
-exception Unavailable {
-  1: string problem,
-  2: bool maybe_applied,
-}
-
 struct WatchRequest {
   1: string instance,
   2: i64 revision,
@@ -50,6 +41,6 @@
 
 service Control {
   ProposeReply propose(1: ProposeRequest request)
-    throws (1: NotLeader not_leader, 2: Unavailable unavailable),
+    throws (1: common.NotLeader not_leader, 2: common.Unavailable unavailable),
   WatchReply watch(1: WatchRequest request),
 }
