Carry version moves on with a sequential comparison

Cause: a move had no controller; its share never changed. Change: e-process detectors by route and measure, local halt on each instance, reports to the leader, stages under the shift cap paced to the deadline, and take-back with the reason and evidence.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -203,7 +203,10 @@
             return 1
         finally:
             codes = fleet.stop()
-        print(f'ok  all instances stopped (exit statuses {codes})')
+        if any(codes):
+            print(f'FAILED  exit statuses of the instances: {codes}')
+            return 1
+        print('ok  all instances stopped with exit status 0')
     return 0
 
 
--- /dev/null
+++ b/oleanderpin/moves/controller.py
@@ -0,0 +1,289 @@
+"""Carries version moves on; runs on the control leader."""
+
+import logging
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..control.change import Change
+from ..control.distribution import Distribution
+from ..control.log import ControlLog
+from ..control.state import ControlState, Move, Profile
+from ..control.view import ControlView
+from ..core.errors import OleanderpinError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..targets.table import TargetTable
+from ..wire.generated.common.ttypes import NotLeader
+from ..wire.generated.stats import Stats
+from ..wire.generated.stats.ttypes import MoveReport
+from ..wire.server import PeerServer
+from .evidence import MoveEvidence
+from .plan import (
+    LAST_STAGE_PERCENT,
+    Pace,
+    next_stage_percent,
+    pace,
+    requests_needed,
+)
+from .stats import is_same_move
+
+_LOG = logging.getLogger(__name__)
+_TICK_S = 0.5
+FLEET_ALPHA = 0.005
+_OPERATOR = 'move-controller'
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What to do next about a move.
+
+    ``command`` is ``move.advance``, ``move.finish`` or empty for waiting.
+    """
+
+    command: str = ''
+    share_percent: float = 0.0
+    status: str = ''
+    reason: str = ''
+
+
+@dataclass(slots=True)
+class MoveProgress:
+    """What the leader knows of a running move."""
+
+    move: Move
+    evidence: MoveEvidence
+    stage_since_s: float
+    stage_new_count: int = 0
+    local_halt: str = ''
+
+    def enter_stage(self, move: Move, *, now_s: float) -> None:
+        """Begin to observe the stage that the committed state names."""
+        self.move = move
+        self.stage_since_s = now_s
+        self.stage_new_count = 0
+
+
+def decide(
+    progress: MoveProgress,
+    profile: Profile,
+    *,
+    now_s: float,
+    now_unix_s: float,
+    has_new_targets: bool,
+) -> Decision:
+    """Decide the next step of a move.
+
+    Parameters
+    ----------
+    progress : MoveProgress
+        Stage and evidence.
+    profile : Profile
+        Cap, interval and watch period of the service.
+    now_s : float
+        Monotonic time, in seconds.
+    now_unix_s : float
+        Wall-clock time, in seconds since the epoch.
+    has_new_targets : bool
+        Whether targets of the new version are announced.
+
+    Returns
+    -------
+    Decision
+        Take back, advance, finish or wait.
+    """
+    badness = progress.local_halt or progress.evidence.badness()
+    if badness:
+        return _take_back(f'bad version: {badness}')
+    move = progress.move
+    due = pace(move, profile, now_unix_s=now_unix_s)
+    if due.slack_s < 0:
+        return _take_back(_late_reason(progress, has_new_targets))
+    if not has_new_targets:
+        return Decision()
+    is_observed = _is_observed(progress, due, now_s=now_s)
+    if not is_observed or progress.evidence.is_suspicious:
+        return Decision()
+    if move.share_percent >= LAST_STAGE_PERCENT:
+        return Decision('move.finish', status='done', reason='completed')
+    share_percent = next_stage_percent(profile, move.share_percent)
+    return Decision('move.advance', share_percent=share_percent)
+
+
+def _is_observed(progress: MoveProgress, due: Pace, *, now_s: float) -> bool:
+    if now_s - progress.stage_since_s < due.dwell_s:
+        return progress.move.share_percent <= 0
+    needed = requests_needed(progress.move.share_percent)
+    return progress.stage_new_count >= needed
+
+
+def _late_reason(progress: MoveProgress, has_new_targets: bool) -> str:
+    if not has_new_targets:
+        return 'deadline: no target of the new version announced itself'
+    if progress.evidence.is_suspicious:
+        return 'deadline: the new version looks worse, without certainty'
+    needed = requests_needed(progress.move.share_percent)
+    if progress.stage_new_count < needed:
+        return (
+            'deadline: too little traffic to judge the new version '
+            f'({progress.stage_new_count} of {needed} requests)'
+        )
+    return 'deadline: too short for the shift cap and the watch period'
+
+
+def _take_back(reason: str) -> Decision:
+    return Decision('move.finish', status='taken_back', reason=reason)
+
+
+class _StatsHandler:
+    """Serves the Thrift service ``Stats``."""
+
+    def __init__(self, controller: 'MoveController') -> None:
+        self._controller = controller
+
+    def report(self, reports: list[MoveReport]) -> None:
+        self._controller.take_reports(reports)
+
+
+@plugins.register('move-controller')
+class MoveController(Plugin):
+    """Collects reports and proposes the next steps of moves."""
+
+    roles = frozenset(('control',))
+
+    def __init__(
+        self, kernel: Any, *, unix_time: Callable[[], float] = time.time
+    ) -> None:
+        """Register the Thrift service."""
+        super().__init__(kernel)
+        self._unix_time = unix_time
+        self._view = kernel.plugin(ControlView)
+        self._log = kernel.plugin(ControlLog)
+        self._table = kernel.plugin(TargetTable)
+        self._distribution = kernel.plugin(Distribution)
+        self._lock = threading.Lock()
+        self._progress: dict[str, MoveProgress] = {}
+        self._sequences: dict[tuple[str, int], int] = {}
+        kernel.plugin(PeerServer).register(
+            'Stats', Stats.Processor(_StatsHandler(self))
+        )
+
+    def start(self) -> None:
+        """Start the controlling thread."""
+        threading.Thread(
+            target=self._control_loop, name='move-controller', daemon=True
+        ).start()
+
+    def take_reports(self, reports: list[MoveReport]) -> None:
+        """Take reports of an instance into account, each once.
+
+        Raises
+        ------
+        NotLeader
+            If this instance does not lead.
+        """
+        if not self._log.has_lease():
+            leadership = self._log.leadership()
+            raise NotLeader(leader_address=leadership.leader_address)
+        with self._lock:
+            for report in reports:
+                self._take_report(report)
+
+    def step(self) -> None:
+        """Decide about each running move and propose what is due."""
+        state = self._view.state
+        now_s = self.kernel.clock.now_s()
+        self._follow(state, now_s)
+        for service, progress in list(self._progress.items()):
+            profile = state.profiles[state.services[service].profile]
+            targets = self._table.targets(service)
+            version = progress.move.to_version
+            with self._lock:
+                decision = decide(
+                    progress,
+                    profile,
+                    now_s=now_s,
+                    now_unix_s=self._unix_time(),
+                    has_new_targets=any(
+                        target.version == version for target in targets
+                    ),
+                )
+            if decision.command:
+                self._propose(progress, decision)
+
+    def _follow(self, state: ControlState, now_s: float) -> None:
+        running = {
+            service: move
+            for service, move in state.moves.items()
+            if move.status == 'running'
+        }
+        with self._lock:
+            for service in set(self._progress) - set(running):
+                self._progress.pop(service)
+            for service, move in running.items():
+                known = self._progress.get(service)
+                if known is None or not is_same_move(known.move, move):
+                    evidence = MoveEvidence(FLEET_ALPHA)
+                    known = MoveProgress(move, evidence, now_s)
+                    self._progress[service] = known
+                elif known.move.share_percent != move.share_percent:
+                    known.enter_stage(move, now_s=now_s)
+
+    def _take_report(self, report: MoveReport) -> None:
+        source = (report.instance, report.incarnation)
+        if report.sequence <= self._sequences.get(source, 0):
+            EVENTS.labels('moves', 'repeated_report').inc()
+            return
+        self._sequences[source] = report.sequence
+        progress = self._progress.get(report.service_name)
+        if progress is None or progress.move.to_version != report.to_version:
+            return
+        progress.evidence.update(report.batches)
+        progress.stage_new_count += sum(
+            batch.new_count for batch in report.batches
+        )
+        if report.local_halt:
+            progress.local_halt = f'{report.instance}: {report.local_halt}'
+
+    def _propose(self, progress: MoveProgress, decision: Decision) -> None:
+        arguments: dict[str, Any] = {
+            'service': progress.move.service,
+            'evidence': progress.evidence.summary(),
+        }
+        if decision.command == 'move.advance':
+            arguments['share_percent'] = decision.share_percent
+        else:
+            arguments['status'] = decision.status
+            arguments['reason'] = decision.reason
+        meta = self._view.state.metas.get(f'moves/{progress.move.service}')
+        change = Change(
+            request_id=secrets.token_hex(8),
+            command=decision.command,
+            arguments=arguments,
+            # Loses against an operator's change made in the meantime.
+            expected_revision=meta.revision if meta else None,
+            operator=_OPERATOR,
+            proposed_unix_s=self._unix_time(),
+        )
+        outcome = self._distribution.propose(change)
+        _LOG.info(
+            'move step proposed',
+            extra={**arguments, 'outcome': outcome.kind},
+        )
+
+    def _control_loop(self) -> None:
+        while self.kernel.wait_while_running(_TICK_S):
+            if not self._log.has_lease():
+                # Counts gathered under an earlier lease are incomplete.
+                self._progress.clear()
+                continue
+            try:
+                self.step()
+            except OleanderpinError as error:
+                EVENTS.labels('moves', 'step_failed').inc()
+                _LOG.warning('move step failed: %s', error)
+            except Exception:
+                _LOG.exception('move step failed')
--- /dev/null
+++ b/oleanderpin/moves/evidence.py
@@ -0,0 +1,143 @@
+"""Evidence about a move: detectors by route and measure."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..wire.generated.stats.ttypes import RouteBatch
+from .sequential import Batch, SequentialDetector
+
+OTHER_ROUTES = '*'
+_MAX_ROUTES = 40
+_MEASURES = ('errors', 'slow')
+
+
+@dataclass(slots=True)
+class RouteTotals:
+    """Requests and bad ones of both versions on a route."""
+
+    new_count: int = 0
+    new_errors: int = 0
+    new_slow: int = 0
+    old_count: int = 0
+    old_errors: int = 0
+    old_slow: int = 0
+
+    def add(self, batch: RouteBatch) -> None:
+        """Add the counts of a batch."""
+        self.new_count += batch.new_count
+        self.new_errors += batch.new_errors
+        self.new_slow += batch.new_slow
+        self.old_count += batch.old_count
+        self.old_errors += batch.old_errors
+        self.old_slow += batch.old_slow
+
+
+@dataclass(slots=True)
+class _Route:
+    totals: RouteTotals
+    detectors: dict[str, SequentialDetector] = field(default_factory=dict)
+
+
+class MoveEvidence:
+    """Detectors of one move over all routes seen.
+
+    Parameters
+    ----------
+    alpha : float
+        Bound of the false-alarm probability over all routes and measures.
+    """
+
+    def __init__(self, alpha: float) -> None:
+        """Start without routes."""
+        self._alpha = alpha
+        self._routes: dict[str, _Route] = {}
+
+    def update(self, batches: Iterable[RouteBatch]) -> None:
+        """Take the batches of one interval into account."""
+        for batch in batches:
+            route = self._route(batch.route)
+            route.totals.add(batch)
+            for measure in _MEASURES:
+                route.detectors[measure].update(_two_by_two(batch, measure))
+
+    @property
+    def new_count(self) -> int:
+        """Requests that the new version has run."""
+        return sum(each.totals.new_count for each in self._routes.values())
+
+    def totals(self) -> dict[str, RouteTotals]:
+        """Return the counts of each route."""
+        return {name: each.totals for name, each in self._routes.items()}
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether some route shows half of the evidence needed."""
+        return any(
+            detector.is_suspicious
+            for route in self._routes.values()
+            for detector in route.detectors.values()
+        )
+
+    def badness(self) -> str:
+        """Return why the new version is bad; empty while it is not."""
+        for name, route in self._routes.items():
+            for measure, detector in route.detectors.items():
+                if detector.is_bad:
+                    return _sentence(name, route.totals, measure, detector)
+        return ''
+
+    def summary(self) -> str:
+        """Return a sentence with the totals, for the report of a move."""
+        totals = RouteTotals()
+        for route in self._routes.values():
+            for name in RouteTotals.__slots__:
+                added = getattr(totals, name) + getattr(route.totals, name)
+                setattr(totals, name, added)
+        return (
+            f'{len(self._routes)} routes; new version: '
+            f'{totals.new_errors} errors and {totals.new_slow} slow of '
+            f'{totals.new_count}; old version: {totals.old_errors} errors '
+            f'and {totals.old_slow} slow of {totals.old_count}'
+        )
+
+    def _route(self, name: str) -> _Route:
+        if name not in self._routes and len(self._routes) >= _MAX_ROUTES:
+            name = OTHER_ROUTES
+        route = self._routes.get(name)
+        if route is None:
+            route = _Route(RouteTotals())
+            # Shares 1 / (k * (k + 1)) of alpha over all routes sum to 1.
+            number = len(self._routes) + 1
+            share = 1 / (number * (number + 1)) / len(_MEASURES)
+            for measure in _MEASURES:
+                route.detectors[measure] = SequentialDetector(
+                    self._alpha * share
+                )
+            self._routes[name] = route
+        return route
+
+
+def _two_by_two(batch: RouteBatch, measure: str) -> Batch:
+    is_errors = measure == 'errors'
+    return Batch(
+        new_count=batch.new_count,
+        new_bad=batch.new_errors if is_errors else batch.new_slow,
+        old_count=batch.old_count,
+        old_bad=batch.old_errors if is_errors else batch.old_slow,
+    )
+
+
+def _sentence(
+    route: str,
+    totals: RouteTotals,
+    measure: str,
+    detector: SequentialDetector,
+) -> str:
+    new_bad = getattr(totals, f'new_{measure}')
+    old_bad = getattr(totals, f'old_{measure}')
+    return (
+        f'{measure} on route {route!r}: {new_bad} of {totals.new_count} at '
+        f'the new version, {old_bad} of {totals.old_count} at the old one; '
+        f'log e-value {detector.log_evidence:.1f} at false-alarm rate '
+        f'{detector.alpha:.2g}'
+    )
--- /dev/null
+++ b/oleanderpin/moves/reporting.py
@@ -0,0 +1,100 @@
+"""Reports of version statistics from each instance to the leader."""
+
+import logging
+import threading
+from dataclasses import dataclass
+from typing import Any
+
+from ..control.leader import LeaderClient
+from ..control.state import Move
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from ..wire.generated.stats.ttypes import MoveReport, RouteBatch
+from .evidence import MoveEvidence
+from .split import VersionSplit
+from .stats import VersionStats, is_same_move
+
+_LOG = logging.getLogger(__name__)
+REPORT_INTERVAL_S = 1.0
+_REPORT_TIMEOUT_S = 2.0
+# Half of a move's false-alarm rate, shared by the instances of today's size.
+LOCAL_ALPHA = 0.005 / 16
+
+
+@dataclass(slots=True)
+class _LocalMove:
+    move: Move
+    evidence: MoveEvidence
+
+
+@plugins.register('move-reporter')
+class MoveReporter(Plugin):
+    """Halts bad versions locally and reports what this instance sees."""
+
+    roles = frozenset(('entry',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Find the collaborators."""
+        super().__init__(kernel)
+        self._stats = kernel.plugin(VersionStats)
+        self._split = kernel.plugin(VersionSplit)
+        self._peers = kernel.plugin(Peers)
+        self._leader = kernel.plugin(LeaderClient)
+        self._local: dict[str, _LocalMove] = {}
+        self._sequence = 0
+
+    def start(self) -> None:
+        """Start the reporting thread."""
+        threading.Thread(
+            target=self._report_loop, name='move-reports', daemon=True
+        ).start()
+
+    def take_reports(self) -> list[MoveReport]:
+        """Return the reports due, after judging them locally."""
+        reports = []
+        for service, (move, batches) in self._stats.take_batches().items():
+            self._judge(move, batches)
+            self._sequence += 1
+            own = self._peers.own()
+            reports.append(
+                MoveReport(
+                    instance=own.name,
+                    incarnation=own.incarnation,
+                    sequence=self._sequence,
+                    service_name=service,
+                    to_version=move.to_version,
+                    batches=batches,
+                    local_halt=self._split.halt_reason(move),
+                )
+            )
+        return reports
+
+    def _judge(self, move: Move, batches: list[RouteBatch]) -> None:
+        local = self._local.get(move.service)
+        if local is None or not is_same_move(local.move, move):
+            local = _LocalMove(move, MoveEvidence(LOCAL_ALPHA))
+            self._local[move.service] = local
+        local.evidence.update(batches)
+        badness = local.evidence.badness()
+        if badness:
+            self._split.halt(move, badness)
+
+    def _report_loop(self) -> None:
+        while self.kernel.wait_while_running(REPORT_INTERVAL_S):
+            try:
+                self._report()
+            except UnavailableError:
+                # The local judgement stands; the counts of this interval
+                # are missing at the leader, which weakens no conclusion.
+                EVENTS.labels('moves', 'report_failed').inc()
+            except Exception:
+                _LOG.exception('report of version statistics failed')
+
+    def _report(self) -> None:
+        reports = self.take_reports()
+        if reports:
+            self._leader.call(
+                'Stats', 'report', reports, timeout_s=_REPORT_TIMEOUT_S
+            )
--- a/oleanderpin/moves/split.py
+++ b/oleanderpin/moves/split.py
@@ -1,32 +1,70 @@
 """Shares of traffic that the versions of a service get."""
 
+import logging
+import threading
 from collections.abc import Mapping
 from typing import Any
 
-from ..control.state import Service
+from ..control.state import Move, Service
 from ..control.view import ControlView
+from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
 
 ANY_VERSION = ''
+_LOG = logging.getLogger(__name__)
 _WHOLE_PERCENT = 100.0
 
 
 @plugins.register('version-split')
 class VersionSplit(Plugin):
-    """Reads the shares from the committed state of moves."""
+    """Shares from the committed moves, lowered by local findings only."""
 
     def __init__(self, kernel: Any) -> None:
         """Keep the view of the control state."""
         super().__init__(kernel)
         self._view = kernel.plugin(ControlView)
+        self._lock = threading.Lock()
+        self._halted: dict[str, tuple[float, str]] = {}
 
     def weights(self, service: Service) -> Mapping[str, float]:
         """Return the share of each version, between 0 and 1.
 
-        The key ``''`` stands for all versions that are not named.
+        The key ``''`` stands for all versions that are not named. While the
+        control state is not fresh the new version gets nothing, since a
+        decision to take it back may not have arrived.
         """
         move = self._view.state.moves.get(service.name)
         if move is None or move.status != 'running':
             return {service.version: 1.0}
         share = move.share_percent / _WHOLE_PERCENT
+        if self.halt_reason(move) or not self._view.is_fresh():
+            share = 0.0
         return {move.to_version: share, move.from_version: 1 - share}
+
+    def halt(self, move: Move, reason: str) -> None:
+        """Give the new version of a move no more work on this instance.
+
+        Parameters
+        ----------
+        move : Move
+            The running move.
+        reason : str
+            What this instance has seen.
+        """
+        with self._lock:
+            known = self._halted.get(move.service)
+            if known is not None and known[0] == move.started_unix_s:
+                return
+            self._halted[move.service] = (move.started_unix_s, reason)
+        EVENTS.labels('moves', 'local_halt').inc()
+        _LOG.warning(
+            'new version halted on this instance',
+            extra={'service': move.service, 'reason': reason},
+        )
+
+    def halt_reason(self, move: Move) -> str:
+        """Return why this instance halted the move; empty if it did not."""
+        halted = self._halted.get(move.service)
+        if halted is None or halted[0] != move.started_unix_s:
+            return ''
+        return halted[1]
--- /dev/null
+++ b/oleanderpin/moves/stats.py
@@ -0,0 +1,162 @@
+"""Counts of good, failed and slow requests by version while a move runs."""
+
+import threading
+from dataclasses import dataclass, field
+from typing import Any
+
+from ddsketch import DDSketch
+
+from ..control.state import Move
+from ..control.view import ControlView
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..routing.router import Observation, Router
+from ..wire.generated.stats.ttypes import RouteBatch
+
+_SKETCH_ACCURACY = 0.02
+_SLOW_QUANTILE = 0.95
+_SLOW_FACTOR = 1.5
+# Below this many answers of the old version its quantile is too uncertain.
+_MIN_SKETCH_COUNT = 40
+_MAX_SKETCH_COUNT = 2000
+_ERROR_STATUS = 500
+_MAX_ROUTES = 200
+_OTHER_ROUTES = '*'
+
+
+@dataclass(slots=True)
+class _RouteState:
+    batch: RouteBatch
+    sketch: DDSketch
+    previous_sketch: DDSketch | None = None
+    slow_above_ms: float = float('inf')
+
+
+@dataclass(slots=True)
+class _MoveState:
+    move: Move
+    routes: dict[str, _RouteState] = field(default_factory=dict)
+
+
+@plugins.register('version-stats')
+class VersionStats(Plugin):
+    """Observes attempts of services with a running move."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Follow the moves in the control state."""
+        super().__init__(kernel)
+        self._lock = threading.Lock()
+        self._moves: dict[str, _MoveState] = {}
+        kernel.plugin(Router).on_outcome(self.observe)
+        kernel.plugin(ControlView).subscribe(self._follow_moves)
+
+    def observe(self, observation: Observation) -> None:
+        """Count one attempt."""
+        state = self._moves.get(observation.service)
+        if state is None:
+            return
+        is_new = observation.target.version == state.move.to_version
+        with self._lock:
+            route = _route_state(state, observation.route)
+            is_error = _is_error(observation)
+            first_byte_ms = observation.outcome.first_byte_ms
+            is_slow = not is_error and first_byte_ms > route.slow_above_ms
+            if is_new:
+                _count_new(route.batch, is_error=is_error, is_slow=is_slow)
+                return
+            _count_old(route.batch, is_error=is_error, is_slow=is_slow)
+            if not is_error:
+                route.sketch.add(first_byte_ms)
+
+    def take_batches(self) -> dict[str, tuple[Move, list[RouteBatch]]]:
+        """Return the counts since the last call, by service.
+
+        The limit above which an answer is slow is then renewed from what
+        the old version has shown so far, so that it is fixed before the
+        next batch is seen.
+        """
+        taken = {}
+        with self._lock:
+            for service, state in self._moves.items():
+                batches = []
+                for route in state.routes.values():
+                    batches.append(route.batch)
+                    route.batch = _empty_batch(route.batch.route)
+                    _renew_limit(route)
+                active = [
+                    batch
+                    for batch in batches
+                    if batch.new_count or batch.old_count
+                ]
+                taken[service] = (state.move, active)
+        return taken
+
+    def _follow_moves(self, control_state: Any) -> None:
+        running = {
+            name: move
+            for name, move in control_state.moves.items()
+            if move.status == 'running'
+        }
+        with self._lock:
+            for name in set(self._moves) - set(running):
+                self._moves.pop(name)
+            for name, move in running.items():
+                state = self._moves.get(name)
+                if state is None or not is_same_move(state.move, move):
+                    EVENTS.labels('moves', 'observed').inc()
+                    self._moves[name] = _MoveState(move)
+                else:
+                    state.move = move
+
+
+def is_same_move(first: Move, second: Move) -> bool:
+    """Return whether two records are of the same move."""
+    return (first.service, first.to_version, first.started_unix_s) == (
+        second.service,
+        second.to_version,
+        second.started_unix_s,
+    )
+
+
+def _is_error(observation: Observation) -> bool:
+    outcome = observation.outcome
+    return outcome.result != 'ok' or outcome.status >= _ERROR_STATUS
+
+
+def _route_state(state: _MoveState, route: str) -> _RouteState:
+    if route not in state.routes and len(state.routes) >= _MAX_ROUTES:
+        route = _OTHER_ROUTES
+    found = state.routes.get(route)
+    if found is None:
+        found = _RouteState(_empty_batch(route), DDSketch(_SKETCH_ACCURACY))
+        state.routes[route] = found
+    return found
+
+
+def _empty_batch(route: str) -> RouteBatch:
+    return RouteBatch(route, 0, 0, 0, 0, 0, 0)
+
+
+def _count_new(batch: RouteBatch, *, is_error: bool, is_slow: bool) -> None:
+    batch.new_count += 1
+    batch.new_errors += is_error
+    batch.new_slow += is_slow
+
+
+def _count_old(batch: RouteBatch, *, is_error: bool, is_slow: bool) -> None:
+    batch.old_count += 1
+    batch.old_errors += is_error
+    batch.old_slow += is_slow
+
+
+def _renew_limit(route: _RouteState) -> None:
+    if route.sketch.count >= _MAX_SKETCH_COUNT:
+        # Two generations let old load conditions fade out.
+        route.previous_sketch = route.sketch
+        route.sketch = DDSketch(_SKETCH_ACCURACY)
+    sketch = route.sketch
+    if sketch.count < _MIN_SKETCH_COUNT and route.previous_sketch is not None:
+        sketch = route.previous_sketch
+    if sketch.count >= _MIN_SKETCH_COUNT:
+        quantile_ms = sketch.get_quantile_value(_SLOW_QUANTILE) or 0.0
+        route.slow_above_ms = quantile_ms * _SLOW_FACTOR
