Add up counts before a table is tested, and measure moves

Cause: with 2 requests/s most tables held one request; a version with 50% errors was completed in 5 of 10 moves, and good ones waited 250 s at 1%. Change: counts of a route are added up until a table has 4 requests of each version or 100 together; stages below 10% need no minimum.

--- a/oleanderpin/moves/evidence.py
+++ b/oleanderpin/moves/evidence.py
@@ -9,6 +9,11 @@
 OTHER_ROUTES = '*'
 _MAX_ROUTES = 40
 _MEASURES = ('errors', 'slow')
+# Tables with fewer requests of one version carry hardly any evidence, so
+# counts are added up first. The rule looks at requests only, never at bad
+# ones, which keeps the false-alarm bound.
+_MIN_COUNT_EACH = 4
+_MIN_COUNT_TOGETHER = 100
 
 
 @dataclass(slots=True)
@@ -22,7 +27,7 @@
     old_errors: int = 0
     old_slow: int = 0
 
-    def add(self, batch: RouteBatch) -> None:
+    def add(self, batch: 'RouteBatch | RouteTotals') -> None:
         """Add the counts of a batch."""
         self.new_count += batch.new_count
         self.new_errors += batch.new_errors
@@ -31,10 +36,28 @@
         self.old_errors += batch.old_errors
         self.old_slow += batch.old_slow
 
+    @property
+    def is_conclusive(self) -> bool:
+        """Whether there are enough requests for a table."""
+        fewer = min(self.new_count, self.old_count)
+        together = self.new_count + self.old_count
+        return fewer >= _MIN_COUNT_EACH or together >= _MIN_COUNT_TOGETHER
+
+    def table(self, measure: str) -> Batch:
+        """Return the two-by-two table of a measure."""
+        is_errors = measure == 'errors'
+        return Batch(
+            new_count=self.new_count,
+            new_bad=self.new_errors if is_errors else self.new_slow,
+            old_count=self.old_count,
+            old_bad=self.old_errors if is_errors else self.old_slow,
+        )
+
 
 @dataclass(slots=True)
 class _Route:
     totals: RouteTotals
+    pending: RouteTotals
     detectors: dict[str, SequentialDetector] = field(default_factory=dict)
 
 
@@ -57,8 +80,12 @@
         for batch in batches:
             route = self._route(batch.route)
             route.totals.add(batch)
-            for measure in _MEASURES:
-                route.detectors[measure].update(_two_by_two(batch, measure))
+            route.pending.add(batch)
+            if not route.pending.is_conclusive:
+                continue
+            for measure, detector in route.detectors.items():
+                detector.update(route.pending.table(measure))
+            route.pending = RouteTotals()
 
     @property
     def new_count(self) -> int:
@@ -90,9 +117,7 @@
         """Return a sentence with the totals, for the report of a move."""
         totals = RouteTotals()
         for route in self._routes.values():
-            for name in RouteTotals.__slots__:
-                added = getattr(totals, name) + getattr(route.totals, name)
-                setattr(totals, name, added)
+            totals.add(route.totals)
         return (
             f'{len(self._routes)} routes; new version: '
             f'{totals.new_errors} errors and {totals.new_slow} slow of '
@@ -105,7 +130,7 @@
             name = OTHER_ROUTES
         route = self._routes.get(name)
         if route is None:
-            route = _Route(RouteTotals())
+            route = _Route(RouteTotals(), RouteTotals())
             # Shares 1 / (k * (k + 1)) of alpha over all routes sum to 1.
             number = len(self._routes) + 1
             share = 1 / (number * (number + 1)) / len(_MEASURES)
@@ -117,16 +142,6 @@
         return route
 
 
-def _two_by_two(batch: RouteBatch, measure: str) -> Batch:
-    is_errors = measure == 'errors'
-    return Batch(
-        new_count=batch.new_count,
-        new_bad=batch.new_errors if is_errors else batch.new_slow,
-        old_count=batch.old_count,
-        old_bad=batch.old_errors if is_errors else batch.old_slow,
-    )
-
-
 def _sentence(
     route: str,
     totals: RouteTotals,
--- a/oleanderpin/moves/plan.py
+++ b/oleanderpin/moves/plan.py
@@ -11,7 +11,6 @@
 LAST_STAGE_PERCENT = 100.0 - HOLD_OUT_PERCENT
 # Time kept for commits, distribution and one election.
 _MARGIN_S = 5.0
-_MIN_REQUESTS_FIRST_STAGES = 5
 _MIN_REQUESTS_PER_STAGE = 30
 _MAX_DWELL_FACTOR = 6.0
 
@@ -85,14 +84,11 @@
 def requests_needed(share_percent: float) -> int:
     """Return the requests of the new version needed to leave a stage.
 
-    The first stages are small enough to be left with little evidence, so
-    that a service with little traffic reaches a share that can be judged.
+    The first stages are small enough to be left without evidence, so that
+    a service with little traffic reaches a share that can be judged.
     """
-    if share_percent <= 0:
-        return 0
-    if share_percent < _FIRST_STAGES_PERCENT[-1]:
-        return _MIN_REQUESTS_FIRST_STAGES
-    return _MIN_REQUESTS_PER_STAGE
+    is_first = share_percent < _FIRST_STAGES_PERCENT[-1]
+    return 0 if is_first else _MIN_REQUESTS_PER_STAGE
 
 
 def _climb(stages: list[float], goal: float, cap: float) -> None:
