Check the log, share leases and freshness by model checking

Cause: the protocols were argued for but not checked. Found: a new share ledger that renews a claim could revive a share whose lease ran out while the claim was in transit and that the old ledger had lent again (13 steps). The rule added: a renewal given while a new ledger waits takes effect only if the holder's lease has not run out when it is applied. Conclusion: the ledger has to follow the added rule.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,12 @@
 	$(BIN)/mypy oleanderpin
 
 test: lint
+	$(BIN)/python -m specs
 	$(BIN)/python -m pytest
 
+modelcheck: $(STAMP)
+	$(BIN)/python -m specs --full
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 
--- /dev/null
+++ b/specs/__main__.py
@@ -0,0 +1,94 @@
+"""Checks all specifications; ``make modelcheck`` runs it at full size.
+
+Exits with status 1 if an invariant fails without a fault or a seeded fault
+is not found.
+"""
+
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from minicheck import Protocol, check_safety
+
+from . import freshness, log, shares
+
+_MAX_STATES = 3_000_000
+# A fault shows within a few steps; the search need not be complete.
+_MAX_STATES_WITH_FAULT = 40_000
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Outcome of one check."""
+
+    spec: str
+    fault: str
+    states: int
+    violated: tuple[str, ...]
+    is_exhaustive: bool
+    duration_s: float
+
+    @property
+    def is_expected(self) -> bool:
+        """Whether exactly a seeded fault breaks an invariant."""
+        if self.fault:
+            return bool(self.violated)
+        return self.is_exhaustive and not self.violated
+
+
+def check_all(*, is_full: bool) -> Iterator[Verdict]:
+    """Check each specification without and with each seeded fault."""
+    whole = 2 if is_full else 1
+    yield from _check('freshness', freshness.build, freshness.FAULTS)
+    yield from _check(
+        'shares', lambda fault: shares.build(fault, whole=whole), shares.FAULTS
+    )
+    scopes = ('terms', 'failures', 'full') if is_full else ('terms', 'failures')
+    for scope_name in scopes:
+        yield from _check(
+            f'log {scope_name}',
+            lambda fault: log.build(fault, scope_name=scope_name),
+            log.FAULTS[scope_name],
+        )
+
+
+def _check(
+    name: str, build: Callable[[str], Protocol], faults: tuple[str, ...]
+) -> Iterator[Verdict]:
+    for fault in ('', *faults):
+        started_s = time.monotonic()
+        limit = _MAX_STATES_WITH_FAULT if fault else _MAX_STATES
+        checked = check_safety(build(fault), max_states=limit)
+        violated = tuple(
+            invariant
+            for invariant, found in checked['properties'].items()
+            if found['holds'] is False
+        )
+        yield Verdict(
+            name,
+            fault,
+            checked['reachable_states'],
+            violated,
+            checked['exhaustive'],
+            time.monotonic() - started_s,
+        )
+
+
+def main() -> int:
+    """Print one line for each check; return the exit status."""
+    failed = False
+    for verdict in check_all(is_full='--full' in sys.argv):
+        failed = failed or not verdict.is_expected
+        word = 'ok' if verdict.is_expected else 'UNEXPECTED'
+        fault = verdict.fault or 'no fault'
+        print(
+            f'{word:11}{verdict.spec:14}{fault:36}{verdict.states:>8} states '
+            f'{verdict.duration_s:6.1f} s  {", ".join(verdict.violated)}',
+            flush=True,
+        )
+    return int(failed)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
