--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -21,7 +21,7 @@
     ('central-1', 'central', 'central-a'),
     ('south-1', 'south', 'south-a'),
 )
-_CONTROL_MEMBERS = 1
+_CONTROL_MEMBERS = 3
 _HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
 
 
--- /dev/null
+++ b/oleanderpin/control/bootstrap.py
@@ -0,0 +1,131 @@
+"""Forms the first group while all of its members are empty."""
+
+import logging
+import secrets
+import threading
+from dataclasses import replace
+
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..wire.generated.common.ttypes import Unavailable
+from ..wire.generated.raft.ttypes import AdoptRequest, Envelope, IdentityReply
+from ..wire.network import PeerNetwork
+from .convert import members_to_wire
+from .raft import RaftNode
+from .records import Member, Members
+
+_LOG = logging.getLogger(__name__)
+_RETRY_S = 0.2
+_CALL_TIMEOUT_S = 1.0
+_ID_BYTES = 8
+
+
+class Bootstrap:
+    """Forms the group from ``initial_members``; the first one decides.
+
+    All of them must answer and be empty. An instance that lost its disk
+    therefore never forms a second group beside the members that are left.
+
+    Parameters
+    ----------
+    node : RaftNode
+        This member.
+    """
+
+    def __init__(self, node: RaftNode) -> None:
+        """Keep the node."""
+        self._node = node
+        self._network = node.kernel.plugin(PeerNetwork)
+
+    def start(self) -> None:
+        """Wait for the others in a thread, if this member is empty."""
+        if self._node.state.identity.cluster_id:
+            return
+        configured = self._node.settings.initial_members
+        addresses = [each.partition('=')[2] for each in configured]
+        own_address = self._node.kernel.settings.listen.peer
+        if addresses[:1] == [own_address]:
+            threading.Thread(
+                target=self._run,
+                args=(addresses,),
+                name='log-bootstrap',
+                daemon=True,
+            ).start()
+        else:
+            _LOG.info(
+                'member %s has an empty disk and waits to be added',
+                self._node.own_id,
+            )
+
+    def _run(self, addresses: list[str]) -> None:
+        node = self._node
+        while not node.state.identity.cluster_id:
+            members = self._empty_members(addresses)
+            if members:
+                self._form(members)
+            elif not node.kernel.wait_while_running(_RETRY_S):
+                return
+
+    def _empty_members(self, addresses: list[str]) -> Members:
+        """Return all members, or none unless all of them are empty."""
+        members = []
+        for address in addresses:
+            identity = self._identity_at(address)
+            if identity is None or identity.cluster_id:
+                EVENTS.labels('control', 'bootstrap_waits').inc()
+                return ()
+            members.append(
+                Member(identity.member_id, identity.name, address, True)
+            )
+        return tuple(members)
+
+    def _identity_at(self, address: str) -> IdentityReply | None:
+        try:
+            return self._network.call(
+                address, 'Raft', 'identity', timeout_s=_CALL_TIMEOUT_S
+            )
+        except UnavailableError:
+            return None
+
+    def _form(self, members: Members) -> None:
+        node = self._node
+        cluster_id = secrets.token_hex(_ID_BYTES)
+        with node.lock:
+            if node.state.identity.cluster_id:
+                return
+            node.adopt(
+                replace(
+                    node.state.identity, cluster_id=cluster_id, members=members
+                )
+            )
+            # No earlier group exists, so nobody relies on an older leader.
+            node.state.deadline_s = node.now_s()
+            node.state.started_s = float('-inf')
+        for member in members:
+            self._invite(member, cluster_id, members)
+
+    def _invite(
+        self, member: Member, cluster_id: str, members: Members
+    ) -> None:
+        """Send the group; a member that misses it learns it from the log."""
+        if member.member_id == self._node.own_id:
+            return
+        request = AdoptRequest(
+            envelope=Envelope(
+                cluster_id=cluster_id,
+                from_id=self._node.own_id,
+                to_id=member.member_id,
+                term=0,
+            ),
+            members=members_to_wire(members),
+        )
+        try:
+            self._network.call(
+                member.address,
+                'Raft',
+                'adopt',
+                request,
+                timeout_s=_CALL_TIMEOUT_S,
+            )
+        except (UnavailableError, Unavailable) as error:
+            _LOG.warning('invitation of %s failed: %s', member.name, error)
--- /dev/null
+++ b/oleanderpin/control/disk.py
@@ -0,0 +1,162 @@
+"""The thread that writes a member's files, many entries with one sync."""
+
+import logging
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..core.errors import StorageError
+from ..core.metrics import EVENTS
+from .records import LogEntry
+from .storage import LogStorage
+
+_LOG = logging.getLogger(__name__)
+
+Action = Callable[[], None]
+
+
+class DiskListener(Protocol):
+    """Told about what became durable; called by the writing thread."""
+
+    def note_durable(self, entry: LogEntry) -> None:
+        """Record that ``entry`` and all before it are synced."""
+        ...
+
+    def note_failure(self, error: StorageError) -> None:
+        """Record that nothing more will be synced."""
+        ...
+
+
+@dataclass(slots=True)
+class _Batch:
+    """Either entries or an action."""
+
+    entries: list[LogEntry]
+    action: Action | None
+    ticket: int
+
+
+class DiskWriter:
+    """Performs writes in the order in which they are submitted.
+
+    After the first failure nothing more is written or acknowledged: the
+    kernel may have dropped the pages of a failed fsync, so that a second,
+    successful one proves nothing.
+    """
+
+    def __init__(self, storage: LogStorage, listener: DiskListener) -> None:
+        """Start without a thread."""
+        self._storage = storage
+        self._listener = listener
+        self._changed = threading.Condition()
+        self._pending: list[_Batch] = []
+        self._failure: StorageError | None = None
+        self._submitted = 0
+        self._done = 0
+        self._is_stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name='log-disk', daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the writing thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Finish submitted writes and close the files."""
+        with self._changed:
+            self._is_stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._storage.close()
+
+    @property
+    def ticket(self) -> int:
+        """Ticket of the last submitted write."""
+        with self._changed:
+            return self._submitted
+
+    def submit_entries(self, entries: Sequence[LogEntry]) -> None:
+        """Have entries appended; those waiting together are synced once."""
+        with self._changed:
+            self._submitted += 1
+            if self._pending and self._pending[-1].action is None:
+                self._pending[-1].entries.extend(entries)
+                self._pending[-1].ticket = self._submitted
+            else:
+                batch = _Batch(list(entries), None, self._submitted)
+                self._pending.append(batch)
+            self._changed.notify_all()
+
+    def submit(self, action: Action) -> None:
+        """Have an action on the storage performed in its turn."""
+        with self._changed:
+            self._submitted += 1
+            self._pending.append(_Batch([], action, self._submitted))
+            self._changed.notify_all()
+
+    def wait(self, ticket: int, *, timeout_s: float) -> None:
+        """Wait until the write with this ticket is durable.
+
+        Raises
+        ------
+        StorageError
+            If it is not durable within the time or the disk failed.
+        """
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._failure is not None or self._done >= ticket,
+                timeout_s,
+            )
+            if self._failure is not None:
+                raise self._failure
+            if self._done < ticket:
+                raise StorageError(
+                    f'the disk did not sync within {timeout_s} s',
+                    remedy='check the disk of this instance',
+                )
+
+    def _run(self) -> None:
+        while True:
+            batches = self._take()
+            if not batches:
+                return
+            for batch in batches:
+                try:
+                    self._write(batch)
+                except (OSError, StorageError) as error:
+                    self._fail(error)
+                    return
+
+    def _take(self) -> list[_Batch]:
+        with self._changed:
+            self._changed.wait_for(lambda: self._pending or self._is_stopping)
+            batches = self._pending
+            self._pending = []
+            return batches
+
+    def _write(self, batch: _Batch) -> None:
+        if batch.action is None:
+            self._storage.append(batch.entries)
+            EVENTS.labels('control', 'synced').inc()
+        else:
+            batch.action()
+        with self._changed:
+            self._done = batch.ticket
+            self._changed.notify_all()
+        if batch.entries:
+            self._listener.note_durable(batch.entries[-1])
+
+    def _fail(self, error: Exception) -> None:
+        EVENTS.labels('control', 'disk_failed').inc()
+        _LOG.error('the disk failed, no longer taking part: %s', error)
+        failure = StorageError(
+            f'the disk failed: {error}',
+            remedy='repair or empty the disk, then restart the instance',
+        )
+        with self._changed:
+            self._failure = failure
+            self._changed.notify_all()
+        self._listener.note_failure(failure)
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -56,9 +56,7 @@
         )
 
     def start(self) -> None:
-        """Start following, unless this instance leads."""
-        if self.kernel.has(ControlLog):
-            return
+        """Start following; the leader has no source to follow."""
         threading.Thread(
             target=self._follow, name='control-watch', daemon=True
         ).start()
@@ -125,7 +123,7 @@
 
     def _watch_while_answered(self, address: str) -> None:
         is_answered = True
-        while is_answered:
+        while is_answered and address in self._sources():
             is_answered = self._watch_once(address)
 
     def _watch_once(self, address: str) -> bool:
@@ -158,5 +156,9 @@
         return not self.kernel.stopping.is_set()
 
     def _sources(self) -> list[str]:
+        if self.kernel.has(ControlLog):
+            leadership = self.kernel.plugin(ControlLog).leadership()
+            is_known = leadership.leader_address and not leadership.is_self
+            return [leadership.leader_address] if is_known else []
         members = self.kernel.settings.control.initial_members
         return [member.partition('=')[2] for member in members]
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -1,20 +1,34 @@
-"""The log of accepted changes on a control instance.
+"""The replicated log of accepted changes on a control instance."""
 
-This version has one member: it appends to a file and syncs it.
-"""
-
-import json
+import logging
 import threading
-import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from ..core.errors import StorageError, ValidationError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..wire.generated.common.ttypes import Unavailable
 from ..wire.generated.control.ttypes import Entry
-from .change import Outcome
+from ..wire.generated.raft import Raft
+from ..wire.server import PeerServer
+from .bootstrap import Bootstrap
+from .change import Change, Outcome
+from .members import MemberChanges, OwnMember, describe_own
+from .raft import RaftNode
+from .raft_service import RaftHandler
+from .receiver import Receiver
+from .records import EntryKind, LogEntry
+from .replication import Replication
+from .snapshots import Snapshots
+from .storage import Contents, LogStorage
 from .view import ControlView
+from .voting import Voting
+
+_LOG = logging.getLogger(__name__)
+_UPKEEP_S = 0.05
+_JOIN_TIMEOUT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +41,7 @@
 
 @plugins.register('control-log')
 class ControlLog(Plugin):
-    """Appends changes and applies them to the view."""
+    """Replicates changes to a majority and applies them to the view."""
 
     roles = frozenset(('control',))
 
@@ -35,31 +49,103 @@
         """Keep the view of the control state."""
         super().__init__(kernel)
         self._view = kernel.plugin(ControlView)
-        self._lock = threading.Lock()
-        self._path = Path(kernel.settings.instance.data_dir) / 'control.jsonl'
+        self._node: RaftNode | None = None
+        self._failure: StorageError | None = None
+        self._applier: threading.Thread | None = None
 
     def start(self) -> None:
-        """Read the log and apply it."""
-        self._path.parent.mkdir(parents=True, exist_ok=True)
-        if self._path.exists():
-            lines = self._path.read_text().splitlines()
-            entries = [
-                Entry(revision=number, term=1, payload=line.encode())
-                for number, line in enumerate(lines, start=1)
-            ]
-            self._view.apply(entries)
-        self._view.note_fresh(self.kernel.clock.now_s())
+        """Read the disk and take part in the group.
+
+        With an unusable disk the instance goes on without its log; it then
+        reports a problem.
+        """
+        data_dir = self.kernel.settings.instance.data_dir or Path()
+        storage = LogStorage(data_dir / 'log')
+        try:
+            contents = storage.load()
+        except StorageError as error:
+            storage.close()
+            self._failure = error
+            EVENTS.labels('control', 'disk_failed').inc()
+            _LOG.error('the log cannot be used: %s', error)
+            return
+        self._start_node(storage, contents)
+
+    def stop(self) -> None:
+        """Leave the group until the next start and close the files."""
+        node = self._node
+        if node is None:
+            return
+        node.note_failure(
+            StorageError('the instance is stopping', remedy='try another one')
+        )
+        if self._applier is not None:
+            self._applier.join(_JOIN_TIMEOUT_S)
+        node.disk.stop()
+
+    @property
+    def problem(self) -> str:
+        """Why this instance cannot keep the log; empty when it can."""
+        failure = self._failure
+        if failure is None and self._node is not None:
+            failure = self._node.state.failure
+        return str(failure or '')
+
+    def own_member(self) -> OwnMember:
+        """Return this member as it sees itself."""
+        return describe_own(self._require_node())
 
     def leadership(self) -> Leadership:
-        """Return who leads."""
-        return Leadership(self.kernel.settings.listen.peer, is_self=True)
+        """Return who leads, with an empty address when that is unknown."""
+        node = self._node
+        address = node.state.leader_address if node is not None else ''
+        own_address = self.kernel.settings.listen.peer
+        return Leadership(address, is_self=address == own_address)
 
     def has_lease(self) -> bool:
-        """Return whether this instance may answer as the leader."""
-        return True
+        """Return whether this instance may answer as the leader.
+
+        True only while no other instance can have become the leader, and
+        only after an entry of its own term is applied.
+        """
+        return self._node is not None and self._node.has_lease()
+
+    def read_barrier(self, *, timeout_s: float) -> int:
+        """Return a revision that holds all that was accepted before.
+
+        Waits until a majority has confirmed the leader after this call, and
+        until all that was committed before it is applied.
+
+        Raises
+        ------
+        NotLeader, Unavailable
+            If this instance does not lead or no majority answers in time.
+        """
+        node = self._require_node()
+        with node.lock:
+            node.require_lease()
+            asked_s = node.now_s()
+            term = node.state.hard.term
+            revision = node.state.commit_index
+            node.state.barrier_s = asked_s
+            node.lock.notify_all()
+            node.lock.wait_for(
+                lambda: (
+                    not node.is_leading(term)
+                    or node.has_passed(asked_s, revision)
+                ),
+                timeout_s,
+            )
+            node.require_lease()
+            if node.has_passed(asked_s, revision):
+                return revision
+        raise Unavailable(
+            problem='no majority confirmed the leader in time',
+            maybe_applied=False,
+        )
 
     def propose(self, payload: bytes, *, timeout_s: float) -> Outcome:
-        """Append a change, sync it and apply it.
+        """Have a change synced by a majority and apply it.
 
         Parameters
         ----------
@@ -72,21 +158,118 @@
         -------
         Outcome
             The answer, the same for each resend.
+
+        Raises
+        ------
+        NotLeader
+            If another instance leads.
+        Unavailable
+            If there is no majority; the change may have been accepted when
+            ``maybe_applied`` says so.
         """
-        with self._lock:
-            line = json.dumps(json.loads(payload))
-            with self._path.open('a') as log_file:
-                log_file.write(line + '\n')
-            entry = Entry(
-                revision=self._view.revision + 1,
-                term=1,
-                payload=line.encode(),
+        try:
+            change = Change.decode(payload)
+        except ValidationError as error:
+            return Outcome(
+                'invalid_input',
+                self._view.revision,
+                problem=error.problem,
+                remedy=error.remedy,
+            )
+        node = self._require_node()
+        with node.lock:
+            node.require_lease()
+            answered = self._view.answer_to(change.request_id)
+            if answered is not None:
+                return answered
+            entry = node.append_own(EntryKind.CHANGE, payload)
+        if node.wait_until_applied(entry, timeout_s=timeout_s):
+            outcome = self._view.answer_to(change.request_id)
+            if outcome is not None:
+                EVENTS.labels('control', 'committed').inc()
+                return outcome
+        EVENTS.labels('control', 'unconfirmed').inc()
+        raise Unavailable(
+            problem='the change is not confirmed by a majority',
+            maybe_applied=True,
+        )
+
+    def _start_node(self, storage: LogStorage, contents: Contents) -> None:
+        if contents.snapshot:
+            self._view.install(contents.snapshot)
+        node = RaftNode(self.kernel, storage, contents)
+        receiver = Receiver(node, self._view.install)
+        voting = Voting(node, receiver)
+        members = MemberChanges(node)
+        Replication(node)
+        handler = RaftHandler(
+            node, voting=voting, receiver=receiver, members=members
+        )
+        self._node = node
+        self.kernel.plugin(PeerServer).register('Raft', Raft.Processor(handler))
+        node.disk.start()
+        self._applier = _start_thread(self._apply_all, 'log-apply')
+        _start_thread(lambda: self._upkeep(members), 'log-upkeep')
+        voting.start()
+        Bootstrap(node).start()
+
+    def _require_node(self) -> RaftNode:
+        if self._node is None:
+            raise Unavailable(
+                problem=self.problem or 'the instance is starting',
+                maybe_applied=False,
             )
-            outcome = self._view.apply([entry])[0]
-        EVENTS.labels('control', 'committed').inc()
-        return outcome
+        return self._node
+
+    def _apply_all(self) -> None:
+        node = self._require_node()
+        snapshots = Snapshots(node, self._view)
+        while not self.kernel.stopping.is_set():
+            entries = self._committed_entries()
+            if not entries:
+                continue
+            self._view.apply([_to_view(entry) for entry in entries])
+            with node.lock:
+                applied = max(node.state.applied_index, entries[-1].index)
+                node.state.applied_index = applied
+                node.lock.notify_all()
+            try:
+                snapshots.take_if_due()
+            except StorageError as error:
+                _LOG.warning('no snapshot taken: %s', error)
+
+    def _committed_entries(self) -> list[LogEntry]:
+        node = self._require_node()
+        state = node.state
+        with node.lock:
+            node.lock.wait_for(
+                lambda: (
+                    self.kernel.stopping.is_set()
+                    or state.commit_index > state.applied_index
+                )
+            )
+            return state.log.batch(state.applied_index + 1, state.commit_index)
+
+    def _upkeep(self, members: MemberChanges) -> None:
+        while self.kernel.wait_while_running(_UPKEEP_S):
+            # Time is read first: the lease proves that nobody else accepted
+            # a change before that time.
+            now_s = self.kernel.clock.now_s()
+            if self.has_lease():
+                self._view.note_fresh(now_s)
+                members.promote_caught_up()
+
+
+def _to_view(entry: LogEntry) -> Entry:
+    is_change = entry.kind == EntryKind.CHANGE
+    return Entry(
+        revision=entry.index,
+        term=entry.term,
+        payload=entry.payload if is_change else b'',
+    )
 
 
-def wall_clock_s() -> float:
-    """Return wall-clock seconds since the epoch, for reports only."""
-    return time.time()
+def _start_thread(target: Any, name: str) -> threading.Thread:
+    thread = threading.Thread(target=target, name=name, daemon=True)
+    thread.start()
+    return thread
--- /dev/null
+++ b/oleanderpin/control/members.py
@@ -0,0 +1,282 @@
+"""Changes of the group's members, one at a time, decided by the leader."""
+
+from dataclasses import dataclass, replace
+
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..wire.generated.common.ttypes import Unavailable
+from ..wire.generated.raft.ttypes import (
+    IdentityReply,
+    MemberProblem,
+    MembersReply,
+    MemberStatus,
+)
+from ..wire.network import PeerNetwork
+from .convert import member_to_wire
+from .progress import majority, voter_ids
+from .raft import RaftNode, Role
+from .records import LogEntry, Member, Members
+
+MAX_MEMBERS = 7
+# A learner is promoted when it lacks at most this many entries, which the
+# next message carries.
+_PROMOTE_LAG_ENTRIES = 64
+_IDENTITY_TIMEOUT_S = 2.0
+_NEVER_MS = -1
+
+
+@dataclass(frozen=True, slots=True)
+class OwnMember:
+    """A member as it sees itself, for the operators."""
+
+    member_id: str
+    cluster_id: str
+    role: str
+    term: int
+    leader_address: str
+    revision: int
+    problem: str
+
+
+class MemberChanges:
+    """Adds, promotes and removes members.
+
+    Parameters
+    ----------
+    node : RaftNode
+        This member.
+    """
+
+    def __init__(self, node: RaftNode) -> None:
+        """Keep the node."""
+        self._node = node
+        self._network = node.kernel.plugin(PeerNetwork)
+
+    def add(self, address: str, *, timeout_s: float) -> None:
+        """Add the instance at ``address`` as a learner.
+
+        An instance that is a member already is left as it is, so that the
+        command may be sent again.
+
+        Raises
+        ------
+        NotLeader, Unavailable, MemberProblem
+            If this member does not lead or the change is not possible.
+        """
+        self._node.require_lease()
+        identity = self._identity_at(address)
+        with self._node.lock:
+            self._node.require_lease()
+            members = self._node.state.log.members
+            if identity.member_id in {each.member_id for each in members}:
+                return
+            self._check_addition(address, members)
+            learner = Member(
+                identity.member_id, identity.name, address, is_voter=False
+            )
+            entry = self._node.append_members((*members, learner))
+        self._await(entry, timeout_s)
+
+    def remove(self, name: str, *, timeout_s: float) -> None:
+        """Remove a member, given by its id, instance name or peer address.
+
+        Raises
+        ------
+        NotLeader, Unavailable, MemberProblem
+            If this member does not lead or the change is not possible.
+        """
+        with self._node.lock:
+            self._node.require_lease()
+            members = self._node.state.log.members
+            removed = _find(name, members)
+            if removed is None:
+                return
+            rest = tuple(each for each in members if each != removed)
+            self._check_removal(removed, rest)
+            entry = self._node.append_members(rest)
+        self._await(entry, timeout_s)
+
+    def promote_caught_up(self) -> None:
+        """Make a voter of a learner that has caught up, one at a time.
+
+        An older voter at the same address has lost its disk; it is removed
+        first, so that the number of voters does not grow.
+        """
+        node = self._node
+        with node.lock:
+            if not node.has_lease() or self._is_changing():
+                return
+            members = node.state.log.members
+            learner = self._caught_up(members)
+            if learner is None:
+                return
+            others = tuple(each for each in members if each != learner)
+            rest = tuple(
+                each for each in others if each.address != learner.address
+            )
+            EVENTS.labels('control', 'member_promoted').inc()
+            if len(rest) == len(others):
+                promoted = replace(learner, is_voter=True)
+                node.append_members((*rest, promoted))
+            else:
+                node.append_members((*rest, learner))
+
+    def status(self) -> MembersReply:
+        """Return all members as the leader sees them."""
+        node = self._node
+        with node.lock:
+            node.require_lease()
+            state = node.state
+            return MembersReply(
+                cluster_id=state.identity.cluster_id,
+                revision=state.commit_index,
+                change_in_progress=self._is_changing(),
+                members=[self._status_of(each) for each in state.log.members],
+            )
+
+    def _status_of(self, member: Member) -> MemberStatus:
+        state = self._node.state
+        status = MemberStatus(
+            member=member_to_wire(member),
+            is_leader=member.member_id == self._node.own_id,
+            synced_revision=state.durable_index,
+            last_answer_age_ms=0,
+        )
+        if not status.is_leader:
+            known = state.progress.get(member.member_id)
+            status.synced_revision = known.match_index if known else 0
+            status.last_answer_age_ms = self._answer_age_ms(member)
+        return status
+
+    def _answer_age_ms(self, member: Member) -> int:
+        known = self._node.state.progress.get(member.member_id)
+        if known is None or known.acked_s < 0:
+            return _NEVER_MS
+        return int((self._node.now_s() - known.acked_s) * 1000)
+
+    def _identity_at(self, address: str) -> IdentityReply:
+        try:
+            identity = self._network.call(
+                address, 'Raft', 'identity', timeout_s=_IDENTITY_TIMEOUT_S
+            )
+        except UnavailableError as error:
+            raise MemberProblem(
+                kind='invalid_input',
+                problem=f'no control instance answers at {address!r}: {error}',
+                remedy='start it with the control role and check the address',
+            ) from error
+        own_group = self._node.state.identity.cluster_id
+        if identity.cluster_id not in {'', own_group}:
+            raise MemberProblem(
+                kind='conflict',
+                problem=f'the instance at {address!r} belongs to group '
+                f'{identity.cluster_id!r}',
+                remedy='stop it, empty its data directory and start it again',
+            )
+        return identity
+
+    def _check_addition(self, address: str, members: Members) -> None:
+        self._check_no_change()
+        others = [each for each in members if each.address != address]
+        if len(others) >= MAX_MEMBERS:
+            raise MemberProblem(
+                kind='invalid_input',
+                problem=f'the group has {len(others)} members already, '
+                f'at most {MAX_MEMBERS} are possible',
+                remedy='remove one first',
+            )
+
+    def _check_removal(self, removed: Member, rest: Members) -> None:
+        self._check_no_change()
+        voters = [each for each in rest if each.is_voter]
+        answering = sum(self._is_answering(each) for each in voters)
+        if removed.is_voter and answering < majority(rest):
+            raise MemberProblem(
+                kind='conflict',
+                problem=f'without {removed.name!r} only {answering} of '
+                f'{len(voters)} voters would answer, '
+                f'{majority(rest)} are needed',
+                remedy='repair or remove the members that do not answer first',
+            )
+
+    def _check_no_change(self) -> None:
+        if self._is_changing():
+            raise MemberProblem(
+                kind='conflict',
+                problem='another member change is in progress',
+                remedy='wait until members shows none in progress',
+            )
+
+    def _is_changing(self) -> bool:
+        state = self._node.state
+        return state.log.members_index > state.commit_index
+
+    def _is_answering(self, member: Member) -> bool:
+        node = self._node
+        if member.member_id == node.own_id:
+            return True
+        known = node.state.progress.get(member.member_id)
+        limit_s = node.settings.election_timeout_min_s
+        return known is not None and node.now_s() - known.acked_s < limit_s
+
+    def _caught_up(self, members: Members) -> Member | None:
+        state = self._node.state
+        for member in members:
+            known = state.progress.get(member.member_id)
+            if member.is_voter or known is None:
+                continue
+            lag = state.log.last_index - known.match_index
+            if lag <= _PROMOTE_LAG_ENTRIES and self._is_answering(member):
+                return member
+        return None
+
+    def _await(self, entry: LogEntry, timeout_s: float) -> None:
+        if not self._node.wait_until_applied(entry, timeout_s=timeout_s):
+            raise Unavailable(
+                problem='the member change is not confirmed by a majority',
+                maybe_applied=True,
+            )
+
+
+def _find(name: str, members: Members) -> Member | None:
+    found = [
+        each
+        for each in members
+        if name in {each.member_id, each.name, each.address}
+    ]
+    if len(found) > 1:
+        ids = [each.member_id for each in found]
+        raise MemberProblem(
+            kind='conflict',
+            problem=f'{name!r} names several members',
+            remedy=f'give one of the ids {ids}',
+        )
+    return found[0] if found else None
+
+
+def describe_own(node: RaftNode) -> OwnMember:
+    """Return what this member knows by itself."""
+    with node.lock:
+        state = node.state
+        return OwnMember(
+            member_id=node.own_id,
+            cluster_id=state.identity.cluster_id,
+            role=_role_name(node),
+            term=state.hard.term,
+            leader_address=state.leader_address,
+            revision=state.applied_index,
+            problem=str(state.failure or ''),
+        )
+
+
+def _role_name(node: RaftNode) -> str:
+    state = node.state
+    if not state.identity.cluster_id:
+        return 'waiting to be added'
+    if state.role is Role.LEADER:
+        return 'leader'
+    known = {each.member_id for each in state.log.members}
+    if node.own_id not in known:
+        return 'removed'
+    is_voter = node.own_id in voter_ids(state.log.members)
+    return 'follower' if is_voter else 'learner'
--- /dev/null
+++ b/oleanderpin/control/raft.py
@@ -0,0 +1,327 @@
+"""State of a member of the Raft group and its transitions."""
+
+import logging
+import random
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import Any
+
+from ..core.errors import StorageError
+from ..core.metrics import EVENTS
+from ..wire.generated.common.ttypes import NotLeader, Unavailable
+from ..wire.generated.raft.ttypes import Envelope
+from .disk import DiskWriter
+from .entries import EntryLog
+from .progress import Progress, majority_acked_s, majority_index, voter_ids
+from .records import (
+    EntryKind,
+    HardState,
+    Identity,
+    LogEntry,
+    Members,
+    SnapshotInfo,
+    encode_members,
+)
+from .storage import Contents, LogStorage
+
+_LOG = logging.getLogger(__name__)
+_NEVER_S = float('-inf')
+
+
+class Role(Enum):
+    """Role of a member in its term."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@dataclass(slots=True)
+class RaftState:
+    """Everything that the lock of the node protects.
+
+    ``heard_s`` is when a leader was last heard from, ``led_s`` when this
+    member last became leader, ``deadline_s`` when the next election may begin.
+    """
+
+    identity: Identity
+    hard: HardState
+    log: EntryLog
+    commit_index: int
+    applied_index: int
+    durable_index: int
+    started_s: float
+    deadline_s: float
+    heard_s: float = _NEVER_S
+    led_s: float = _NEVER_S
+    role: Role = Role.FOLLOWER
+    leader_address: str = ''
+    term_start_index: int = 0
+    barrier_s: float = _NEVER_S
+    progress: dict[str, Progress] = field(default_factory=dict)
+    failure: StorageError | None = None
+
+
+class RaftNode:
+    """One member; other modules act on it while they hold ``lock``.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives settings and clock.
+    storage : LogStorage
+        The member's files.
+    contents : Contents
+        What they held at the start.
+    """
+
+    def __init__(
+        self, kernel: Any, storage: LogStorage, contents: Contents
+    ) -> None:
+        """Start as a follower in the last known term."""
+        self.kernel = kernel
+        self.settings = kernel.settings.control
+        self.storage = storage
+        self.disk = DiskWriter(storage, self)
+        self.lock = threading.Condition()
+        # Set by the replication, which then runs a thread for each peer.
+        self.on_members: Callable[[], None] = lambda: None
+        # Differs between members, so that elections rarely collide.
+        self._random = random.Random(contents.identity.member_id)
+        now_s = kernel.clock.now_s()
+        info = contents.info
+        if not info.index:
+            info = SnapshotInfo(members=contents.identity.members)
+        log = EntryLog(info, contents.entries)
+        self.state = RaftState(
+            identity=contents.identity,
+            hard=contents.hard_state,
+            log=log,
+            commit_index=info.index,
+            applied_index=info.index,
+            durable_index=log.last_index,
+            started_s=now_s,
+            deadline_s=now_s,
+        )
+        if voter_ids(log.members) != (contents.identity.member_id,):
+            self.postpone_election()
+
+    @property
+    def own_id(self) -> str:
+        """Identity of this member."""
+        return self.state.identity.member_id
+
+    def now_s(self) -> float:
+        """Return the monotonic time."""
+        return self.kernel.clock.now_s()
+
+    def postpone_election(self) -> None:
+        """Let a random election timeout pass from now."""
+        self.state.deadline_s = self.now_s() + self._random.uniform(
+            self.settings.election_timeout_min_s,
+            self.settings.election_timeout_max_s,
+        )
+
+    def is_voter(self) -> bool:
+        """Return whether this member counts for majorities."""
+        return self.own_id in voter_ids(self.state.log.members)
+
+    def is_leading(self, term: int) -> bool:
+        """Return whether this member leads in ``term``."""
+        state = self.state
+        return state.role is Role.LEADER and state.hard.term == term
+
+    def has_lease(self) -> bool:
+        """Return whether no other member can have become leader yet.
+
+        True only after an entry of the leader's own term is applied.
+        """
+        with self.lock:
+            state = self.state
+            if state.role is not Role.LEADER or state.failure is not None:
+                return False
+            if state.applied_index < state.term_start_index:
+                return False
+            lease_s = self.settings.leader_lease_s
+            return self.now_s() < self.quorum_acked_s() + lease_s
+
+    def quorum_acked_s(self) -> float:
+        """Return the latest time at which a majority followed this leader."""
+        state = self.state
+        return majority_acked_s(
+            state.log.members, state.progress, own_id=self.own_id
+        )
+
+    def require_lease(self) -> None:
+        """Refuse unless this member is the leader with a valid lease.
+
+        Raises
+        ------
+        NotLeader, Unavailable
+            With the leader's address, if known.
+        """
+        with self.lock:
+            if self.state.role is not Role.LEADER:
+                raise NotLeader(leader_address=self.state.leader_address)
+            if not self.has_lease():
+                raise Unavailable(
+                    problem='the leader has no lease at present',
+                    maybe_applied=False,
+                )
+
+    def has_passed(self, asked_s: float, revision: int) -> bool:
+        """Return whether a read asked for at ``asked_s`` may be served."""
+        is_applied = self.state.applied_index >= revision
+        return is_applied and self.quorum_acked_s() >= asked_s
+
+    def check_envelope(self, envelope: Envelope) -> None:
+        """Refuse a message that is not for this member of this group.
+
+        A member without a group joins the one that names its identity: the
+        identity is random, so only a group that it was added to knows it.
+
+        Raises
+        ------
+        Unavailable
+            If the message is refused.
+        """
+        identity = self.state.identity
+        if self.state.failure is not None:
+            problem = str(self.state.failure)
+        elif envelope.to_id != identity.member_id:
+            problem = f'this is member {identity.member_id}'
+        elif not identity.cluster_id:
+            self.adopt(replace(identity, cluster_id=envelope.cluster_id))
+            return
+        elif identity.cluster_id != envelope.cluster_id:
+            problem = f'this member belongs to group {identity.cluster_id}'
+        else:
+            return
+        raise Unavailable(problem=problem, maybe_applied=False)
+
+    def adopt(self, identity: Identity) -> None:
+        """Record the group that this member belongs to."""
+        state = self.state
+        state.identity = identity
+        if identity.members and not state.log.last_index:
+            state.log = EntryLog(SnapshotInfo(members=identity.members))
+        self.disk.submit(lambda: self.storage.save_identity(identity))
+        _LOG.info('member %s joins group %s', self.own_id, identity.cluster_id)
+
+    def save_hard_state(self, hard: HardState) -> None:
+        """Set term and vote; an answer must wait until they are synced."""
+        self.state.hard = hard
+        self.disk.submit(lambda: self.storage.save_hard_state(hard))
+
+    def become_follower(self, term: int) -> None:
+        """Follow in ``term``, which is not below the current one."""
+        state = self.state
+        if term > state.hard.term:
+            self.save_hard_state(HardState(term))
+            state.leader_address = ''
+        if state.role is Role.LEADER:
+            _LOG.warning('no longer the control leader, term %d', term)
+            EVENTS.labels('control', 'stepped_down').inc()
+            state.leader_address = ''
+            self.postpone_election()
+        state.role = Role.FOLLOWER
+        state.progress = {}
+        self.lock.notify_all()
+
+    def become_leader(self) -> None:
+        """Lead in the current term and append its first entry.
+
+        The entry repeats the members, so that each member learns them from
+        the log; it has no effect on the control state.
+        """
+        state = self.state
+        state.role = Role.LEADER
+        state.led_s = self.now_s()
+        state.leader_address = self.kernel.settings.listen.peer
+        state.progress = {}
+        entry = self.append_members(state.log.members)
+        state.term_start_index = entry.index
+        _LOG.info('control leader in term %d', state.hard.term)
+        EVENTS.labels('control', 'became_leader').inc()
+
+    def append_members(self, members: Members) -> LogEntry:
+        """Append an entry that sets the members, and replicate to all."""
+        entry = self.append_own(EntryKind.MEMBERS, encode_members(members))
+        for member in members:
+            if member.member_id != self.own_id:
+                self.state.progress.setdefault(
+                    member.member_id, Progress(next_index=entry.index)
+                )
+        self.on_members()
+        return entry
+
+    def append_own(self, kind: EntryKind, payload: bytes) -> LogEntry:
+        """Append an entry of this leader and have it synced."""
+        state = self.state
+        entry = LogEntry(
+            state.log.last_index + 1, state.hard.term, kind, payload
+        )
+        state.log.append([entry])
+        self.disk.submit_entries([entry])
+        self.lock.notify_all()
+        return entry
+
+    def advance_commit(self) -> None:
+        """Commit what a majority has synced, if it is of this term."""
+        state = self.state
+        index = majority_index(
+            state.log.members,
+            state.progress,
+            own_id=self.own_id,
+            own_index=state.durable_index,
+        )
+        if index <= state.commit_index:
+            return
+        if state.log.term_at(index) != state.hard.term:
+            return
+        state.commit_index = index
+        if index >= state.log.members_index and not self.is_voter():
+            self.become_follower(state.hard.term)
+        self.lock.notify_all()
+
+    def note_durable(self, entry: LogEntry) -> None:
+        """Record that ``entry`` and all before it are synced here."""
+        with self.lock:
+            state = self.state
+            # The entry may have been replaced while it was written.
+            if state.log.term_at(entry.index) != entry.term:
+                return
+            state.durable_index = max(state.durable_index, entry.index)
+            if state.role is Role.LEADER:
+                self.advance_commit()
+
+    def note_failure(self, error: StorageError) -> None:
+        """Step down and take no further part."""
+        with self.lock:
+            self.state.failure = error
+            self.become_follower(self.state.hard.term)
+            self.state.leader_address = ''
+
+    def wait_until_applied(self, entry: LogEntry, *, timeout_s: float) -> bool:
+        """Wait until an own entry is committed and applied.
+
+        Returns
+        -------
+        bool
+            False if that is not known within ``timeout_s`` seconds.
+        """
+        with self.lock:
+            self.lock.wait_for(lambda: self._is_decided(entry), timeout_s)
+            if self.state.applied_index < entry.index:
+                return False
+            return self.state.log.term_at(entry.index) == entry.term
+
+    def _is_decided(self, entry: LogEntry) -> bool:
+        state = self.state
+        if state.applied_index >= entry.index:
+            return True
+        if state.commit_index >= entry.index and state.failure is None:
+            return False
+        return not self.is_leading(entry.term)
--- /dev/null
+++ b/oleanderpin/control/raft_service.py
@@ -0,0 +1,98 @@
+"""The Thrift service ``Raft`` of a member."""
+
+from dataclasses import replace
+
+from ..wire.generated.raft.ttypes import (
+    AdoptRequest,
+    AppendReply,
+    AppendRequest,
+    IdentityReply,
+    MemberAdd,
+    MemberRemove,
+    MembersReply,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from .convert import members_from_wire
+from .members import MemberChanges
+from .raft import RaftNode
+from .receiver import Receiver
+from .voting import Voting
+
+_CHANGE_TIMEOUT_S = 4.0
+
+
+class RaftHandler:
+    """Passes each method on to the module that implements it."""
+
+    def __init__(
+        self,
+        node: RaftNode,
+        *,
+        voting: Voting,
+        receiver: Receiver,
+        members: MemberChanges,
+    ) -> None:
+        """Keep the modules."""
+        self._node = node
+        self._voting = voting
+        self._receiver = receiver
+        self._members = members
+
+    def pre_vote(self, request: VoteRequest) -> VoteReply:
+        """Tell whether a vote would be granted."""
+        return self._voting.pre_vote(request)
+
+    def request_vote(self, request: VoteRequest) -> VoteReply:
+        """Grant or refuse a vote."""
+        return self._voting.request_vote(request)
+
+    def append_entries(self, request: AppendRequest) -> AppendReply:
+        """Append entries of the leader."""
+        return self._receiver.append_entries(request)
+
+    def install_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
+        """Take a chunk of a snapshot of the leader."""
+        return self._receiver.install_snapshot(request)
+
+    def identity(self) -> IdentityReply:
+        """Return who this member is."""
+        settings = self._node.kernel.settings
+        with self._node.lock:
+            state = self._node.state
+            return IdentityReply(
+                member_id=state.identity.member_id,
+                cluster_id=state.identity.cluster_id,
+                name=settings.instance.name,
+                address=settings.listen.peer,
+                last_index=state.log.last_index,
+            )
+
+    def adopt(self, request: AdoptRequest) -> None:
+        """Join the first group, as formed by another member."""
+        node = self._node
+        with node.lock:
+            is_empty = not node.state.identity.cluster_id
+            node.check_envelope(request.envelope)
+            if is_empty:
+                members = members_from_wire(request.members)
+                node.adopt(replace(node.state.identity, members=members))
+                node.state.started_s = float('-inf')
+                node.postpone_election()
+        self._receiver.sync()
+
+    def members(self) -> MembersReply:
+        """Return the members as the leader sees them."""
+        return self._members.status()
+
+    def add_member(self, request: MemberAdd) -> MembersReply:
+        """Add a learner."""
+        self._members.add(request.address, timeout_s=_CHANGE_TIMEOUT_S)
+        return self._members.status()
+
+    def remove_member(self, request: MemberRemove) -> MembersReply:
+        """Remove a member."""
+        self._members.remove(request.member, timeout_s=_CHANGE_TIMEOUT_S)
+        return self._members.status()
--- /dev/null
+++ b/oleanderpin/control/storage.py
@@ -0,0 +1,299 @@
+"""Durable state of a member of the log: files that one thread writes.
+
+The log consists of segment files that are only appended to. Entries that are
+written together form one frame, and the next frame is written only after the
+previous one is synced; hence only the last frame can be torn by a crash. An
+entry with an index that is already present replaces it and all later ones.
+"""
+
+import fcntl
+import json
+import os
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import BinaryIO
+
+from ..core.errors import StorageError
+from .records import (
+    HardState,
+    Identity,
+    LogEntry,
+    Member,
+    SnapshotInfo,
+    decode_entries,
+    encode_entries,
+    encode_frame,
+    scan_frames,
+)
+
+_SEGMENT_BYTES = 1024 * 1024
+_ID_BYTES = 8
+_WIPE_REMEDY = (
+    'empty the data directory, start the instance again and replace the '
+    'member (docs/operators/members.md)'
+)
+
+
+@dataclass(slots=True)
+class _Segment:
+    path: Path
+    last_index: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredSnapshot:
+    """A snapshot and its position."""
+
+    info: SnapshotInfo
+    content: bytes
+
+
+@dataclass(slots=True)
+class Contents:
+    """What a disk held at the start."""
+
+    identity: Identity
+    hard_state: HardState = HardState()
+    info: SnapshotInfo = SnapshotInfo()
+    snapshot: bytes = b''
+    entries: list[LogEntry] = field(default_factory=list)
+
+
+class LogStorage:
+    """Files of one member.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder that belongs to the log alone.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        """Start without open files."""
+        self.sync: Callable[[int], None] = os.fsync
+        self._folder = folder
+        self._segments: list[_Segment] = []
+        self._active: BinaryIO | None = None
+        self._lock_file: BinaryIO | None = None
+        self._next_number = 1
+
+    def load(self) -> Contents:
+        """Read all files, cut off a torn tail and lock the folder.
+
+        Raises
+        ------
+        StorageError
+            If another process uses the folder or its content is damaged.
+        """
+        try:
+            return self._load()
+        except OSError as error:
+            raise StorageError(
+                f'{self._folder}: cannot be read: {error}',
+                remedy='check the disk, or ' + _WIPE_REMEDY,
+            ) from error
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries as one frame and sync it."""
+        active = self._open_segment()
+        active.write(encode_frame(encode_entries(entries)))
+        active.flush()
+        self.sync(active.fileno())
+        segment = self._segments[-1]
+        segment.last_index = max(segment.last_index, entries[-1].index)
+        if active.tell() >= _SEGMENT_BYTES:
+            self._close_segment()
+
+    def save_identity(self, identity: Identity) -> None:
+        """Replace the identity."""
+        self._replace('identity', json.dumps(asdict(identity)).encode())
+
+    def save_hard_state(self, hard_state: HardState) -> None:
+        """Replace term and vote."""
+        self._replace('hard-state', json.dumps(asdict(hard_state)).encode())
+
+    def save_snapshot(self, info: SnapshotInfo, snapshot: bytes) -> None:
+        """Replace the snapshot."""
+        head = json.dumps(asdict(info)).encode()
+        self._replace('snapshot', head, snapshot)
+
+    def read_snapshot(self) -> StoredSnapshot:
+        """Return the newest snapshot; any thread may call this.
+
+        Raises
+        ------
+        StorageError
+            If there is none or it is damaged.
+        """
+        bodies = self._read('snapshot')
+        if not bodies:
+            raise StorageError('no snapshot yet', remedy='try again later')
+        return StoredSnapshot(_snapshot_info(bodies[0]), bodies[1])
+
+    def compact(self, index: int) -> None:
+        """Delete the oldest segments that end at or before ``index``."""
+        self._close_segment()
+        while self._segments and self._segments[0].last_index <= index:
+            self._segments.pop(0).path.unlink()
+        self._sync_folder()
+
+    def discard_log(self) -> None:
+        """Delete all segments, the newest first."""
+        self._close_segment()
+        while self._segments:
+            self._segments.pop().path.unlink()
+        self._sync_folder()
+
+    def close(self) -> None:
+        """Close all files and release the folder."""
+        self._close_segment()
+        if self._lock_file is not None:
+            self._lock_file.close()
+
+    def _load(self) -> Contents:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._lock_folder()
+        contents = Contents(self._load_identity())
+        hard_state = self._read('hard-state')
+        if hard_state:
+            contents.hard_state = HardState(**json.loads(hard_state[0]))
+        if (self._folder / 'snapshot').exists():
+            stored = self.read_snapshot()
+            contents.info = stored.info
+            contents.snapshot = stored.content
+        contents.entries = self._load_segments()
+        self._sync_folder()
+        if not _continues(contents.info, contents.entries):
+            contents.entries = []
+            self.discard_log()
+        return contents
+
+    def _lock_folder(self) -> None:
+        self._lock_file = (self._folder / 'lock').open('ab')
+        try:
+            fcntl.flock(self._lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            raise StorageError(
+                f'{self._folder} is in use by another process',
+                remedy='give each instance its own data_dir',
+            ) from error
+
+    def _load_identity(self) -> Identity:
+        stored = self._read('identity')
+        if stored:
+            fields = json.loads(stored[0])
+            members = tuple(Member(**each) for each in fields.pop('members'))
+            return Identity(**fields, members=members)
+        if any(self._folder.glob('segment-*')):
+            raise StorageError(
+                f'{self._folder} holds a log without an identity',
+                remedy=_WIPE_REMEDY,
+            )
+        identity = Identity(secrets.token_hex(_ID_BYTES))
+        self.save_identity(identity)
+        return identity
+
+    def _load_segments(self) -> list[LogEntry]:
+        paths = sorted(self._folder.glob('segment-*'))
+        entries: list[LogEntry] = []
+        for path in paths:
+            segment = _Segment(path)
+            for entry in self._read_segment(path, is_last=path is paths[-1]):
+                segment.last_index = max(segment.last_index, entry.index)
+                _place(entries, entry, path)
+            self._segments.append(segment)
+            self._next_number = int(path.name.partition('-')[2]) + 1
+        return entries
+
+    def _read_segment(self, path: Path, *, is_last: bool) -> list[LogEntry]:
+        content = path.read_bytes()
+        scan = scan_frames(content)
+        if scan.valid_bytes < len(content):
+            if not (is_last and scan.is_torn):
+                raise StorageError(
+                    f'{path}: bad checksum at byte {scan.valid_bytes}',
+                    remedy=_WIPE_REMEDY,
+                )
+        if is_last:
+            # What a killed process wrote may still be unsynced.
+            with path.open('r+b') as segment_file:
+                segment_file.truncate(scan.valid_bytes)
+                self.sync(segment_file.fileno())
+        return [entry for body in scan.bodies for entry in decode_entries(body)]
+
+    def _open_segment(self) -> BinaryIO:
+        if self._active is None:
+            path = self._folder / f'segment-{self._next_number:012d}'
+            self._next_number += 1
+            self._active = path.open('xb')
+            self._segments.append(_Segment(path))
+            self._sync_folder()
+        return self._active
+
+    def _close_segment(self) -> None:
+        if self._active is not None:
+            self._active.close()
+            self._active = None
+
+    def _replace(self, name: str, *bodies: bytes) -> None:
+        temporary = self._folder / f'{name}.new'
+        with temporary.open('wb') as new_file:
+            for body in bodies:
+                new_file.write(encode_frame(body))
+            new_file.flush()
+            self.sync(new_file.fileno())
+        temporary.replace(self._folder / name)
+        self._sync_folder()
+
+    def _read(self, name: str) -> tuple[bytes, ...]:
+        path = self._folder / name
+        if not path.exists():
+            return ()
+        content = path.read_bytes()
+        scan = scan_frames(content)
+        if not scan.bodies or scan.valid_bytes < len(content):
+            raise StorageError(f'{path}: bad checksum', remedy=_WIPE_REMEDY)
+        return scan.bodies
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _snapshot_info(head: bytes) -> SnapshotInfo:
+    fields = json.loads(head)
+    members = tuple(Member(**each) for each in fields.pop('members'))
+    return SnapshotInfo(**fields, members=members)
+
+
+def _place(entries: list[LogEntry], entry: LogEntry, path: Path) -> None:
+    if entries and entry.index <= entries[-1].index:
+        kept = max(0, entry.index - entries[0].index)
+        del entries[kept:]
+    if entries and entry.index != entries[-1].index + 1:
+        raise StorageError(
+            f'{path}: entry {entry.index} follows {entries[-1].index}',
+            remedy=_WIPE_REMEDY,
+        )
+    entries.append(entry)
+
+
+def _continues(info: SnapshotInfo, entries: list[LogEntry]) -> bool:
+    """Return whether the entries belong to the log of the snapshot."""
+    if not entries:
+        return True
+    first = entries[0].index
+    if first > info.index + 1:
+        raise StorageError(
+            f'the log starts at {first}, the snapshot ends at {info.index}',
+            remedy=_WIPE_REMEDY,
+        )
+    if first == info.index + 1:
+        return True
+    offset = info.index - first
+    return offset < len(entries) and entries[offset].term == info.term
--- /dev/null
+++ b/oleanderpin/control/voting.py
@@ -0,0 +1,266 @@
+"""Elections: pre-vote, votes, and stepping down without a majority."""
+
+import logging
+import threading
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core.errors import StorageError, UnavailableError
+from ..core.metrics import EVENTS
+from ..wire.generated.common.ttypes import Unavailable
+from ..wire.generated.raft.ttypes import Envelope, VoteReply, VoteRequest
+from ..wire.network import PeerNetwork
+from .progress import majority
+from .raft import RaftNode, Role
+from .receiver import Receiver
+from .records import HardState, Member, Members
+
+_LOG = logging.getLogger(__name__)
+_TICK_S = 0.05
+_SYNC_TIMEOUT_S = 10.0
+
+
+@dataclass(slots=True)
+class _Ballot:
+    """Votes of one round; ``term`` is the highest term seen in an answer."""
+
+    needed: int
+    waiting: int
+    granted: int = 1
+    term: int = 0
+    changed: threading.Condition = field(default_factory=threading.Condition)
+
+    def note(self, reply: VoteReply | None) -> None:
+        """Count an answer, None when there was none."""
+        with self.changed:
+            self.waiting -= 1
+            if reply is not None:
+                self.granted += int(reply.granted)
+                self.term = max(self.term, reply.term)
+            self.changed.notify_all()
+
+    def is_decided(self) -> bool:
+        """Return whether further answers cannot matter."""
+        return self.granted >= self.needed or self.waiting == 0
+
+
+class Voting:
+    """Grants votes and, in one thread, asks for them.
+
+    Parameters
+    ----------
+    node : RaftNode
+        This member.
+    receiver : Receiver
+        Waits for the disk before an answer.
+    """
+
+    def __init__(self, node: RaftNode, receiver: Receiver) -> None:
+        """Start without a thread."""
+        self._node = node
+        self._receiver = receiver
+        self._network = node.kernel.plugin(PeerNetwork)
+
+    def start(self) -> None:
+        """Start the election thread."""
+        threading.Thread(
+            target=self._run, name='log-election', daemon=True
+        ).start()
+
+    def pre_vote(self, request: VoteRequest) -> VoteReply:
+        """Tell whether a vote would be granted; changes nothing."""
+        node = self._node
+        with node.lock:
+            node.check_envelope(request.envelope)
+            term = node.state.hard.term
+            granted = (
+                not self._has_leader()
+                and request.envelope.term > term
+                and self._is_up_to_date(request)
+            )
+        self._receiver.sync()
+        return VoteReply(term=term, granted=granted)
+
+    def request_vote(self, request: VoteRequest) -> VoteReply:
+        """Grant a vote at most once in each term."""
+        node = self._node
+        with node.lock:
+            node.check_envelope(request.envelope)
+            granted = not self._has_leader() and self._grant(request)
+            term = node.state.hard.term
+        self._receiver.sync()
+        return VoteReply(term=term, granted=granted)
+
+    def _has_leader(self) -> bool:
+        """Return whether a leader may still rely on this member.
+
+        After a start the member cannot know whom it heard from before.
+        """
+        node = self._node
+        state = node.state
+        known_s = max(state.heard_s, state.started_s)
+        if state.role is Role.LEADER:
+            known_s = max(known_s, node.quorum_acked_s())
+        return node.now_s() < known_s + node.settings.election_timeout_min_s
+
+    def _grant(self, request: VoteRequest) -> bool:
+        node = self._node
+        candidate = request.envelope.from_id
+        if request.envelope.term < node.state.hard.term:
+            return False
+        if request.envelope.term > node.state.hard.term:
+            node.become_follower(request.envelope.term)
+        hard = node.state.hard
+        if hard.voted_for not in {'', candidate}:
+            return False
+        if not self._is_up_to_date(request):
+            return False
+        node.save_hard_state(HardState(hard.term, candidate))
+        node.postpone_election()
+        return True
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        log = self._node.state.log
+        own = (log.last_term, log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def _run(self) -> None:
+        node = self._node
+        while node.kernel.wait_while_running(_TICK_S):
+            try:
+                self._tick()
+            except StorageError as error:
+                _LOG.warning('election given up: %s', error)
+            except Exception:
+                # A single failed round must not end all later elections.
+                EVENTS.labels('control', 'election_error').inc()
+                _LOG.exception('election failed')
+
+    def _tick(self) -> None:
+        node = self._node
+        with node.lock:
+            if node.state.role is Role.LEADER:
+                self._check_quorum()
+                return
+            is_due = self._is_due()
+        if is_due:
+            self._campaign()
+
+    def _check_quorum(self) -> None:
+        node = self._node
+        state = node.state
+        limit_s = node.settings.election_timeout_min_s
+        # A new leader has that long for its first heartbeats.
+        if node.now_s() > max(node.quorum_acked_s(), state.led_s) + limit_s:
+            EVENTS.labels('control', 'quorum_lost').inc()
+            node.become_follower(state.hard.term)
+
+    def _is_due(self) -> bool:
+        state = self._node.state
+        is_able = state.failure is None and self._node.is_voter()
+        return is_able and self._node.now_s() >= state.deadline_s
+
+    def _campaign(self) -> None:
+        node = self._node
+        with node.lock:
+            node.postpone_election()
+            node.state.leader_address = ''
+            term = node.state.hard.term + 1
+            request = self._request(term)
+        if not self._is_elected('pre_vote', request):
+            EVENTS.labels('control', 'pre_vote_lost').inc()
+            return
+        with node.lock:
+            # A leader may have appeared while the others were asked.
+            if node.state.hard.term != term - 1 or self._has_leader():
+                return
+            node.state.role = Role.CANDIDATE
+            node.save_hard_state(HardState(term, node.own_id))
+            request = self._request(term)
+            ticket = node.disk.ticket
+        node.disk.wait(ticket, timeout_s=_SYNC_TIMEOUT_S)
+        if not self._is_elected('request_vote', request):
+            EVENTS.labels('control', 'election_lost').inc()
+            return
+        with node.lock:
+            is_candidate = node.state.role is Role.CANDIDATE
+            if is_candidate and node.state.hard.term == term:
+                node.become_leader()
+
+    def _request(self, term: int) -> VoteRequest:
+        state = self._node.state
+        return VoteRequest(
+            envelope=Envelope(
+                cluster_id=state.identity.cluster_id,
+                from_id=self._node.own_id,
+                term=term,
+            ),
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+        )
+
+    def _is_elected(self, method: str, request: VoteRequest) -> bool:
+        node = self._node
+        with node.lock:
+            members = node.state.log.members
+        others = _other_voters(members, node.own_id)
+        ballot = _Ballot(needed=majority(members), waiting=len(others))
+        for member in others:
+            threading.Thread(
+                target=self._ask,
+                args=(ballot, method, member, request),
+                name=f'log-{method}',
+                daemon=True,
+            ).start()
+        with ballot.changed:
+            ballot.changed.wait_for(
+                ballot.is_decided, node.settings.election_timeout_min_s
+            )
+            is_elected = ballot.granted >= ballot.needed
+        with node.lock:
+            if ballot.term > node.state.hard.term:
+                node.become_follower(ballot.term)
+        return is_elected
+
+    def _ask(
+        self,
+        ballot: _Ballot,
+        method: str,
+        member: Member,
+        request: VoteRequest,
+    ) -> None:
+        reply: Any = None
+        try:
+            reply = self._network.call(
+                member.address,
+                'Raft',
+                method,
+                _addressed(request, member.member_id),
+                timeout_s=self._node.settings.election_timeout_min_s,
+            )
+        except (UnavailableError, Unavailable):
+            EVENTS.labels('control', 'vote_unanswered').inc()
+        finally:
+            ballot.note(reply)
+
+
+def _other_voters(members: Members, own_id: str) -> list[Member]:
+    return [
+        member
+        for member in members
+        if member.is_voter and member.member_id != own_id
+    ]
+
+
+def _addressed(request: VoteRequest, member_id: str) -> VoteRequest:
+    envelope = request.envelope
+    return VoteRequest(
+        envelope=Envelope(
+            cluster_id=envelope.cluster_id,
+            from_id=envelope.from_id,
+            to_id=member_id,
+            term=envelope.term,
+        ),
+        last_index=request.last_index,
+        last_term=request.last_term,
+    )
--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -11,6 +11,7 @@
 
 from ..control.change import Change, describe_validation
 from ..control.distribution import Distribution
+from ..control.log import ControlLog
 from ..control.state import RECORD_TYPES
 from ..control.view import ControlView
 from ..core.errors import (
@@ -197,6 +198,8 @@
 def _get_readiness(admin: Admin, _request: HttpRequest) -> HttpAnswer:
     is_ready = admin.kernel.plugin(ControlView).is_fresh()
     is_ready = is_ready and not admin.kernel.draining.is_set()
+    if admin.kernel.has(ControlLog):
+        is_ready = is_ready and not admin.kernel.plugin(ControlLog).problem
     status = 200 if is_ready else 503
     return json_answer({'is_ready': is_ready}, status=status)
 
