--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of single concerns."""
--- a/oleanderpin/control/disk.py
+++ b/oleanderpin/control/disk.py
@@ -143,11 +143,11 @@
             EVENTS.labels('control', 'synced').inc()
         else:
             batch.action()
+        if batch.entries:
+            self._listener.note_durable(batch.entries[-1])
         with self._changed:
             self._done = batch.ticket
             self._changed.notify_all()
-        if batch.entries:
-            self._listener.note_durable(batch.entries[-1])
 
     def _fail(self, error: Exception) -> None:
         EVENTS.labels('control', 'disk_failed').inc()
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -45,6 +45,8 @@
 
     roles = frozenset(('control',))
 
+    _members: MemberChanges
+
     def __init__(self, kernel: Any) -> None:
         """Keep the view of the control state."""
         super().__init__(kernel)
@@ -91,6 +93,18 @@
             failure = self._node.state.failure
         return str(failure or '')
 
+    @property
+    def members(self) -> MemberChanges:
+        """Changes of the group's members, possible on the leader.
+
+        Raises
+        ------
+        Unavailable
+            If this instance cannot keep the log.
+        """
+        self._require_node()
+        return self._members
+
     def own_member(self) -> OwnMember:
         """Return this member as it sees itself."""
         return describe_own(self._require_node())
@@ -201,6 +215,7 @@
         receiver = Receiver(node, self._view.install)
         voting = Voting(node, receiver)
         members = MemberChanges(node)
+        self._members = members
         Replication(node)
         handler = RaftHandler(
             node, voting=voting, receiver=receiver, members=members
--- /dev/null
+++ b/oleanderpin/tests/control/test_log.py
@@ -0,0 +1,211 @@
+"""The replicated log over loopback, with members that fail."""
+
+import errno
+import shutil
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ...control.change import Outcome
+from ...core.http import HttpRequest
+from ...operators.admin import Admin
+from ...wire.generated.common.ttypes import NotLeader, Unavailable
+from ...wire.generated.raft.ttypes import MemberProblem
+from .group import Group, account_change, wait_until
+
+
+@pytest.fixture
+def group(tmp_path: Path) -> Iterator[Group]:
+    made = Group(tmp_path, size=4)
+    made.start()
+    yield made
+    made.stop()
+
+
+def others(group: Group, name: str) -> list[str]:
+    return [each for each in group.kernels if each != name]
+
+
+def readiness(group: Group, name: str) -> int:
+    request = HttpRequest('GET', '/readyz', '', [], '127.0.0.1', None)
+    return group.kernels[name].plugin(Admin).handle(request).status
+
+
+def voters(group: Group) -> set[str]:
+    """Return the names of the voters, without an address that is replaced."""
+    log = group.log(group.leader())
+    members = log._node.state.log.members
+    return {each.name for each in members if each.is_voter}
+
+
+def test_failed_fsync_makes_the_member_step_down(group: Group) -> None:
+    """Guards against acknowledging entries that are not on the disk."""
+    failed = group.leader()
+    group.change(1)
+
+    def full(_descriptor: int) -> None:
+        raise OSError(errno.ENOSPC, 'no space left on device')
+
+    group.log(failed)._node.storage.sync = full
+    with pytest.raises((NotLeader, Unavailable)):
+        group.log(failed).propose(account_change(2).encode(), timeout_s=10)
+    assert 'no space' in group.log(failed).problem
+    assert not group.log(failed).has_lease()
+    assert readiness(group, failed) == 503
+    assert group.leader(among=others(group, failed)) != failed
+    answer = group.change(2, through=others(group, failed)[0])
+    assert answer.kind == 'ok'
+    group.stop(failed)
+    group.start(failed)
+    wait_until('ready', lambda: readiness(group, failed) == 200)
+    assert group.view(failed).answer_to('request-000002') == answer
+
+
+def test_leader_killed_during_changes(group: Group) -> None:
+    """Guards against lost or doubled changes when the leader dies."""
+    leader = group.leader()
+    survivors = others(group, leader)
+    answers: dict[int, Outcome] = {}
+
+    def propose(first: int) -> None:
+        for number in range(first, first + 20):
+            answers[number] = group.change(number, through=survivors[0])
+
+    threads = [
+        threading.Thread(target=propose, args=(first,))
+        for first in range(0, 100, 20)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_until('some changes', lambda: len(answers) > 20)
+    group.stop(leader)
+    for thread in threads:
+        thread.join()
+    assert len(answers) == 100
+    assert {answer.kind for answer in answers.values()} == {'ok'}
+    assert len({answer.revision for answer in answers.values()}) == 100
+    group.start(leader)
+    group.wait_for_same_revision()
+    for name in group.names[:3]:
+        assert len(group.view(name).state.accounts) == 100
+        for number, answer in answers.items():
+            request_id = account_change(number).request_id
+            assert group.view(name).answer_to(request_id) == answer
+
+
+def test_isolated_leader_serves_nothing(group: Group) -> None:
+    """Guards against a minority that accepts changes or seems fresh."""
+    old = group.leader()
+    rest = others(group, old)
+    group.change(1)
+    group.isolate(old)
+    with pytest.raises((NotLeader, Unavailable)):
+        group.log(old).propose(account_change(2).encode(), timeout_s=10)
+    new = group.leader(among=rest)
+    assert not group.log(old).has_lease()
+    wait_until('not fresh', lambda: not group.view(old).is_fresh())
+    with pytest.raises((NotLeader, Unavailable)):
+        group.log(old).read_barrier(timeout_s=1)
+    assert group.change(3, through=new).kind == 'ok'
+    # Time to start elections, were they not held back by the pre-vote.
+    wait_until(
+        'election timeouts',
+        lambda: (
+            not group.log(old).leadership().is_self
+            and not group.log(old).leadership().leader_address
+        ),
+    )
+    term = group.log(new).own_member().term
+    group.heal()
+    wait_until('fresh again', lambda: group.view(old).is_fresh())
+    assert group.log(old).leadership().leader_address == group.address(new)
+    group.change(4, through=old)
+    group.wait_for_same_revision()
+    assert group.log(new).own_member().term == term
+    assert group.leader(among=[new]) == new
+    for name in group.kernels:
+        accounts = group.view(name).state.accounts
+        assert sorted(accounts) == ['a1', 'a3', 'a4']
+
+
+def test_all_restart_after_many_changes(group: Group) -> None:
+    """Guards against state or answers that change over a restart."""
+    answers = [group.change(number) for number in range(500)]
+    revision = group.wait_for_same_revision()
+    before = {name: group.view(name).state for name in group.kernels}
+    group.stop()
+    group.start()
+    group.leader()
+    group.wait_for_same_revision()
+    for name in group.kernels:
+        assert group.view(name).state == before[name]
+        assert group.view(name).revision > revision
+    assert [group.change(number) for number in range(500)] == answers
+
+
+def test_wiped_disk_returns_as_another_member(group: Group) -> None:
+    """Guards against a member that votes again after it forgot its vote."""
+    for number in range(450):
+        group.change(number)
+    leader = group.leader()
+    wiped = others(group, leader)[0]
+    old_id = group.log(wiped).own_member().member_id
+    group.stop(wiped)
+    shutil.rmtree(group.folder / wiped)
+    group.start(wiped)
+    own = group.log(wiped).own_member()
+    assert own.member_id != old_id
+    assert own.role == 'waiting to be added'
+    assert group.change(450, through=leader).kind == 'ok'
+    assert group.log(wiped).own_member().role == 'waiting to be added'
+
+    log = group.log(leader)
+    log.members.add(group.address(wiped), timeout_s=10)
+    wait_until(
+        'promoted', lambda: group.log(wiped).own_member().role == 'follower'
+    )
+    group.wait_for_same_revision()
+    members = log._node.state.log.members
+    assert {each.name for each in members} == set(group.names[:3])
+    assert old_id not in {each.member_id for each in members}
+    assert group.view(wiped).state == group.view(leader).state
+
+
+def test_second_member_lost_after_a_replacement(group: Group) -> None:
+    """Guards against a replacement that does not count as a majority."""
+    leader = group.leader()
+    lost = others(group, leader)[0]
+    group.stop(lost)
+    group.start('c3')
+    members = group.log(leader).members
+    members.add(group.address('c3'), timeout_s=10)
+    wait_until(
+        'promoted', lambda: group.log('c3').own_member().role == 'follower'
+    )
+    members.remove(lost, timeout_s=10)
+    answer = group.change(1)
+    assert voters(group) == set(group.kernels)
+    group.stop(leader)
+    assert group.change(2).kind == 'ok'
+    assert group.change(1) == answer
+
+
+def test_removal_that_would_stop_the_group_is_refused(group: Group) -> None:
+    """Guards against operators who remove the wrong member."""
+    leader = group.leader()
+    lost, healthy = others(group, leader)
+    group.stop(lost)
+    members = group.log(leader).members
+    wait_until(
+        'silence noticed',
+        lambda: (
+            max(each.last_answer_age_ms for each in members.status().members)
+            > 1000
+        ),
+    )
+    with pytest.raises(MemberProblem, match='would answer'):
+        members.remove(healthy, timeout_s=10)
+    members.remove(lost, timeout_s=10)
+    assert group.change(1).kind == 'ok'
--- /dev/null
+++ b/oleanderpin/tests/control/test_voting.py
@@ -0,0 +1,136 @@
+"""Votes and the lease, with a clock under control."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from ...control.raft import RaftNode, Role
+from ...control.receiver import Receiver
+from ...control.records import HardState, Identity, Member
+from ...control.storage import Contents, LogStorage
+from ...control.voting import Voting
+from ...core.kernel import Kernel
+from ...core.settings import load_settings
+from ...testing import ManualClock, settings_text
+from ...wire.generated.raft.ttypes import AppendRequest, Envelope, VoteRequest
+from . import group  # noqa: F401 - registers the plug-ins
+
+_MEMBERS = tuple(
+    Member(member_id, f'c-{member_id}', f'127.0.0.1:{port}', is_voter=True)
+    for port, member_id in enumerate(('m1', 'm2', 'm3'), start=1)
+)
+
+
+class Voter:
+    """Member m1, without threads other than its disk."""
+
+    def __init__(self, folder: Path) -> None:
+        path = folder / 'c.ini'
+        path.write_text(
+            settings_text(
+                name='c-m1', ports=[1, 2, 3], seeds=[], data_dir=str(folder)
+            )
+        )
+        self.clock = ManualClock()
+        kernel = Kernel(load_settings(path), clock=self.clock)
+        storage = LogStorage(folder / 'log')
+        storage.load()
+        identity = Identity('m1', 'group', _MEMBERS)
+        self.node = RaftNode(kernel, storage, Contents(identity))
+        self.node.disk.start()
+        self.receiver = Receiver(self.node, lambda _snapshot: True)
+        self.voting = Voting(self.node, self.receiver)
+
+    def asks(self, method: str, candidate: str, term: int) -> bool:
+        request = VoteRequest(
+            envelope=Envelope('group', candidate, 'm1', term),
+            last_index=0,
+            last_term=0,
+        )
+        return getattr(self.voting, method)(request).granted
+
+    def hears_leader(self, term: int) -> None:
+        self.receiver.append_entries(
+            AppendRequest(
+                envelope=Envelope('group', 'm2', 'm1', term),
+                leader_address='127.0.0.1:2',
+                prev_index=0,
+                prev_term=0,
+                entries=[],
+                commit_index=0,
+            )
+        )
+
+
+@pytest.fixture
+def voter(tmp_path: Path) -> Iterator[Voter]:
+    made = Voter(tmp_path)
+    yield made
+    made.node.disk.stop()
+
+
+@pytest.mark.parametrize('method', ['pre_vote', 'request_vote'])
+def test_no_vote_soon_after_start_or_heartbeat(
+    voter: Voter, method: str
+) -> None:
+    """Guards against a second leader while the first one has its lease."""
+    voter.clock.advance(0.99)
+    assert not voter.asks(method, 'm3', 5)
+    voter.hears_leader(1)
+    voter.clock.advance(0.99)
+    assert not voter.asks(method, 'm3', 5)
+    assert voter.node.state.hard.term == 1
+    voter.clock.advance(0.02)
+    assert voter.asks(method, 'm3', 5)
+
+
+def test_one_vote_in_a_term_also_after_a_restart(
+    voter: Voter, tmp_path: Path
+) -> None:
+    """Guards against two leaders in one term."""
+    voter.clock.advance(2)
+    assert voter.asks('request_vote', 'm3', 5)
+    assert not voter.asks('request_vote', 'm2', 5)
+    voter.node.disk.stop()
+    storage = LogStorage(tmp_path / 'log')
+    assert storage.load().hard_state == HardState(5, 'm3')
+    storage.close()
+
+
+def test_pre_vote_changes_nothing(voter: Voter) -> None:
+    """Guards against an isolated member that disturbs the others."""
+    voter.clock.advance(2)
+    assert voter.asks('pre_vote', 'm3', 9)
+    assert voter.node.state.hard == HardState()
+
+
+def test_lease_needs_own_entry_and_recent_majority(voter: Voter) -> None:
+    """Guards against a leader that answers from an old state."""
+    node = voter.node
+    with node.lock:
+        node.save_hard_state(HardState(1, 'm1'))
+        node.become_leader()
+        node.state.progress['m2'].acked_s = voter.clock.now_s()
+    assert node.state.role is Role.LEADER
+    assert not node.has_lease()
+    with node.lock:
+        node.state.applied_index = node.state.term_start_index
+    assert node.has_lease()
+    voter.clock.advance(0.81)
+    assert not node.has_lease()
+
+
+def test_own_sync_alone_commits_nothing(voter: Voter) -> None:
+    """Guards against acceptance before a majority has synced."""
+    node = voter.node
+    with node.lock:
+        node.save_hard_state(HardState(1, 'm1'))
+        node.become_leader()
+    node.disk.wait(node.disk.ticket, timeout_s=60)
+    with node.lock:
+        node.advance_commit()
+        assert node.state.commit_index == 0
+        node.state.progress['m3'].match_index = 1
+        node.advance_commit()
+        assert node.state.commit_index == 1
