Lend account rates over the fleet under leases

Cause: each instance admitted rate/instances of an account, so that an account whose callers used one instance was refused within its rate, and a restarted instance started with a full bucket.

Change: a ledger on the control leader lends rate and burst as shares under leases. Tokens move only together with burst that has room for them, and a holder counts with the most it may hold until it confirms the sequence number of its grants or its lease expires. A new ledger takes over claims for one lease time and grows nothing. The rate limiter asks the leader before it refuses; the pipeline passes the profile's patience as the limiter's deadline. Permits (rate 0) use the same ledger under opaque resource names.

--- a/oleanderpin/forwarding/pipeline.py
+++ b/oleanderpin/forwarding/pipeline.py
@@ -80,18 +80,19 @@
         service = self._service(caller_request.service_name)
         profile = self._profile(service)
         deadline_s = started_s + _timeout_s(caller_request, profile)
+        patient_until_s = min(deadline_s, started_s + profile.queue_timeout_s)
         account_name = ''
         if not service.is_open:
             account = self._authority.check(
                 key_hash=caller_request.key_hash, service=service
             )
             account_name = account.name
-            self._limiter.admit(account, deadline_s=deadline_s)
+            self._limiter.admit(account, deadline_s=patient_until_s)
         with self._queue.enter(
             service,
             account_name,
             traffic_class=profile.traffic_class,
-            deadline_s=min(deadline_s, started_s + profile.queue_timeout_s),
+            deadline_s=patient_until_s,
         ):
             status = self._attempts.run(
                 request,
--- /dev/null
+++ b/oleanderpin/limits/bucket.py
@@ -0,0 +1,137 @@
+"""What a holder holds of one resource."""
+
+import math
+from dataclasses import dataclass, field
+
+from .demand import DemandEstimator
+from .messages import Grant, Holding
+
+# Demand covered by the bucket between two renewals and their round trip.
+_RESERVE_S = 0.3
+_RESERVE_DEVIATIONS = 2.0
+# Below this part of the reserve an early renewal is due.
+_LOW_PART = 0.4
+# Permits asked for beyond those in use, so that shares grow ahead of need.
+_PERMIT_HEADROOM = 1.25
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Rate, burst and tokens under a lease; permits use only the burst.
+
+    Parameters
+    ----------
+    is_permit : bool
+        Whether units are given back after use.
+    """
+
+    is_permit: bool = False
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    refilled_s: float = 0.0
+    given: float = 0.0
+    returned: float = 0.0
+    in_use: int = 0
+    waiting: int = 0
+    reserve: float = 0.0
+    is_exhausted: bool = False
+    answered_s: float = float('-inf')
+    demand: DemandEstimator = field(default_factory=DemandEstimator)
+
+    def drop(self) -> None:
+        """Hold nothing, because the lease ended."""
+        self.rate_per_s = 0.0
+        self.burst = 0.0
+        self.tokens = 0.0
+
+    def restart(self) -> None:
+        """Begin the counts of a new lease."""
+        self.given = 0.0
+        self.returned = 0.0
+
+    def refill(self, now_s: float) -> None:
+        """Add the tokens earned until ``now_s``."""
+        elapsed_s = max(0.0, now_s - self.refilled_s)
+        self.refilled_s = now_s
+        earned = elapsed_s * self.rate_per_s
+        self.tokens = min(self.burst, self.tokens + earned)
+
+    def take(self) -> bool:
+        """Take one unit; return whether there was one."""
+        if self.is_permit:
+            if self.in_use + 1 > self.burst:
+                return False
+            self.in_use += 1
+            return True
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    @property
+    def is_low(self) -> bool:
+        """Whether more units should be asked for before they run out."""
+        if self.waiting:
+            return True
+        if self.is_permit:
+            return self.in_use > 0 and self.in_use + 1 > self.burst
+        return self.tokens < self.reserve * _LOW_PART
+
+    def report(self, resource: str, now_s: float) -> Holding:
+        """Give back burst that stands empty and describe the rest.
+
+        Empty burst is of use only in the pool, where it can be filled.
+        """
+        demand_per_s = self.demand.rate_per_s(now_s)
+        expected = demand_per_s * _RESERVE_S
+        self.reserve = 0.0
+        if demand_per_s > 0:
+            deviation = _RESERVE_DEVIATIONS * math.sqrt(expected)
+            self.reserve = 1 + expected + deviation
+        if self.is_permit:
+            return self._report_permits(resource)
+        self.reserve += self.waiting
+        self.burst = min(self.burst, max(self.tokens, self.reserve))
+        wanted = self.reserve + self.burst - self.tokens
+        return Holding(
+            resource,
+            rate_per_s=self.rate_per_s,
+            burst=self.burst,
+            returned=self.returned,
+            demand_per_s=demand_per_s,
+            wanted_burst=wanted if self.reserve else 0.0,
+        )
+
+    def _report_permits(self, resource: str) -> Holding:
+        wanted = float(self.in_use + self.waiting)
+        if wanted:
+            wanted = math.ceil(wanted * _PERMIT_HEADROOM)
+        self.burst = max(min(self.burst, wanted), self.in_use)
+        return Holding(resource, burst=self.burst, wanted_burst=wanted)
+
+    def apply(self, grant: Grant, *, now_s: float, is_adopted: bool) -> None:
+        """Use what the ledger granted from now on.
+
+        Parameters
+        ----------
+        grant : Grant
+            The ledger's grant.
+        now_s : float
+            Monotonic time.
+        is_adopted : bool
+            Whether the ledger continues a claim; nothing grows then.
+        """
+        rate_per_s = grant.rate_per_s
+        burst = grant.burst
+        if is_adopted:
+            rate_per_s = min(rate_per_s, self.rate_per_s)
+            burst = min(burst, self.burst)
+        self.rate_per_s = rate_per_s
+        self.burst = max(burst, self.in_use)
+        self.is_exhausted = grant.is_exhausted
+        self.answered_s = now_s
+        tokens = self.tokens + grant.given - self.given
+        self.given = grant.given
+        self.tokens = min(tokens, self.burst)
+        self.returned += tokens - self.tokens
--- /dev/null
+++ b/oleanderpin/limits/holder.py
@@ -0,0 +1,248 @@
+"""The holder's side of the share protocol, without threads or network."""
+
+import threading
+
+from ..core.clock import Clock
+from .bucket import Bucket
+from .messages import Grant, Grants, Renewal
+
+_MAX_OUTSTANDING = 16
+
+
+class Holder:
+    """Holds shares of resources under one lease; thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock.
+    name : str
+        Name of the instance.
+    incarnation : int
+        Higher at each start of the instance.
+    lease_s : float
+        Length of a lease, in seconds; the same at the ledger.
+    """
+
+    def __init__(
+        self, *, clock: Clock, name: str, incarnation: int, lease_s: float
+    ) -> None:
+        """Hold nothing."""
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._lease_s = lease_s
+        self._lock = threading.RLock()
+        self._buckets: dict[str, Bucket] = {}
+        self._retired: dict[str, Bucket] = {}
+        self._now_s = float('-inf')
+        self._expires_s = float('-inf')
+        self._number = 0
+        self._applied_number = 0
+        self._lease_id = 0
+        self._sequence = 0
+        self._sent: dict[int, float] = {}
+
+    def track(self, resource: str, *, is_permit: bool = False) -> None:
+        """Ask for shares of ``resource`` with the next renewals."""
+        with self._lock:
+            self._bucket(resource).is_permit = is_permit
+
+    def untrack(self, resource: str) -> None:
+        """Give up ``resource``."""
+        with self._lock:
+            bucket = self._buckets.pop(resource, None)
+            if bucket is not None:
+                # Its counts remain valid until the lease ends.
+                bucket.drop()
+                self._retired[resource] = bucket
+
+    def resources(self) -> tuple[str, ...]:
+        """Return the names of the tracked resources."""
+        with self._lock:
+            return tuple(self._buckets)
+
+    def note_arrival(self, resource: str) -> None:
+        """Count a request that needs a unit, for the demand."""
+        with self._lock:
+            self._bucket(resource).demand.note_arrival(self._tick())
+
+    def take(self, resource: str) -> bool:
+        """Take one unit; return whether there was one."""
+        with self._lock:
+            return self._bucket(resource).take()
+
+    def give_back(self, resource: str) -> None:
+        """Return one permit after use."""
+        with self._lock:
+            bucket = self._buckets.get(resource)
+            if bucket is not None and bucket.in_use:
+                bucket.in_use -= 1
+
+    def note_waiting(self, resource: str, change: int) -> int:
+        """Change the number of requests that wait; return the new number."""
+        with self._lock:
+            bucket = self._bucket(resource)
+            bucket.waiting = max(0, bucket.waiting + change)
+            return bucket.waiting
+
+    def is_low(self, resource: str) -> bool:
+        """Return whether an early renewal is due."""
+        with self._lock:
+            return self._bucket(resource).is_low
+
+    def is_any_low(self) -> bool:
+        """Return whether a resource is low that may not be exhausted."""
+        with self._lock:
+            return any(
+                bucket.is_low and not bucket.is_exhausted
+                for bucket in self._buckets.values()
+            )
+
+    def exhausted_age_s(self, resource: str) -> float | None:
+        """Return how long ago the ledger had nothing to give.
+
+        Returns
+        -------
+        float or None
+            None if the last answer held something or there was none.
+        """
+        with self._lock:
+            bucket = self._bucket(resource)
+            if not bucket.is_exhausted:
+                return None
+            return self._now_s - bucket.answered_s
+
+    def next_unit_s(self, resource: str) -> float | None:
+        """Return the seconds until the share itself earns a unit.
+
+        Returns
+        -------
+        float or None
+            None if the share earns nothing.
+        """
+        with self._lock:
+            bucket = self._bucket(resource)
+            if bucket.rate_per_s <= 0 or bucket.burst < 1:
+                return None
+            return max(0.0, 1 - bucket.tokens) / bucket.rate_per_s
+
+    def held(self, resource: str) -> tuple[float, float, float]:
+        """Return rate, burst and tokens held of ``resource``."""
+        with self._lock:
+            bucket = self._bucket(resource)
+            return bucket.rate_per_s, bucket.burst, bucket.tokens
+
+    def request(self, *, is_leaving: bool = False) -> Renewal:
+        """Return the next renewal; its lease counts from now.
+
+        Parameters
+        ----------
+        is_leaving : bool
+            Give everything back; the holder must not be used afterwards.
+        """
+        with self._lock:
+            now_s = self._tick()
+            if is_leaving:
+                self._give_up_all()
+            self._number += 1
+            self._sent[self._number] = now_s
+            while len(self._sent) > _MAX_OUTSTANDING:
+                self._sent.pop(next(iter(self._sent)))
+            for bucket in self._buckets.values():
+                bucket.refill(now_s)
+            return Renewal(
+                self._name,
+                self._incarnation,
+                self._number,
+                self._lease_id,
+                self._sequence,
+                holdings=tuple(
+                    bucket.report(resource, now_s)
+                    for resource, bucket in self._buckets.items()
+                ),
+                is_leaving=is_leaving,
+            )
+
+    def apply(self, grants: Grants) -> bool:
+        """Use what the ledger answered.
+
+        Answers may be lost, repeated and reordered: one that is older than
+        another that was applied, or too late for its lease, is ignored.
+
+        Returns
+        -------
+        bool
+            Whether the grants were applied.
+        """
+        with self._lock:
+            now_s = self._tick()
+            sent_s = self._sent.get(grants.number)
+            if sent_s is None or grants.incarnation != self._incarnation:
+                return False
+            expires_s = sent_s + self._lease_s
+            is_older = grants.number <= self._applied_number
+            if is_older or not grants.sequence or expires_s <= now_s:
+                return False
+            self._expires_s = expires_s
+            self._applied_number = grants.number
+            self._sequence = grants.sequence
+            if grants.lease_id != self._lease_id:
+                self._join(grants)
+            for grant in grants.grants:
+                bucket = self._buckets.get(grant.resource)
+                if bucket is None:
+                    self._skip(grant)
+                    continue
+                bucket.refill(now_s)
+                bucket.apply(grant, now_s=now_s, is_adopted=grants.is_adopted)
+            self._forget_sent(grants.number)
+            return True
+
+    def _join(self, grants: Grants) -> None:
+        self._lease_id = grants.lease_id
+        self._retired.clear()
+        for bucket in self._buckets.values():
+            bucket.restart()
+            if not grants.is_adopted:
+                bucket.drop()
+
+    def _skip(self, grant: Grant) -> None:
+        # Tokens given to a resource that is no longer tracked are lost.
+        retired = self._retired.get(grant.resource)
+        if retired is None:
+            retired = Bucket()
+            self._retired[grant.resource] = retired
+        retired.given = grant.given
+
+    def _forget_sent(self, applied_number: int) -> None:
+        for number in list(self._sent):
+            if number <= applied_number:
+                self._sent.pop(number)
+
+    def _give_up_all(self) -> None:
+        for bucket in self._buckets.values():
+            bucket.returned += bucket.tokens
+            bucket.drop()
+        self._expires_s = float('-inf')
+
+    def _bucket(self, resource: str) -> Bucket:
+        now_s = self._tick()
+        bucket = self._buckets.get(resource)
+        if bucket is None:
+            bucket = self._retired.pop(resource, None) or Bucket()
+            self._buckets[resource] = bucket
+        bucket.refill(now_s)
+        return bucket
+
+    def _tick(self) -> float:
+        now_s = self._clock.now_s()
+        if now_s < self._now_s:
+            # After a step back the lease would seem to last longer.
+            self._expires_s = float('-inf')
+            self._sent.clear()
+        self._now_s = now_s
+        if now_s >= self._expires_s:
+            for bucket in self._buckets.values():
+                bucket.drop()
+        return now_s
--- a/oleanderpin/limits/limiter.py
+++ b/oleanderpin/limits/limiter.py
@@ -1,63 +1,66 @@
 """Admits requests within the share of the client account's rate."""
 
-import threading
 from typing import Any
 
 from ..control.state import Account
 from ..core.errors import Refusal, RefusalDetails
 from ..core.plugin import Plugin, plugins
+from .allocator import account_resource
+from .shares import AcquireResult, ShareHolder
 
-
-class _Bucket:
-    def __init__(self, now_s: float) -> None:
-        self.tokens = 0.0
-        self.updated_s = now_s
+_MIN_RETRY_AFTER_S = 0.1
 
 
 @plugins.register('rate-limiter')
 class RateLimiter(Plugin):
-    """Token buckets, one for each client account."""
+    """Takes one token of the account's share for each request."""
 
     def __init__(self, kernel: Any) -> None:
-        """Start without buckets."""
+        """Keep the holder of the shares."""
         super().__init__(kernel)
-        self._lock = threading.Lock()
-        self._buckets: dict[str, _Bucket] = {}
+        self._shares = kernel.plugin(ShareHolder)
 
     def admit(self, account: Account, *, deadline_s: float) -> None:
-        """Take one token of the account.
+        """Take one token of the account, asking the leader when short.
 
         Parameters
         ----------
         account : Account
             Client account of the request.
         deadline_s : float
-            Monotonic time by which the request must be answered.
+            Monotonic time until which the request may wait: the earlier of
+            its deadline and the profile's patience.
 
         Raises
         ------
         Refusal
-            If the account is over its rate.
+            ``over_rate`` if the leader has no token to give;
+            ``no_rate_share`` if the leader was not reached in time.
         """
-        now_s = self.kernel.clock.now_s()
-        instances = max(1, len(self.kernel.settings.peers.seeds))
-        rate_per_s = account.rate_per_s / instances
-        burst = max(1.0, account.burst / instances)
-        with self._lock:
-            bucket = self._buckets.get(account.name)
-            if bucket is None:
-                bucket = _Bucket(now_s)
-                bucket.tokens = burst
-                self._buckets[account.name] = bucket
-            gained = (now_s - bucket.updated_s) * rate_per_s
-            bucket.tokens = min(burst, bucket.tokens + gained)
-            bucket.updated_s = now_s
-            if bucket.tokens >= 1:
-                bucket.tokens -= 1
-                return
-        raise Refusal(
-            'over_rate',
-            f'account {account.name!r} is over its rate',
-            remedy='send less or ask the operator for a higher rate',
-            details=RefusalDetails(status=429, retry_after_s=1 / rate_per_s),
+        resource = account_resource(account.name)
+        result = self._shares.acquire(resource, deadline_s=deadline_s)
+        if result != 'ok':
+            raise self._refusal(account, resource, result)
+
+    def _refusal(
+        self, account: Account, resource: str, result: AcquireResult
+    ) -> Refusal:
+        next_s = self._shares.holder.next_unit_s(resource)
+        if next_s is None:
+            next_s = 1 / account.rate_per_s
+        retry_after_s = max(next_s, _MIN_RETRY_AFTER_S)
+        if result == 'exhausted':
+            return Refusal(
+                'over_rate',
+                f'account {account.name!r} is over its rate',
+                remedy='send less or ask the operator for a higher rate',
+                details=RefusalDetails(status=429, retry_after_s=retry_after_s),
+            )
+        return Refusal(
+            'no_rate_share',
+            f'no share of the rate of {account.name!r} in time ({result})',
+            remedy='try again or try another instance',
+            details=RefusalDetails(
+                retry_after_s=retry_after_s, suggest_instances=True
+            ),
         )
--- /dev/null
+++ b/oleanderpin/limits/pool.py
@@ -0,0 +1,150 @@
+"""The ledger's account of one resource."""
+
+import math
+from dataclasses import dataclass, field
+
+from .messages import Whole
+
+# Rate lent beyond the measured demand, so that shares grow ahead of need.
+_HEADROOM = 1.5
+# Part of the burst that stands ready as base shares of idle holders.
+_BASE_PART = 0.25
+_BASE_MIN_HOLDERS = 4
+# From this part of the rate on, demand counts as exhausting the rate.
+_EXHAUSTED_PART = 0.95
+
+
+@dataclass(slots=True)
+class Share:
+    """The most that one holder may hold of a resource, and its demand."""
+
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    given: float = 0.0
+    returned: float = 0.0
+    demand_per_s: float = 0.0
+    wanted_burst: float = 0.0
+
+
+@dataclass(slots=True)
+class Pool:
+    """What is lent of a whole and the tokens of what is not lent.
+
+    Every share counts with the most that its holder may hold. Tokens move
+    together with burst that has room for them, so that the tokens of the
+    pool, of all holders and of messages in transit never exceed the burst.
+    """
+
+    whole: Whole
+    now_s: float
+    tokens: float = 0.0
+    lent: Whole = Whole(0, 0)
+    demand_per_s: float = 0.0
+    wanted_burst: float = 0.0
+    shares: dict[int, Share] = field(default_factory=dict)
+
+    @property
+    def free(self) -> Whole:
+        """What is not lent."""
+        return Whole(
+            max(0.0, self.whole.rate_per_s - self.lent.rate_per_s),
+            max(0.0, self.whole.burst - self.lent.burst),
+        )
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing is left to give and demand reaches the rate."""
+        limit = self.whole.rate_per_s * _EXHAUSTED_PART
+        if self.whole.rate_per_s == 0:
+            return self.free.burst < 1
+        return self.tokens < 1 and self.demand_per_s >= limit
+
+    def refill(self, now_s: float) -> None:
+        """Add the tokens that the unlent rate earned until ``now_s``."""
+        elapsed_s = max(0.0, now_s - self.now_s)
+        self.now_s = max(self.now_s, now_s)
+        earned = elapsed_s * self.free.rate_per_s
+        self.put_tokens(earned)
+
+    def put_tokens(self, tokens: float) -> None:
+        """Add tokens as far as the unlent burst has room for them."""
+        self.tokens = min(self.free.burst, self.tokens + tokens)
+
+    def replace_whole(self, whole: Whole) -> None:
+        """Change the whole; what is lent follows with the next grants."""
+        self.whole = whole
+        self.put_tokens(0)
+
+    def count(self, share: Share, rate_per_s: float, burst: float) -> None:
+        """Count ``share`` with a new rate and burst."""
+        self.lent = Whole(
+            self.lent.rate_per_s + rate_per_s - share.rate_per_s,
+            self.lent.burst + burst - share.burst,
+        )
+        share.rate_per_s = rate_per_s
+        share.burst = burst
+        self.put_tokens(0)
+
+    def note_demand(
+        self, share: Share, *, demand_per_s: float, wanted_burst: float
+    ) -> None:
+        """Record what the holder could use."""
+        self.demand_per_s += demand_per_s - share.demand_per_s
+        self.wanted_burst += wanted_burst - share.wanted_burst
+        share.demand_per_s = demand_per_s
+        share.wanted_burst = wanted_burst
+
+    def remove(self, lease_id: int) -> None:
+        """Forget the share of an ended lease.
+
+        The totals are summed again, which ends the rounding errors of the
+        running totals.
+        """
+        self.shares.pop(lease_id, None)
+        shares = self.shares.values()
+        self.lent = Whole(
+            sum(share.rate_per_s for share in shares),
+            sum(share.burst for share in shares),
+        )
+        self.demand_per_s = sum(share.demand_per_s for share in shares)
+        self.wanted_burst = sum(share.wanted_burst for share in shares)
+
+    def target(self, share: Share) -> Whole:
+        """Return what the holder should have, in proportion to demand."""
+        rate_per_s = 0.0
+        if share.demand_per_s > 0:
+            scale = self.whole.rate_per_s / self.demand_per_s
+            rate_per_s = share.demand_per_s * min(_HEADROOM, scale)
+        base = (
+            self.whole.burst
+            * _BASE_PART
+            / max(_BASE_MIN_HOLDERS, len(self.shares))
+        )
+        # Less than one token admits nothing.
+        burst = base if base >= 1 and self.whole.rate_per_s > 0 else 0.0
+        if share.wanted_burst > 0:
+            scale = min(1.0, self.whole.burst / self.wanted_burst)
+            wanted = share.wanted_burst * scale
+            if self.whole.rate_per_s == 0:
+                # A part of a permit is of no use to anyone.
+                wanted = math.floor(wanted)
+            burst = max(burst, wanted, 1.0)
+        return Whole(rate_per_s, min(burst, self.whole.burst))
+
+    def grow(self, share: Share, target: Whole) -> Whole:
+        """Lend up to ``target`` with tokens; return what is granted."""
+        free = self.free
+        rate_per_s = min(target.rate_per_s, share.rate_per_s + free.rate_per_s)
+        burst = min(target.burst, share.burst + free.burst)
+        if burst < 1:
+            burst = min(burst, share.burst)
+        # Tokens in transit must fit beside all that the holder may hold.
+        given = min(self.tokens, max(0.0, burst - share.burst))
+        self.tokens -= given
+        share.given += given
+        self.count(
+            share,
+            max(share.rate_per_s, rate_per_s),
+            max(share.burst, burst),
+        )
+        return Whole(rate_per_s, burst)
--- /dev/null
+++ b/oleanderpin/limits/shares.py
@@ -0,0 +1,235 @@
+"""Shares that this instance holds, renewed at the control leader."""
+
+import logging
+import threading
+from collections import defaultdict, deque
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any, Literal
+
+from ..control.leader import LeaderClient
+from ..control.state import Account
+from ..control.view import ControlView
+from ..core.errors import Refusal, RefusalDetails, UnavailableError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from .allocator import account_resource
+from .codec import decode_grants, encode_renewal
+from .holder import Holder
+
+_LOG = logging.getLogger(__name__)
+_CALL_TIMEOUT_S = 1.0
+_LEAVE_TIMEOUT_S = 0.5
+# Early renewals are at least this far apart.
+_EARLY_GAP_S = 0.05
+# How long the leader's answer that it has nothing to give holds.
+_EXHAUSTED_VALID_S = 0.25
+# Waiting requests occupy threads of the caller listener.
+_MAX_WAITING = 16
+
+AcquireResult = Literal['ok', 'exhausted', 'crowded', 'timeout']
+
+
+class _Queue:
+    """Requests that wait for a unit of one resource, in order."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._waiting: deque[threading.Event] = deque()
+
+    def enter(self) -> threading.Event | None:
+        event = threading.Event()
+        with self._lock:
+            if len(self._waiting) >= _MAX_WAITING:
+                return None
+            self._waiting.append(event)
+        return event
+
+    def is_first(self, event: threading.Event) -> bool:
+        with self._lock:
+            return self._waiting[0] is event
+
+    def is_empty(self) -> bool:
+        return not self._waiting
+
+    def leave(self, event: threading.Event) -> None:
+        with self._lock:
+            self._waiting.remove(event)
+        self.wake_first()
+
+    def wake_first(self) -> None:
+        with self._lock:
+            if self._waiting:
+                self._waiting[0].set()
+
+
+@plugins.register('share-holder')
+class ShareHolder(Plugin):
+    """Holds shares of rates and permits; one thread renews them."""
+
+    def __init__(self, kernel: Any) -> None:
+        """Hold nothing."""
+        super().__init__(kernel)
+        self._view = kernel.plugin(ControlView)
+        self._leader = kernel.plugin(LeaderClient)
+        self._holder = Holder(
+            clock=kernel.clock,
+            name=kernel.settings.instance.name,
+            incarnation=kernel.plugin(Peers).own().incarnation,
+            lease_s=kernel.settings.limits.lease_s,
+        )
+        self._queues: defaultdict[str, _Queue] = defaultdict(_Queue)
+        self._is_due = threading.Event()
+        self._accounts: Mapping[str, Account] = {}
+        self._thread = threading.Thread(
+            target=self._renew_loop, name='share-renewal', daemon=True
+        )
+
+    @property
+    def holder(self) -> Holder:
+        """What this instance holds."""
+        return self._holder
+
+    def start(self) -> None:
+        """Start renewing."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give all shares back."""
+        self._is_due.set()
+        if self._thread.is_alive():
+            self._thread.join(_CALL_TIMEOUT_S)
+        self._renew(is_leaving=True)
+
+    def acquire(self, resource: str, *, deadline_s: float) -> AcquireResult:
+        """Take one unit, asking the leader for more when short.
+
+        Parameters
+        ----------
+        resource : str
+            Name of the resource.
+        deadline_s : float
+            Monotonic time until which the request may wait.
+
+        Returns
+        -------
+        str
+            ``ok``, or why there is no unit: ``exhausted`` if the leader has
+            none to give, ``crowded`` if too many requests wait here, or
+            ``timeout``.
+        """
+        self._holder.note_arrival(resource)
+        queue = self._queues[resource]
+        if queue.is_empty() and self._holder.take(resource):
+            if self._holder.is_low(resource):
+                self._is_due.set()
+            return 'ok'
+        if self._is_exhausted(resource):
+            return 'exhausted'
+        event = queue.enter()
+        if event is None:
+            return 'crowded'
+        self._holder.note_waiting(resource, 1)
+        self._is_due.set()
+        try:
+            return self._wait(resource, event, deadline_s)
+        finally:
+            self._holder.note_waiting(resource, -1)
+            queue.leave(event)
+
+    @contextmanager
+    def permit(self, resource: str, *, deadline_s: float) -> Iterator[None]:
+        """Hold one concurrency permit of ``resource``.
+
+        Parameters
+        ----------
+        resource : str
+            Resource that the allocator lends with rate 0.
+        deadline_s : float
+            Monotonic time until which the request may wait.
+
+        Raises
+        ------
+        Refusal
+            ``no_permit`` if no permit is available in time.
+        """
+        self._holder.track(resource, is_permit=True)
+        result = self.acquire(resource, deadline_s=deadline_s)
+        if result != 'ok':
+            raise Refusal(
+                'no_permit',
+                f'no permit of {resource!r} is available ({result})',
+                remedy='try again later',
+                details=RefusalDetails(retry_after_s=1.0),
+            )
+        try:
+            yield
+        finally:
+            self._holder.give_back(resource)
+            self._queues[resource].wake_first()
+
+    def _wait(
+        self, resource: str, event: threading.Event, deadline_s: float
+    ) -> AcquireResult:
+        queue = self._queues[resource]
+        while not self.kernel.stopping.is_set():
+            is_first = queue.is_first(event)
+            if is_first and self._holder.take(resource):
+                return 'ok'
+            if self._is_exhausted(resource):
+                return 'exhausted'
+            left_s = deadline_s - self.kernel.clock.now_s()
+            if left_s <= 0:
+                return 'timeout'
+            next_s = self._holder.next_unit_s(resource) if is_first else None
+            event.wait(left_s if next_s is None else min(left_s, next_s))
+            event.clear()
+        return 'timeout'
+
+    def _is_exhausted(self, resource: str) -> bool:
+        age_s = self._holder.exhausted_age_s(resource)
+        return age_s is not None and age_s < _EXHAUSTED_VALID_S
+
+    def _renew_loop(self) -> None:
+        interval_s = 0.0
+        while not self.kernel.stopping.is_set():
+            self._is_due.wait(interval_s)
+            self._is_due.clear()
+            self._track_accounts()
+            self._renew()
+            if self.kernel.wait_while_running(_EARLY_GAP_S):
+                interval_s = self._interval_s()
+
+    def _interval_s(self) -> float:
+        if self._holder.is_any_low():
+            return 0.0
+        return self.kernel.settings.limits.renew_interval_s - _EARLY_GAP_S
+
+    def _renew(self, *, is_leaving: bool = False) -> None:
+        renewal = self._holder.request(is_leaving=is_leaving)
+        try:
+            reply = self._leader.call(
+                'Shares',
+                'renew',
+                encode_renewal(renewal),
+                timeout_s=_LEAVE_TIMEOUT_S if is_leaving else _CALL_TIMEOUT_S,
+            )
+        except UnavailableError as error:
+            EVENTS.labels('limits', 'renewal_failed').inc()
+            _LOG.info('shares not renewed: %s', error)
+            return
+        EVENTS.labels('limits', 'renewed').inc()
+        if self._holder.apply(decode_grants(reply)):
+            for queue in list(self._queues.values()):
+                queue.wake_first()
+
+    def _track_accounts(self) -> None:
+        accounts = self._view.state.accounts
+        if accounts is self._accounts:
+            return
+        for name in accounts.keys() - self._accounts.keys():
+            self._holder.track(account_resource(name))
+        for name in self._accounts.keys() - accounts.keys():
+            self._holder.untrack(account_resource(name))
+        self._accounts = accounts
--- /dev/null
+++ b/oleanderpin/tests/limits/test_ledger.py
@@ -0,0 +1,340 @@
+"""Shares under lost, repeated and reordered messages and restarts."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from ...limits.holder import Holder
+from ...limits.ledger import Ledger
+from ...limits.messages import Grants, Renewal, Whole
+from ...testing import ManualClock
+
+LEASE_S = 4.0
+ACCOUNT = 'account/a'
+PERMITS = 'capacity/north/desk'
+RATE = Whole(50, 40)
+SLOTS = Whole(0, 7)
+TOLERANCE = 1e-6
+
+
+class OffsetClock:
+    """The clock of one node, with its own origin."""
+
+    def __init__(self, base: ManualClock, offset_s: float) -> None:
+        self.base = base
+        self.offset_s = offset_s
+
+    def now_s(self) -> float:
+        return self.base.now_s() + self.offset_s
+
+    def sleep(self, duration_s: float) -> None:
+        self.base.advance(duration_s)
+
+
+class Fleet:
+    """Holders and one ledger with messages under the test's control."""
+
+    def __init__(self, holder_count: int = 3, whole: Whole = RATE) -> None:
+        self.clock = ManualClock()
+        self.whole = whole
+        self.requests: list[Renewal] = []
+        self.replies: list[tuple[int, Grants]] = []
+        self.admitted_s: list[float] = []
+        self.incarnation = 0
+        self.holders = [self.new_holder(i) for i in range(holder_count)]
+        self.old_ids: Iterator[int] = iter(range(1, 10**9))
+        self.change_leader()
+
+    def new_holder(self, index: int) -> Holder:
+        self.incarnation += 1
+        clock = OffsetClock(self.clock, 1000.0 * index)
+        holder = Holder(
+            clock=clock,
+            name=f'h{index}',
+            incarnation=self.incarnation,
+            lease_s=LEASE_S,
+        )
+        holder.track(ACCOUNT)
+        holder.track(PERMITS, is_permit=True)
+        return holder
+
+    def change_leader(self) -> None:
+        self.ledger = Ledger(
+            clock=OffsetClock(self.clock, 5000),
+            lease_s=LEASE_S,
+            new_id=lambda: next(self.old_ids),
+        )
+        self.ledger.set_whole(ACCOUNT, self.whole)
+        self.ledger.set_whole(PERMITS, SLOTS)
+
+    def send(self, index: int) -> None:
+        self.requests.append(self.holders[index].request())
+
+    def deliver_request(self, position: int) -> None:
+        renewal = self.requests[position]
+        reply = self.ledger.renew(renewal)
+        self.replies.append((int(renewal.holder[1:]), reply))
+
+    def deliver_reply(self, position: int) -> None:
+        index, grants = self.replies[position]
+        self.holders[index].apply(grants)
+
+    def exchange(self, index: int) -> None:
+        """Renew without loss or delay."""
+        self.send(index)
+        self.deliver_request(len(self.requests) - 1)
+        self.deliver_reply(len(self.replies) - 1)
+
+    def use_all(self, index: int, *, limit: int = 1000) -> int:
+        """Admit until the holder refuses, so that demand is high."""
+        holder = self.holders[index]
+        taken = 0
+        for _each in range(3):
+            holder.note_arrival(ACCOUNT)
+        while taken < limit and holder.take(ACCOUNT):
+            holder.note_arrival(ACCOUNT)
+            self.admitted_s.append(self.clock.now_s())
+            taken += 1
+        return taken
+
+    def check(self) -> None:
+        """Compare what is held with the whole, and admissions with rates."""
+        held = [holder.held(ACCOUNT) for holder in self.holders]
+        assert sum(each[0] for each in held) <= self.whole.rate_per_s + 1e-6
+        bursts = sum(each[1] for each in held)
+        assert bursts <= self.whole.burst + TOLERANCE
+        tokens = sum(each[2] for each in held) + self.ledger.tokens(ACCOUNT)
+        assert tokens <= self.whole.burst + TOLERANCE
+        permits = sum(holder.held(PERMITS)[1] for holder in self.holders)
+        assert permits <= SLOTS.burst + TOLERANCE
+
+    def check_windows(self) -> None:
+        """Check every window at once.
+
+        All windows are within burst + rate x window exactly if a full
+        bucket of the whole never runs below empty.
+        """
+        tokens = self.whole.burst
+        before_s = 0.0
+        for at_s in self.admitted_s:
+            earned = (at_s - before_s) * self.whole.rate_per_s
+            tokens = min(self.whole.burst, tokens + earned) - 1
+            before_s = at_s
+            assert tokens >= -TOLERANCE
+
+
+def perform(fleet: Fleet, kind: str, number: int, amount: float) -> None:
+    index = number % len(fleet.holders)
+    if kind == 'advance':
+        fleet.clock.advance(amount)
+    elif kind == 'renew':
+        fleet.exchange(index)
+    elif kind == 'send':
+        fleet.send(index)
+    elif kind == 'request' and fleet.requests:
+        # Any earlier message may arrive again, and most arrive late.
+        fleet.deliver_request(-1 - number % min(6, len(fleet.requests)))
+    elif kind == 'reply' and fleet.replies:
+        fleet.deliver_reply(-1 - number % min(6, len(fleet.replies)))
+    elif kind == 'use':
+        fleet.use_all(index)
+    elif kind == 'leader':
+        fleet.change_leader()
+    else:
+        disturb(fleet, kind, number, amount)
+
+
+def disturb(fleet: Fleet, kind: str, number: int, amount: float) -> None:
+    index = number % len(fleet.holders)
+    holder = fleet.holders[index]
+    if kind == 'permit':
+        # A permit is used for no time: work in progress may outlast a lease.
+        holder.note_waiting(PERMITS, number % 3)
+        holder.take(PERMITS)
+        holder.give_back(PERMITS)
+        holder.note_waiting(PERMITS, -(number % 2))
+    elif kind == 'crash':
+        fleet.holders[index] = fleet.new_holder(index)
+    elif kind == 'clock back':
+        holder._clock.offset_s -= amount  # type: ignore[attr-defined]
+    elif kind == 'retrack':
+        holder.untrack(ACCOUNT)
+        if number % 2:
+            fleet.send(index)
+        holder.track(ACCOUNT)
+
+
+KINDS = (
+    *('advance',) * 4,
+    *('renew',) * 6,
+    *('send',) * 2,
+    *('request',) * 4,
+    *('reply',) * 4,
+    *('use',) * 6,
+    'permit',
+    'crash',
+    'leader',
+    'clock back',
+    'retrack',
+)
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(KINDS),
+        st.integers(0, 11),
+        st.sampled_from((0.01, 0.1, 0.4, 1.0, 2.5, 4.0, 5.0)),
+    ),
+    min_size=40,
+    max_size=160,
+)
+
+
+@settings(
+    derandomize=True,
+    max_examples=300,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(ACTIONS)
+def test_no_window_exceeds_the_account(actions: list[Any]) -> None:
+    """Guards against tokens or rates counted twice under any fault."""
+    fleet = Fleet()
+    fleet.clock.advance(LEASE_S)
+    for kind, number, amount in actions:
+        perform(fleet, kind, number, amount)
+        fleet.check()
+    fleet.check_windows()
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """A fleet whose account is new, with shares at all holders."""
+    ready = Fleet()
+    ready.clock.advance(LEASE_S)
+    ready.ledger.remove(ACCOUNT)
+    ready.ledger._known.clear()
+    ready.ledger.set_whole(ACCOUNT, RATE)
+    for index in range(3):
+        ready.exchange(index)
+    return ready
+
+
+def test_idle_holders_have_a_base_share(fleet: Fleet) -> None:
+    """Guards against a first request that waits for the leader."""
+    assert all(holder.take(ACCOUNT) for holder in fleet.holders)
+
+
+def test_one_holder_can_use_the_whole(fleet: Fleet) -> None:
+    """Guards against rate that stays with holders without traffic."""
+    admitted = 0
+    started_s = fleet.clock.now_s()
+    for _step in range(200):
+        fleet.clock.advance(0.05)
+        admitted += fleet.use_all(0)
+        for index in range(3):
+            fleet.exchange(index)
+    window_s = fleet.clock.now_s() - started_s
+    # Base shares of the two others stay unused.
+    assert admitted >= RATE.rate_per_s * window_s * 0.97
+    fleet.check_windows()
+
+
+def test_reduction_counts_only_when_confirmed(fleet: Fleet) -> None:
+    """Guards against lending a rate that another holder still uses."""
+    for _step in range(20):
+        fleet.clock.advance(0.1)
+        fleet.use_all(0)
+        fleet.exchange(0)
+    assert fleet.holders[0].held(ACCOUNT)[0] > 40
+    fleet.clock.advance(3)
+    fleet.send(0)
+    fleet.deliver_request(-1)
+    assert fleet.ledger.lent(ACCOUNT).rate_per_s > 40
+    fleet.deliver_reply(-1)
+    fleet.exchange(0)
+    assert fleet.ledger.lent(ACCOUNT).rate_per_s < 5
+
+
+def test_share_of_a_dead_holder_is_lent_after_its_lease(fleet: Fleet) -> None:
+    for _step in range(20):
+        fleet.clock.advance(0.1)
+        fleet.use_all(0)
+        fleet.exchange(0)
+    fleet.clock.advance(LEASE_S - 0.1)
+    assert fleet.ledger.lent(ACCOUNT).rate_per_s > 40
+    fleet.clock.advance(0.1)
+    assert fleet.ledger.lent(ACCOUNT) == Whole(0, 0)
+
+
+def test_claims_keep_shares_over_a_leader_change(fleet: Fleet) -> None:
+    """Guards against refusals during an election, and against growth."""
+    for _step in range(20):
+        fleet.clock.advance(0.1)
+        fleet.use_all(0, limit=3)
+        fleet.exchange(0)
+    before = fleet.holders[0].held(ACCOUNT)
+    fleet.clock.advance(2)
+    fleet.change_leader()
+    fleet.exchange(0)
+    rate_per_s, burst, tokens = fleet.holders[0].held(ACCOUNT)
+    assert rate_per_s == before[0]
+    assert tokens >= 1
+    fleet.exchange(1)
+    assert fleet.holders[1].held(ACCOUNT)[1] <= before[1] + burst
+    assert fleet.ledger.tokens(ACCOUNT) == 0
+
+
+def test_change_of_the_account_reaches_holders(fleet: Fleet) -> None:
+    for _step in range(20):
+        fleet.clock.advance(0.1)
+        fleet.use_all(0)
+        fleet.exchange(0)
+    fleet.ledger.set_whole(ACCOUNT, Whole(5, 4))
+    for _round in range(2):
+        fleet.exchange(0)
+    assert fleet.ledger.lent(ACCOUNT).rate_per_s <= 5 + TOLERANCE
+    assert fleet.holders[0].held(ACCOUNT)[1] <= 4
+    fleet.ledger.remove(ACCOUNT)
+    fleet.exchange(0)
+    assert fleet.holders[0].held(ACCOUNT) == (0, 0, 0)
+
+
+def test_recreated_account_does_not_start_with_a_full_burst(
+    fleet: Fleet,
+) -> None:
+    """Guards against a second burst while old leases are in force."""
+    fleet.use_all(0)
+    fleet.ledger.remove(ACCOUNT)
+    fleet.ledger.set_whole(ACCOUNT, RATE)
+    assert fleet.ledger.tokens(ACCOUNT) < RATE.burst
+
+
+def test_leaving_holder_returns_its_share(fleet: Fleet) -> None:
+    leaving = fleet.holders[0].request(is_leaving=True)
+    before = fleet.ledger.tokens(ACCOUNT)
+    lent = fleet.ledger.lent(ACCOUNT)
+    fleet.ledger.renew(leaving)
+    assert fleet.ledger.lent(ACCOUNT).burst < lent.burst
+    assert fleet.ledger.tokens(ACCOUNT) > before
+
+
+def test_permits_in_use_stay_counted(fleet: Fleet) -> None:
+    """Guards against lending a slot on which work still runs."""
+    holder = fleet.holders[0]
+    for _each in range(5):
+        holder.note_waiting(PERMITS, 1)
+        fleet.exchange(0)
+        assert holder.take(PERMITS)
+    holder.note_waiting(PERMITS, -5)
+    fleet.ledger.set_whole(PERMITS, Whole(0, 2))
+    for _round in range(3):
+        fleet.exchange(0)
+    assert fleet.ledger.lent(PERMITS).burst == 5
+    assert not holder.take(PERMITS)
+    for _each in range(5):
+        holder.give_back(PERMITS)
+    for _round in range(3):
+        fleet.exchange(0)
+    assert fleet.ledger.lent(PERMITS).burst == 0
--- /dev/null
+++ b/oleanderpin/wire/shares.thrift
@@ -0,0 +1,49 @@
+include "common.thrift"
+
+namespace py oleanderpin.wire.generated.shares
+
+/** What a holder holds of one resource and what it could use. */
+struct Holding {
+  1: string resource,
+  2: optional double rate_per_s,
+  3: optional double burst,
+  /** Tokens given back under this lease, cumulative. */
+  4: optional double returned,
+  5: optional double demand_per_s,
+  6: optional double wanted_burst,
+}
+
+struct RenewRequest {
+  1: string holder,
+  2: i64 incarnation,
+  3: i64 number,
+  4: i64 lease_id,
+  /** Sequence number of the last grants that the holder applied. */
+  5: i64 applied,
+  6: list<Holding> holdings,
+  7: bool is_leaving,
+}
+
+struct Grant {
+  1: string resource,
+  2: optional double rate_per_s,
+  3: optional double burst,
+  /** Tokens transferred under this lease, cumulative. */
+  4: optional double given,
+  5: optional bool is_exhausted,
+}
+
+struct RenewReply {
+  1: i64 incarnation,
+  2: i64 number,
+  3: i64 lease_id,
+  /** 0 for an answer to an outdated request. */
+  4: i64 sequence,
+  5: bool is_adopted,
+  6: list<Grant> grants,
+}
+
+service Shares {
+  RenewReply renew(1: RenewRequest request)
+    throws (1: common.NotLeader not_leader),
+}
