--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of single concerns."""
+"""Benchmarks; each prints a table."""
