Route by own evidence, concurrency limits and a shift governor

Cause: the router took the target with the fewest requests in flight in the nearest failure domain. It knew no overload, no failing targets and no bound on the change of the traffic split.

Change: two random choices by expected wait among the targets of the own region, additive-increase limits for each target, bounded ejection, slow start, permits for other regions (a reserve of one request until a ledger lends more), a byte budget for links and a governor for each service.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints its figures and takes fixed seeds."""
--- a/oleanderpin/routing/router.py
+++ b/oleanderpin/routing/router.py
@@ -1,43 +1,31 @@
-"""Chooses targets, nearest first and least loaded among the near ones."""
+"""Chooses targets by nearness, expected wait and the capacity of regions."""
 
+import random
 import threading
-from collections import Counter
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
-from typing import Any, Literal
+from collections.abc import Collection
+from typing import Any
 
-from ..control.state import Service
-from ..core.errors import Refusal, RefusalDetails
+from ..control.state import Profile, Service
+from ..control.view import ControlView
+from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
 from ..moves.drains import Drains
 from ..moves.split import VersionSplit
 from ..targets.table import Target, TargetTable
+from .capacity import CapacityLender, RegionCapacity
+from .choice import Choice
+from .outcome import AttemptOutcome, AttemptResult, Observation, Observer
+from .service_router import ServiceRouter, Surroundings
 
-AttemptResult = Literal[
-    'ok', 'target_error', 'no_connection', 'timeout', 'reset', 'shed'
-]
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptOutcome:
-    """What one attempt at a target came to."""
-
-    result: AttemptResult
-    first_byte_ms: float = 0.0
-    status: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Observation:
-    """An attempt's outcome with its place, for statistics of versions."""
-
-    service: str
-    route: str
-    target: Target
-    outcome: AttemptOutcome
-
-
-Observer = Callable[[Observation], None]
+__all__ = (
+    'AttemptOutcome',
+    'AttemptResult',
+    'Observation',
+    'Observer',
+    'Router',
+    'Selection',
+)
 
 
 class Selection:
@@ -46,11 +34,19 @@
     Used as a context manager; leaving it gives the permits back.
     """
 
-    def __init__(self, router: 'Router', target: Target, route: str) -> None:
-        """Hold the permits of ``target``."""
+    def __init__(
+        self,
+        router: 'Router',
+        service_router: ServiceRouter,
+        choice: Choice,
+        route: str,
+    ) -> None:
+        """Hold the permits of ``choice``."""
         self._router = router
+        self._service_router = service_router
+        self._choice = choice
         self._route = route
-        self.target = target
+        self.target = choice.candidate.evidence.target
 
     def __enter__(self) -> 'Selection':
         """Return the selection."""
@@ -58,10 +54,13 @@
 
     def __exit__(self, *_exc_info: object) -> None:
         """Give the permits back."""
-        self._router.release(self.target)
+        self._service_router.release(self._choice)
 
     def record(self, outcome: AttemptOutcome) -> None:
         """Tell the router what the attempt came to."""
+        self._service_router.note_outcome(
+            self._choice, outcome, now_s=self._router.kernel.clock.now_s()
+        )
         self._router.observe(
             Observation(self.target.service, self._route, self.target, outcome)
         )
@@ -69,17 +68,43 @@
 
 @plugins.register('router')
 class Router(Plugin):
-    """Chooses a target for each attempt."""
+    """Chooses a target for each attempt.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives settings, clock and the other plug-ins.
+    generator : random.Random, optional
+        Source of randomness; by default seeded with the instance's name, so
+        that instances draw differently.
+    """
 
-    def __init__(self, kernel: Any) -> None:
+    def __init__(
+        self, kernel: Any, *, generator: random.Random | None = None
+    ) -> None:
         """Start without requests in flight."""
         super().__init__(kernel)
         self._table = kernel.plugin(TargetTable)
         self._split = kernel.plugin(VersionSplit)
         self._drains = kernel.plugin(Drains)
+        self._peers = kernel.plugin(Peers)
+        self._view = kernel.plugin(ControlView)
+        self._generator = generator or random.Random(
+            kernel.settings.instance.name
+        )
+        self._lender: CapacityLender = RegionCapacity()
         self._lock = threading.Lock()
-        self._in_flight: Counter[str] = Counter()
+        self._services: dict[str, ServiceRouter] = {}
+        self._domains_seen: dict[str, frozenset[str]] = {}
         self._observers: list[Observer] = []
+        self._view.subscribe(self._on_state)
+
+    def use_lender(self, lender: CapacityLender) -> None:
+        """Take permits for other regions from ``lender`` from now on.
+
+        Call it before the first request; services keep their lender.
+        """
+        self._lender = lender
 
     def on_outcome(self, observer: Observer) -> None:
         """Call ``observer`` with each attempt's outcome."""
@@ -92,8 +117,17 @@
 
     def slots(self, service: Service) -> int:
         """Return how many requests of a service may run at once."""
-        targets = self._table.targets(service.name)
-        return sum(target.slots for target in targets)
+        now_s = self.kernel.clock.now_s()
+        return self._service_router(service).slots(service, now_s=now_s)
+
+    def in_flight(self) -> dict[str, tuple[Target, int]]:
+        """Return the requests in flight by address of the target."""
+        with self._lock:
+            services = list(self._services.values())
+        in_flight: dict[str, tuple[Target, int]] = {}
+        for each in services:
+            in_flight.update(each.in_flight())
+        return in_flight
 
     def choose(
         self, service: Service, *, route: str, exclude: Collection[str] = ()
@@ -112,37 +146,55 @@
         Raises
         ------
         Refusal
-            If no target can take the request.
+            If no target can take the request. The reason is ``no_target``,
+            ``target_busy``, ``region_capacity`` or ``shift_cap``.
         """
-        own = self.kernel.settings.instance
-        weights = self._split.weights(service)
-        targets = [
-            target
-            for target in self._table.targets(service.name)
-            if target.address not in exclude
-            and weights.get(target.version, weights.get('', 0)) > 0
-            and not self._drains.is_draining(target)
-        ]
-        if not targets:
-            raise Refusal(
-                'no_target',
-                f'no target of {service.name!r} can take the request',
-                remedy='start targets or try again',
-                details=RefusalDetails(retry_after_s=1.0),
-            )
+        service_router = self._service_router(service)
+        choice = service_router.choose(
+            service, exclude=exclude, now_s=self.kernel.clock.now_s()
+        )
+        if choice.permit is not None:
+            EVENTS.labels('routing', 'other_region').inc()
+        return Selection(self, service_router, choice, route)
+
+    def _service_router(self, service: Service) -> ServiceRouter:
+        known = self._services.get(service.name)
+        if known is not None:
+            return known
         with self._lock:
-            target = min(
-                targets,
-                key=lambda each: (
-                    each.failure_domain != own.failure_domain,
-                    each.region != own.region,
-                    self._in_flight[each.address] / each.slots,
+            return self._services.setdefault(
+                service.name,
+                ServiceRouter(
+                    service,
+                    region=self.kernel.settings.instance.region,
+                    survey=self._survey,
+                    lender=self._lender,
+                    generator=self._generator,
+                    now_s=self.kernel.clock.now_s(),
                 ),
             )
-            self._in_flight[target.address] += 1
-        return Selection(self, target, route)
 
-    def release(self, target: Target) -> None:
-        """Count one request in flight less."""
-        with self._lock:
-            self._in_flight[target.address] -= 1
+    def _survey(self, service: Service) -> Surroundings:
+        own_region = self.kernel.settings.instance.region
+        peers = [peer for peer in self._peers.alive() if 'entry' in peer.roles]
+        domains = frozenset(peer.failure_domain for peer in peers)
+        seen = self._domains_seen.get(service.name, frozenset())
+        self._domains_seen[service.name] = domains
+        sharers = sum(peer.region == own_region for peer in peers)
+        return Surroundings(
+            targets=[
+                target
+                for target in self._table.targets(service.name)
+                if not self._drains.is_draining(target)
+            ],
+            weights=self._split.weights(service),
+            profile=self._view.state.profiles.get(
+                service.profile, Profile(name=service.profile)
+            ),
+            sharers=max(1, sharers),
+            is_domain_lost=not seen <= domains,
+        )
+
+    def _on_state(self, _state: Any) -> None:
+        for each in list(self._services.values()):
+            each.invalidate()
--- /dev/null
+++ b/oleanderpin/routing/shift.py
@@ -0,0 +1,265 @@
+"""The governor of changes of one service's traffic split.
+
+Each instance bounds the change of its own split to the cap, in percent of
+its own traffic. The fleet's split is the mean of the instances' splits,
+weighted by their traffic, so the bound also holds for the fleet. Traffic that
+an instance inherits from lost instances would change these weights; while a
+place is lost, growth above the earlier rate therefore counts as a shift too.
+"""
+
+import math
+from collections import deque
+from collections.abc import Collection
+from typing import NamedTuple
+
+# The cap is divided between raises of ceilings (three quarters), the slack
+# above the measured split, and the drift of the measurement within an
+# interval, which is at most the slack again.
+_SLACK_PART = 0.125
+_RAISE_PART = 0.75
+_RAISE_STEPS = 20
+_MAX_CREDIT = 4.0
+_WHOLE_PERCENT = 100.0
+# With less than one request in an interval there is no split to shift from.
+_MIN_REQUESTS = 1.0
+_MIN_BURST = 2.0
+# A cell counts as lost when it carried at least this share.
+_LOST_SHARE = 0.02
+
+
+class Cell(NamedTuple):
+    """One part of the split of a service's traffic."""
+
+    region: str
+    failure_domain: str
+    version: str
+
+
+class _Share:
+    """Traffic of one cell and the ceiling above it."""
+
+    __slots__ = ('admitted', 'ceiling', 'credit', 'raised', 'settled_at')
+
+    def __init__(self, settled_at: float) -> None:
+        self.admitted = 0.0
+        self.ceiling = 0.0
+        self.raised = 0.0
+        self.credit = 0.0
+        self.settled_at = settled_at
+
+    def settle(self, offered: float) -> float:
+        """Add the credit earned by the requests offered since the last call."""
+        gained = self.ceiling * (offered - self.settled_at)
+        self.credit = min(_MAX_CREDIT, self.credit + gained)
+        self.settled_at = offered
+        return self.credit
+
+
+class ShiftGovernor:
+    """Bounds how fast one service's traffic split changes.
+
+    The split is measured as the share of offered requests in each cell,
+    decayed over the interval. A cell is admitted while it stays under its
+    ceiling: the measured share, a slack, and raises. The raises of all cells
+    and of the total together are bounded within any interval, so that the
+    split at two times one interval apart differs by at most the cap.
+
+    Parameters
+    ----------
+    cap_percent : float
+        ``Profile.shift_cap_percent``.
+    interval_s : float
+        ``Profile.shift_interval_s``.
+    now_s : float
+        Monotonic time.
+
+    Notes
+    -----
+    The bound holds up to four requests for each cell, which are the most
+    that a cell may run ahead of its share.
+    """
+
+    def __init__(
+        self, *, cap_percent: float, interval_s: float, now_s: float
+    ) -> None:
+        """Start without an earlier split."""
+        self._cap = cap_percent / _WHOLE_PERCENT
+        self._interval_s = interval_s
+        self._shares: dict[Cell, _Share] = {}
+        self._raises: deque[tuple[float, float]] = deque()
+        self._offered_total = 0.0
+        self._offered = 0.0
+        self._updated_s = now_s
+        self._learning_until_s: float | None = None
+        self._restricted_until_s = float('-inf')
+        self._rate_per_s = 0.0
+        self._tokens = 0.0
+        self._tokens_s = now_s
+
+    @property
+    def is_learning(self) -> bool:
+        """Whether there is no earlier split to shift from."""
+        return (
+            self._learning_until_s is None
+            or self._updated_s < self._learning_until_s
+        )
+
+    def configure(self, *, cap_percent: float, interval_s: float) -> None:
+        """Follow a changed profile."""
+        self._cap = cap_percent / _WHOLE_PERCENT
+        self._interval_s = interval_s
+
+    def offer(self, now_s: float) -> bool:
+        """Count a request that asks for a place in the split.
+
+        Returns
+        -------
+        bool
+            False if a place is lost and the request is beyond the growth
+            that the cap allows.
+        """
+        if self._learning_until_s is None:
+            self._learning_until_s = now_s + self._interval_s
+        if now_s < self._restricted_until_s and not self._take_token(now_s):
+            self._restricted_until_s = now_s + self._interval_s
+            return False
+        self._offered += 1
+        self._offered_total += 1
+        return True
+
+    def allows(self, cell: Cell) -> bool:
+        """Return whether a cell is under its ceiling."""
+        if self.is_learning:
+            return True
+        share = self._shares.get(cell)
+        if share is None:
+            return False
+        return share.settle(self._offered_total) >= 0
+
+    def raise_ceiling(self, cell: Cell, now_s: float) -> bool:
+        """Raise the ceiling of a cell for a request it would else refuse.
+
+        Returns
+        -------
+        bool
+            False if the interval's budget is spent.
+        """
+        step = self._spend(now_s)
+        if not step:
+            return False
+        share = self._share(cell)
+        share.settle(self._offered_total)
+        share.ceiling += step
+        share.raised += step
+        share.credit = max(share.credit + 1, 0.0)
+        return True
+
+    def admit(self, cell: Cell) -> None:
+        """Count a request that goes to a cell."""
+        share = self._share(cell)
+        share.settle(self._offered_total)
+        share.admitted += 1
+        if not self.is_learning:
+            share.credit -= 1
+
+    def update(self, eligible: Collection[Cell], *, now_s: float) -> None:
+        """Follow the measured split and the cells that have targets.
+
+        Parameters
+        ----------
+        eligible : collection of Cell
+            Cells with at least one target that may get work.
+        now_s : float
+            Monotonic time.
+        """
+        elapsed_s = now_s - self._updated_s
+        decay = math.exp(-elapsed_s / self._interval_s)
+        was_learning = self.is_learning
+        self._updated_s = now_s
+        if not was_learning and self._offered < _MIN_REQUESTS:
+            self._learning_until_s = None
+            self._shares.clear()
+        if self._is_cell_lost(eligible):
+            self.restrict(now_s)
+        self._shares = {cell: self._share(cell) for cell in eligible}
+        for share in self._shares.values():
+            share.settle(self._offered_total)
+            share.admitted *= decay
+            share.raised *= decay
+        self._offered *= decay
+        self._set_ceilings()
+
+    def restrict(self, now_s: float) -> None:
+        """Bound the rate from now on, because a place was lost.
+
+        The bound ends when it has refused nothing for one interval.
+        """
+        if self.is_learning:
+            return
+        if now_s >= self._restricted_until_s:
+            self._rate_per_s = max(_MIN_BURST, self._offered) / self._interval_s
+            self._tokens = self._burst()
+            self._tokens_s = now_s
+        self._restricted_until_s = now_s + self._interval_s
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return the time until the cap allows a further shift."""
+        if not self._raises:
+            return self._interval_s
+        oldest_s = self._raises[0][0]
+        return max(0.1, oldest_s + self._interval_s - now_s)
+
+    def ceilings(self) -> dict[Cell, float]:
+        """Return the share that each cell may carry at present."""
+        return {cell: each.ceiling for cell, each in self._shares.items()}
+
+    def _is_cell_lost(self, eligible: Collection[Cell]) -> bool:
+        least = _LOST_SHARE * self._offered
+        return any(
+            share.admitted > least and cell not in eligible
+            for cell, share in self._shares.items()
+        )
+
+    def _set_ceilings(self) -> None:
+        slack = self._cap * _SLACK_PART / max(1, len(self._shares))
+        offered = max(self._offered, 1e-9)
+        for share in self._shares.values():
+            measured = min(1.0, share.admitted / offered)
+            share.ceiling = measured + slack + share.raised
+
+    def _share(self, cell: Cell) -> _Share:
+        share = self._shares.get(cell)
+        if share is None:
+            share = _Share(self._offered_total)
+            self._shares[cell] = share
+        return share
+
+    def _spend(self, now_s: float) -> float:
+        """Return a step of the budget, 0 when the budget is spent."""
+        budget = self._cap * _RAISE_PART
+        while self._raises and self._raises[0][0] <= now_s - self._interval_s:
+            self._raises.popleft()
+        left = budget - sum(amount for _raised_s, amount in self._raises)
+        # One request is worth 1/offered of the traffic of an interval.
+        step = max(self._cap / _RAISE_STEPS, 1 / max(1.0, self._offered))
+        step = min(step, budget)
+        if left < step - 1e-9:
+            return 0.0
+        self._raises.append((now_s, step))
+        return step
+
+    def _take_token(self, now_s: float) -> bool:
+        gained = (now_s - self._tokens_s) * self._rate_per_s
+        self._tokens = min(self._burst(), self._tokens + gained)
+        self._tokens_s = now_s
+        if self._tokens < 1:
+            step = self._spend(now_s)
+            if not step:
+                return False
+            self._rate_per_s *= 1 + step
+            self._tokens += 1
+        self._tokens -= 1
+        return True
+
+    def _burst(self) -> float:
+        return max(_MIN_BURST, self._rate_per_s * 0.1)
