Count only inherited traffic of a lost region as a shift; add a shift pool

Instances of a region choose among the same targets, so traffic that one inherits from another changes no split, yet it was bounded.

Change: growth is bounded only after a region lost its last instance. A pool shared by the fleet (ShiftPool, to be backed by the ledger on the leader) lets the affected instances use the others' part of the cap.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -17,8 +17,8 @@
 from .lookup import answer  # noqa: F401
 from .membership import peers  # noqa: F401
 from .moves import drains, split  # noqa: F401
-from .operators import admin  # noqa: F401
-from .routing import router  # noqa: F401
+from .operators import admin, drains as drain_routes  # noqa: F401
+from .routing import links, router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
 from .wire import network, server  # noqa: F401
 
--- a/oleanderpin/routing/router.py
+++ b/oleanderpin/routing/router.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any
 
 from ..control.state import Profile, Service
@@ -17,6 +17,7 @@
 from .choice import Choice
 from .outcome import AttemptOutcome, AttemptResult, Observation, Observer
 from .service_router import ServiceRouter, Surroundings
+from .shift import ShiftPool
 
 __all__ = (
     'AttemptOutcome',
@@ -93,9 +94,10 @@
             kernel.settings.instance.name
         )
         self._lender: CapacityLender = RegionCapacity()
+        self._shift_pools: Callable[[str], ShiftPool | None] = _no_pool
         self._lock = threading.Lock()
         self._services: dict[str, ServiceRouter] = {}
-        self._domains_seen: dict[str, frozenset[str]] = {}
+        self._regions_seen: dict[str, frozenset[str]] = {}
         self._observers: list[Observer] = []
         self._view.subscribe(self._on_state)
 
@@ -106,6 +108,18 @@
         """
         self._lender = lender
 
+    def use_shift_pools(self, pools: Callable[[str], ShiftPool | None]) -> None:
+        """Take the shared part of shift caps from ``pools`` from now on.
+
+        Call it before the first request; services keep their pool.
+
+        Parameters
+        ----------
+        pools : callable
+            Returns the pool of the service with the given name.
+        """
+        self._shift_pools = pools
+
     def on_outcome(self, observer: Observer) -> None:
         """Call ``observer`` with each attempt's outcome."""
         self._observers.append(observer)
@@ -171,15 +185,16 @@
                     lender=self._lender,
                     generator=self._generator,
                     now_s=self.kernel.clock.now_s(),
+                    shift_pool=self._shift_pools(service.name),
                 ),
             )
 
     def _survey(self, service: Service) -> Surroundings:
         own_region = self.kernel.settings.instance.region
         peers = [peer for peer in self._peers.alive() if 'entry' in peer.roles]
-        domains = frozenset(peer.failure_domain for peer in peers)
-        seen = self._domains_seen.get(service.name, frozenset())
-        self._domains_seen[service.name] = domains
+        regions = frozenset(peer.region for peer in peers)
+        seen = self._regions_seen.get(service.name, frozenset())
+        self._regions_seen[service.name] = regions
         sharers = sum(peer.region == own_region for peer in peers)
         return Surroundings(
             targets=[
@@ -192,9 +207,13 @@
                 service.profile, Profile(name=service.profile)
             ),
             sharers=max(1, sharers),
-            is_domain_lost=not seen <= domains,
+            is_region_lost=not seen <= regions,
         )
 
     def _on_state(self, _state: Any) -> None:
         for each in list(self._services.values()):
             each.invalidate()
+
+
+def _no_pool(_service: str) -> None:
+    """Stand in until a ledger shares the caps over the fleet."""
--- a/oleanderpin/routing/service_router.py
+++ b/oleanderpin/routing/service_router.py
@@ -14,7 +14,7 @@
 from .ejection import Ejection
 from .evidence import TargetEvidence
 from .outcome import AttemptOutcome
-from .shift import ShiftGovernor
+from .shift import ShiftGovernor, ShiftPool
 from .slow_start import SlowStart
 
 # Leaving and draining targets get no new work after this time at the latest;
@@ -42,15 +42,15 @@
         Profile of the service.
     sharers : int
         Live instances in the region, which share its targets.
-    is_domain_lost : bool
-        Whether a failure domain lost its last instance since the last call.
+    is_region_lost : bool
+        Whether a region lost its last instance since the last call.
     """
 
     targets: Sequence[Target]
     weights: Mapping[str, float]
     profile: Profile
     sharers: int = 1
-    is_domain_lost: bool = False
+    is_region_lost: bool = False
 
 
 Survey = Callable[[Service], Surroundings]
@@ -73,6 +73,8 @@
         Source of randomness.
     now_s : float
         Monotonic time.
+    shift_pool : ShiftPool, optional
+        The part of the service's shift cap that the fleet shares.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         lender: CapacityLender,
         generator: random.Random,
         now_s: float,
+        shift_pool: ShiftPool | None = None,
     ) -> None:
         """Start without an earlier split and without evidence."""
         self._service = service
@@ -102,6 +105,7 @@
             cap_percent=profile.shift_cap_percent,
             interval_s=profile.shift_interval_s,
             now_s=now_s,
+            pool=shift_pool,
         )
 
     def invalidate(self) -> None:
@@ -199,7 +203,7 @@
             cap_percent=profile.shift_cap_percent,
             interval_s=profile.shift_interval_s,
         )
-        if around.is_domain_lost:
+        if around.is_region_lost:
             self.governor.restrict(now_s)
         self._follow(around, now_s)
         eligible = self._eligible(around, now_s)
--- a/oleanderpin/routing/shift.py
+++ b/oleanderpin/routing/shift.py
@@ -2,29 +2,65 @@
 
 Each instance bounds the change of its own split to the cap, in percent of
 its own traffic. The fleet's split is the mean of the instances' splits,
-weighted by their traffic, so the bound also holds for the fleet. Traffic that
-an instance inherits from lost instances would change these weights; while a
-place is lost, growth above the earlier rate therefore counts as a shift too.
+weighted by their traffic, so the bound also holds for the fleet. Instances of
+a region choose among the same targets, so traffic that one of them inherits
+from another changes no split. When a region loses its last instance, the
+growth of the others above their earlier rate counts as a shift too.
+
+A pool that is shared by the fleet allows an instance to shift more of its own
+traffic while the others shift less. Each instance then keeps only a small
+budget of its own.
 """
 
 import math
 from collections import deque
 from collections.abc import Collection
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
-# The cap is divided between raises of ceilings (three quarters), the slack
-# above the measured split, and the drift of the measurement within an
-# interval, which is at most the slack again.
-_SLACK_PART = 0.125
-_RAISE_PART = 0.75
 _RAISE_STEPS = 20
 _MAX_CREDIT = 4.0
 _WHOLE_PERCENT = 100.0
 # With less than one request in an interval there is no split to shift from.
 _MIN_REQUESTS = 1.0
 _MIN_BURST = 2.0
-# A cell counts as lost when it carried at least this share.
-_LOST_SHARE = 0.02
+# Peers are found lost after about 3 s; the earlier rate is that of the time
+# before.
+_DETECTION_S = 4.0
+
+
+class _Parts(NamedTuple):
+    """How the cap is divided; twice the slack and the rest make up 1.
+
+    The slack counts twice: as room above the measured split, and as drift of
+    the measurement within an interval.
+    """
+
+    slack: float
+    own: float
+    pool: float
+
+
+_WITHOUT_POOL = _Parts(slack=0.125, own=0.75, pool=0.0)
+_WITH_POOL = _Parts(slack=0.05, own=0.1, pool=0.8)
+
+
+class ShiftPool(Protocol):
+    """The part of a service's cap that the fleet shares."""
+
+    def take(self, amount_per_s: float) -> bool:
+        """Take the right to shift traffic.
+
+        Parameters
+        ----------
+        amount_per_s : float
+            Traffic to be shifted, in requests per second. The pool grants
+            within any interval at most `POOL_PART` of the cap, in percent of
+            the fleet's traffic of the service.
+        """
+        ...
+
+
+POOL_PART = _WITH_POOL.pool
 
 
 class Cell(NamedTuple):
@@ -72,6 +108,8 @@
         ``Profile.shift_interval_s``.
     now_s : float
         Monotonic time.
+    pool : ShiftPool, optional
+        Pool of the fleet; without it the instance keeps to its own traffic.
 
     Notes
     -----
@@ -80,9 +118,16 @@
     """
 
     def __init__(
-        self, *, cap_percent: float, interval_s: float, now_s: float
+        self,
+        *,
+        cap_percent: float,
+        interval_s: float,
+        now_s: float,
+        pool: ShiftPool | None = None,
     ) -> None:
         """Start without an earlier split."""
+        self._pool = pool
+        self._parts = _WITH_POOL if pool else _WITHOUT_POOL
         self._cap = cap_percent / _WHOLE_PERCENT
         self._interval_s = interval_s
         self._shares: dict[Cell, _Share] = {}
@@ -92,6 +137,7 @@
         self._updated_s = now_s
         self._learning_until_s: float | None = None
         self._restricted_until_s = float('-inf')
+        self._rates: deque[tuple[float, float]] = deque()
         self._rate_per_s = 0.0
         self._tokens = 0.0
         self._tokens_s = now_s
@@ -115,7 +161,7 @@
         Returns
         -------
         bool
-            False if a place is lost and the request is beyond the growth
+            False if a region is lost and the request is beyond the growth
             that the cap allows.
         """
         if self._learning_until_s is None:
@@ -179,25 +225,25 @@
         if not was_learning and self._offered < _MIN_REQUESTS:
             self._learning_until_s = None
             self._shares.clear()
-        if self._is_cell_lost(eligible):
-            self.restrict(now_s)
         self._shares = {cell: self._share(cell) for cell in eligible}
         for share in self._shares.values():
             share.settle(self._offered_total)
             share.admitted *= decay
             share.raised *= decay
         self._offered *= decay
+        self._note_rate(now_s)
         self._set_ceilings()
 
     def restrict(self, now_s: float) -> None:
-        """Bound the rate from now on, because a place was lost.
+        """Bound the rate from now on, because a region was lost.
 
         The bound ends when it has refused nothing for one interval.
         """
         if self.is_learning:
             return
         if now_s >= self._restricted_until_s:
-            self._rate_per_s = max(_MIN_BURST, self._offered) / self._interval_s
+            least_per_s = _MIN_BURST / self._interval_s
+            self._rate_per_s = max(least_per_s, self._rates[0][1])
             self._tokens = self._burst()
             self._tokens_s = now_s
         self._restricted_until_s = now_s + self._interval_s
@@ -213,15 +259,13 @@
         """Return the share that each cell may carry at present."""
         return {cell: each.ceiling for cell, each in self._shares.items()}
 
-    def _is_cell_lost(self, eligible: Collection[Cell]) -> bool:
-        least = _LOST_SHARE * self._offered
-        return any(
-            share.admitted > least and cell not in eligible
-            for cell, share in self._shares.items()
-        )
+    def _note_rate(self, now_s: float) -> None:
+        self._rates.append((now_s, self._offered / self._interval_s))
+        while self._rates[0][0] < now_s - _DETECTION_S:
+            self._rates.popleft()
 
     def _set_ceilings(self) -> None:
-        slack = self._cap * _SLACK_PART / max(1, len(self._shares))
+        slack = self._cap * self._parts.slack / max(1, len(self._shares))
         offered = max(self._offered, 1e-9)
         for share in self._shares.values():
             measured = min(1.0, share.admitted / offered)
@@ -236,17 +280,20 @@
 
     def _spend(self, now_s: float) -> float:
         """Return a step of the budget, 0 when the budget is spent."""
-        budget = self._cap * _RAISE_PART
+        budget = self._cap * self._parts.own
         while self._raises and self._raises[0][0] <= now_s - self._interval_s:
             self._raises.popleft()
         left = budget - sum(amount for _raised_s, amount in self._raises)
         # One request is worth 1/offered of the traffic of an interval.
         step = max(self._cap / _RAISE_STEPS, 1 / max(1.0, self._offered))
         step = min(step, budget)
-        if left < step - 1e-9:
-            return 0.0
-        self._raises.append((now_s, step))
-        return step
+        if left >= step - 1e-9:
+            self._raises.append((now_s, step))
+            return step
+        amount_per_s = step * self._offered / self._interval_s
+        if self._pool is not None and self._pool.take(amount_per_s):
+            return step
+        return 0.0
 
     def _take_token(self, now_s: float) -> bool:
         gained = (now_s - self._tokens_s) * self._rate_per_s
--- /dev/null
+++ b/oleanderpin/tests/routing/test_parts.py
@@ -0,0 +1,151 @@
+"""Limits, ejection, permits and the link budget by themselves."""
+
+import threading
+
+import pytest
+
+from ...control.state import Profile
+from ...routing.capacity import RegionCapacity, spare_slots
+from ...routing.concurrency import ConcurrencyLimit
+from ...routing.ejection import Ejection
+from ...routing.links import LinkBudget
+from ...routing.outcome import AttemptOutcome
+from ...testing import ManualClock
+from ...testing.routing import FakeKernel, RoutingWorld, make_target
+
+FAILED = AttemptOutcome('no_connection')
+
+
+def test_sharers_that_are_shed_stay_near_the_slots() -> None:
+    """Guards against several instances overloading a shared target."""
+    slots = 9
+    limits = [ConcurrencyLimit(slots=slots, instances=1) for _ in range(4)]
+    in_use = []
+    for step in range(400):
+        total = sum(int(each.value) for each in limits)
+        in_use.append(total)
+        for each in limits:
+            if total > slots:
+                each.on_overload(step * 0.1, latency_ms=50)
+            else:
+                each.on_success(in_flight=int(each.value))
+    assert in_use[0] == 36
+    assert max(in_use[20:]) <= slots + len(limits)
+    assert sum(in_use[20:]) / 380 > slots * 0.6
+
+
+def test_limit_stays_between_one_and_slots() -> None:
+    limit = ConcurrencyLimit(slots=3)
+    for step in range(50):
+        limit.on_overload(step, latency_ms=1)
+    assert limit.value == 1
+    for _each in range(200):
+        limit.on_success(in_flight=3)
+    assert limit.value == 3
+
+
+@pytest.mark.parametrize(('bad', 'expected'), [(1, 1), (4, 2), (6, 0)])
+def test_ejection_is_bounded(bad: int, expected: int) -> None:
+    """Guards against ejecting most or all of a failure domain."""
+    targets = [make_target(f't{i}', failure_domain='a-a') for i in range(6)]
+    ejection = Ejection()
+    for target in targets[:bad]:
+        assert ejection.note_outcome(target.address, FAILED, now_s=0)
+    assert len(ejection.ejected(targets, now_s=1)) == expected
+
+
+def test_readmission_takes_twice_as_long_each_time() -> None:
+    targets = [make_target(f't{i}', failure_domain='a-a') for i in range(3)]
+    ejection = Ejection()
+    ejection.note_outcome('t0', FAILED, now_s=0)
+    assert not ejection.ejected(targets, now_s=2.1)
+    ejection.note_outcome('t0', FAILED, now_s=3)
+    assert ejection.ejected(targets, now_s=6.9)
+    assert not ejection.ejected(targets, now_s=7.1)
+
+
+class Ledger:
+    """Lends the spare slots in equal parts."""
+
+    def __init__(self, spare: int, holders: int) -> None:
+        self.part = spare // holders
+
+    def leased(self, _service: str, _region: str) -> int | None:
+        return self.part
+
+
+def test_permits_stay_within_spare_slots_when_all_decide_at_once() -> None:
+    """Guards against a region that outside instances overload together."""
+    instances = 12
+    spare = spare_slots(slots=70, used_inside=20, outside_instances=instances)
+    assert spare == 38
+    ledger = Ledger(spare, instances)
+    capacities = [RegionCapacity(ledger) for _each in range(instances)]
+    granted = []
+
+    def grab(capacity: RegionCapacity) -> None:
+        for _each in range(10):
+            granted.append(capacity.acquire('desk', 'north'))
+
+    threads = [
+        threading.Thread(target=grab, args=(capacity,))
+        for capacity in capacities
+        for _twice in range(2)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    permits = [each for each in granted if each is not None]
+    assert len(permits) == ledger.part * instances
+    permits[0].release()
+    permits[0].release()
+    assert sum(each.in_use('desk', 'north') for each in capacities) == 35
+
+
+def test_reserve_is_one_request() -> None:
+    capacity = RegionCapacity()
+    first = capacity.acquire('desk', 'north')
+    assert first is not None
+    assert capacity.acquire('desk', 'north') is None
+    assert capacity.acquire('desk', 'south') is not None
+    first.release()
+    assert capacity.acquire('desk', 'north') is not None
+
+
+def link_budget() -> tuple[LinkBudget, ManualClock]:
+    clock = ManualClock()
+    world = RoutingWorld(clock, Profile(name='p'))
+    world.router('i0', failure_domain='north-a')
+    world.router('i1', failure_domain='north-b')
+    kernel = FakeKernel(world, 'i0', 'north-a')
+    return LinkBudget(kernel), clock
+
+
+def test_bulk_gets_its_part_of_an_equal_share() -> None:
+    """Guards against transfers that fill a link between regions."""
+    budget, clock = link_budget()
+    started_s = clock.now_s()
+    sent = 0
+    while clock.now_s() < started_s + 10:
+        assert budget.acquire(
+            'south', 65536, traffic_class='bulk', deadline_s=started_s + 60
+        )
+        sent += 65536
+    # 300 Mbit/s for two instances, 60% of it for bulk.
+    assert sent == pytest.approx(0.6 * 150 * 125000 * 10, rel=0.03)
+    assert budget.acquire(
+        'south', 1000, traffic_class='small', deadline_s=clock.now_s()
+    )
+
+
+def test_link_budget_gives_up_at_the_deadline() -> None:
+    budget, clock = link_budget()
+    deadline_s = clock.now_s() + 1
+    for expected in (True, False):
+        assert expected == budget.acquire(
+            'south', 10**9, traffic_class='small', deadline_s=deadline_s
+        )
+    assert budget.acquire(
+        'north', 10**9, traffic_class='bulk', deadline_s=deadline_s
+    )
--- /dev/null
+++ b/oleanderpin/tests/routing/test_router.py
@@ -0,0 +1,178 @@
+"""The router: shift cap, drains, ejection, slow start, load reports."""
+
+from collections import Counter
+
+import pytest
+
+from ...control.state import Move, Profile
+from ...core.errors import Refusal
+from ...routing.outcome import AttemptOutcome
+from ...routing.router import Router
+from ...testing import ManualClock
+from ...testing.routing import RoutingWorld, make_target
+
+DOMAINS = ('north-a', 'north-b', 'south-a', 'south-b')
+RATE = 20
+FOUR_PER_CELL = 4
+
+
+class Fleet:
+    """Four instances that share eight targets."""
+
+    def __init__(self, **profile: float) -> None:
+        self.clock = ManualClock()
+        self.world = RoutingWorld(self.clock, Profile(name='p', **profile))
+        for domain in DOMAINS:
+            for index in range(2):
+                self.announce(f'{domain}-{index}', domain)
+        self.routers = {
+            domain: self.world.router(f'i-{domain}', failure_domain=domain)
+            for domain in DOMAINS
+        }
+        self.refusals: Counter[str] = Counter()
+
+    def announce(self, name: str, domain: str, version: str = 'v1') -> None:
+        target = make_target(
+            name, failure_domain=domain, version=version, slots=50
+        )
+        self.world.put(target)
+
+    def run(self, seconds: int, *, rate: int = RATE) -> Counter[str]:
+        """Send ``rate`` requests a second to each instance."""
+        admitted: Counter[str] = Counter()
+        for _request in range(seconds * rate):
+            self.clock.advance(1 / rate)
+            for router in self.routers.values():
+                admitted.update(self.ask(router))
+        return admitted
+
+    def ask(self, router: Router) -> list[str]:
+        try:
+            selection = router.choose(self.world.service, route='r')
+        except Refusal as refusal:
+            assert refusal.details.not_run
+            assert refusal.details.retry_after_s
+            self.refusals[refusal.reason] += 1
+            return []
+        with selection:
+            selection.record(AttemptOutcome('ok', 10.0))
+        target = selection.target
+        return [f'{target.failure_domain} {target.version}']
+
+
+def fail_over(fleet: Fleet) -> None:
+    fleet.world.remove('north-a-0', 'north-a-1')
+
+
+def drain(fleet: Fleet) -> None:
+    fleet.world.drain('north-a', kind='failure_domain')
+
+
+def lose_region(fleet: Fleet) -> None:
+    fleet.world.remove(*(f'north-{d}-{i}' for d in 'ab' for i in (0, 1)))
+    for domain in ('north-a', 'north-b'):
+        fleet.world.peers.pop(f'i-{domain}')
+        fleet.routers.pop(domain)
+
+
+def move(fleet: Fleet) -> None:
+    state = fleet.world.state
+    ended = Move('desk', 'v1', 'v2', 0.0, status='running', share_percent=100)
+    fleet.world.change(state.with_record('moves', 'desk', ended))
+
+
+@pytest.mark.parametrize('cause', [fail_over, drain, lose_region, move])
+def test_shift_within_an_interval_keeps_the_cap(cause: object) -> None:
+    """Guards against a cause of shifts that bypasses the governor."""
+    fleet = Fleet(shift_cap_percent=20, shift_interval_s=10, slow_start_s=0)
+    for domain in DOMAINS:
+        fleet.announce(f'{domain}-v2', domain, 'v2')
+    fleet.run(20)
+    before = fleet.run(10)
+    offered = 10 * RATE * len(DOMAINS)
+    assert before.total() == offered
+    cause(fleet)
+    rate = RATE * len(DOMAINS) // len(fleet.routers)
+    previous = before
+    for _interval in range(3):
+        now = fleet.run(10, rate=rate)
+        gained = (now - previous).total()
+        allowed = 0.2 * offered + FOUR_PER_CELL * 8 * len(fleet.routers)
+        assert gained <= allowed
+        previous = now
+    assert fleet.refusals['shift_cap']
+    assert set(fleet.refusals) == {'shift_cap'}
+
+
+def test_return_is_a_shift_too() -> None:
+    """Guards against a place that gets all its traffic back at once."""
+    fleet = Fleet(shift_cap_percent=20, shift_interval_s=10, slow_start_s=0)
+    fleet.run(30)
+    fail_over(fleet)
+    fleet.run(80)
+    for index in range(2):
+        fleet.announce(f'north-a-{index}', 'north-a')
+    fleet.refusals.clear()
+    back = fleet.run(10)
+    assert 0 < back['north-a v1'] <= 0.2 * 10 * RATE * 4 + FOUR_PER_CELL * 4
+    assert not fleet.refusals
+
+
+def test_first_start_has_no_split_to_shift_from() -> None:
+    """Guards against refusals while a fleet starts."""
+    fleet = Fleet(shift_cap_percent=1, shift_interval_s=10)
+    fleet.run(30)
+    assert not fleet.refusals
+
+
+def test_draining_target_gets_nothing_and_returns_slowly() -> None:
+    """Guards against new work for a draining target and a cold return."""
+    fleet = Fleet(shift_cap_percent=100, slow_start_s=20)
+    fleet.run(20)
+    fleet.world.drain('north-a-0', kind='target')
+    router = fleet.routers['north-a']
+    chosen = {choose(router, fleet) for _each in range(200)}
+    assert 'north-a-0' not in chosen
+    state = fleet.world.state.without_record('drains', 'north-a-0')
+    fleet.world.change(state)
+    counts: Counter[str] = Counter()
+    for _each in range(400):
+        fleet.clock.advance(0.005)
+        counts[choose(router, fleet)] += 1
+    others = sum(counts.values()) / 4
+    assert 0 < counts['north-a-0'] < others / 2
+
+
+def choose(router: Router, fleet: Fleet) -> str:
+    selection = router.choose(fleet.world.service, route='r')
+    with selection:
+        return selection.target.address
+
+
+def test_low_load_report_attracts_nothing() -> None:
+    """Guards against a target that reports no load and collects requests."""
+    fleet = Fleet(shift_cap_percent=100)
+    for address in ('north-a-1', 'north-b-0', 'north-b-1'):
+        fleet.world.renew(address, load=10)
+    fleet.world.renew('north-a-0', load=0)
+    router = fleet.routers['north-a']
+    held = [router.choose(fleet.world.service, route='r') for _ in range(60)]
+    liar = sum(each.target.address == 'north-a-0' for each in held)
+    assert liar <= 60 * 0.45
+
+
+def test_lost_measurements_are_not_read_as_zero_load() -> None:
+    """Guards against a silent target that looks idle and fast."""
+    fleet = Fleet(shift_cap_percent=100)
+    router = fleet.routers['north-a']
+    slow = 'north-a-0'
+    for _each in range(300):
+        fleet.clock.advance(0.01)
+        with router.choose(fleet.world.service, route='r') as selection:
+            address = selection.target.address
+            took_ms = 200.0 if address == slow else 20.0
+            selection.record(AttemptOutcome('ok', took_ms))
+    fleet.clock.advance(3600)
+    held = [router.choose(fleet.world.service, route='r') for _ in range(40)]
+    counts = Counter(each.target.address for each in held)
+    assert counts[slow] <= 40 / 4 + 5
