Find members by SWIM gossip and watch through relays

Cause: each instance pinged the configured seeds only, one thread per seed, and every instance watched the control instances. A partition of one link removed a member, and a change was reported as in force when accepted.

Change: one probe per second over UDP with indirect probes and a TCP ping before suspicion, refutation by a higher incarnation, bounded piggybacked updates, joins over the peer port. The age of freshness counts to the arrival of the request.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -22,7 +22,8 @@
     ('south-1', 'south', 'south-a'),
 )
 _CONTROL_MEMBERS = 1
-_HTTP = urllib3.PoolManager(retries=False, timeout=5.0)
+# A change may take the freshness limit of 6 s to be in force.
+_HTTP = urllib3.PoolManager(retries=False, timeout=15.0)
 
 
 class DemoFailureError(Exception):
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -1,12 +1,13 @@
 """Distribution of the control state from control instances to all others."""
 
-import logging
-import threading
+import time
 from typing import Any
 
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.generated.control import Control
 from ..wire.generated.control.ttypes import (
     ProposeReply,
@@ -14,17 +15,23 @@
     WatchReply,
     WatchRequest,
 )
-from ..wire.network import PeerNetwork
+from ..wire.network import PeerCallError, PeerNetwork
 from ..wire.server import PeerServer
 from .change import Change, Outcome
+from .confirmations import Confirmations, WatcherId
+from .follower import Follower
 from .leader import LeaderClient
 from .log import ControlLog
+from .state import ControlState
 from .view import ControlView
 
-_LOG = logging.getLogger(__name__)
-_RETRY_PAUSE_S = 0.2
-_CALL_MARGIN_S = 2.0
 _PROPOSE_TIMEOUT_S = 5.0
+# Covers an election, during which changes wait.
+_PROPOSE_PATIENCE_S = 8.0
+_RETRY_PAUSE_S = 0.2
+_MAX_HOPS = 2
+_MAX_FORWARDERS = 3
+_IN_FORCE_HOLD_S = 1.0
 _NOT_FRESH_MS = -1
 
 
@@ -41,6 +48,12 @@
     def watch(self, request: WatchRequest) -> WatchReply:
         return self._distribution.watch_here(request)
 
+    def confirm(self, request: WatchRequest) -> None:
+        self._distribution.confirm_here(request)
+
+    def in_force(self, revision: int, hold_ms: int) -> bool:
+        return self._distribution.in_force_here(revision, hold_ms / 1000)
+
 
 @plugins.register('distribution')
 class Distribution(Plugin):
@@ -51,17 +64,21 @@
         super().__init__(kernel)
         self._view = kernel.plugin(ControlView)
         self._network = kernel.plugin(PeerNetwork)
+        self._peers = kernel.plugin(Peers)
+        self._leader = kernel.plugin(LeaderClient)
+        self.confirmations = Confirmations(
+            kernel.clock,
+            freshness_limit_s=kernel.settings.control.freshness_limit_s,
+        )
+        self.follower = Follower(kernel, self.confirmations)
+        self._view.subscribe(self._note_state)
         kernel.plugin(PeerServer).register(
             'Control', Control.Processor(_ControlHandler(self))
         )
 
     def start(self) -> None:
-        """Start following, unless this instance leads."""
-        if self.kernel.has(ControlLog):
-            return
-        threading.Thread(
-            target=self._follow, name='control-watch', daemon=True
-        ).start()
+        """Start following, or leading while this instance has the lease."""
+        self.follower.start()
 
     def propose(self, change: Change) -> Outcome:
         """Have a change accepted, from any instance.
@@ -82,32 +99,112 @@
             If no leader could be reached.
         """
         request = ProposeRequest(payload=change.encode(), hops=0)
-        reply = self.kernel.plugin(LeaderClient).call(
-            'Control', 'propose', request, timeout_s=_PROPOSE_TIMEOUT_S
-        )
-        return Outcome.decode(reply.payload)
+        end_s = time.monotonic() + _PROPOSE_PATIENCE_S
+        maybe_applied = False
+        while True:
+            try:
+                reply = self._propose_once(request)
+            except UnavailableError as error:
+                maybe_applied = maybe_applied or error.maybe_applied
+                error.maybe_applied = maybe_applied
+                is_late = time.monotonic() > end_s
+                # A resend is safe: the request id makes it recognizable.
+                if is_late or not self.kernel.wait_while_running(
+                    _RETRY_PAUSE_S
+                ):
+                    raise
+                continue
+            outcome = Outcome.decode(reply.payload)
+            self.confirmations.note_commit(outcome.revision)
+            return outcome
 
     def propose_here(self, request: ProposeRequest) -> Outcome:
-        """Append a change to the log of this control instance."""
-        log = self.kernel.plugin(ControlLog)
-        return log.propose(request.payload, timeout_s=_PROPOSE_TIMEOUT_S)
+        """Append a change to the log, or pass it on to the leader.
+
+        Raises
+        ------
+        NotLeader
+            If this instance neither leads nor may pass the request on.
+        Unavailable
+            If no leader could be reached from here.
+        """
+        if self.kernel.has(ControlLog):
+            log = self.kernel.plugin(ControlLog)
+            return log.propose(request.payload, timeout_s=_PROPOSE_TIMEOUT_S)
+        if request.hops >= _MAX_HOPS:
+            raise NotLeader(leader_address='')
+        request.hops += 1
+        try:
+            reply = self._ask_leader(request)
+        except UnavailableError as error:
+            raise Unavailable(
+                problem=error.problem, maybe_applied=error.maybe_applied
+            ) from error
+        return Outcome.decode(reply.payload)
+
+    def wait_in_force(self, revision: int, *, timeout_s: float) -> bool:
+        """Wait until no instance can use a state older than ``revision``.
+
+        Parameters
+        ----------
+        revision : int
+            A committed revision, as told by `propose`.
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        bool
+            True when all instances with authority have confirmed the
+            revision, or when the freshness limit has passed since its commit.
+        """
+        end_s = time.monotonic() + timeout_s
+        while not self.kernel.stopping.is_set():
+            if self.confirmations.is_past_bound(revision):
+                return True
+            left_s = end_s - time.monotonic()
+            if left_s <= 0:
+                return False
+            hold_s = min(left_s, _IN_FORCE_HOLD_S)
+            try:
+                if self._ask_in_force(revision, hold_s):
+                    return True
+            except UnavailableError:
+                self.kernel.wait_while_running(min(left_s, _RETRY_PAUSE_S))
+        return False
+
+    def in_force_here(self, revision: int, hold_s: float) -> bool:
+        """Answer as the leader whether ``revision`` is in force.
+
+        Raises
+        ------
+        NotLeader
+            If this instance does not lead.
+        """
+        if not self.follower.leads():
+            raise NotLeader(leader_address=self._leader_elsewhere() or '')
+        is_in_force = self.confirmations.wait(
+            revision, self._view.revision, hold_s
+        )
+        # A leader that has lost its lease meanwhile no longer knows all.
+        return is_in_force and self.follower.leads()
 
     def watch_here(self, request: WatchRequest) -> WatchReply:
         """Answer a long poll with news or, after the hold time, without."""
+        arrived_s = self.kernel.clock.now_s()
+        self.confirm_here(request)
         self._view.wait_for(
             request.revision + 1, timeout_s=request.hold_ms / 1000
         )
-        is_leader = (
-            self.kernel.has(ControlLog)
-            and self.kernel.plugin(ControlLog).has_lease()
-        )
-        if is_leader:
-            self._view.note_fresh(self.kernel.clock.now_s())
-        # The age is taken before the entries, so that these hold all that
-        # the freshness stands for.
+        leads = self.follower.leads()
         age_ms = _NOT_FRESH_MS
         if self._view.is_fresh():
-            age_ms = int(self._view.freshness_age_s() * 1000) + 1
+            # The watcher is recorded and the age taken before the entries, so
+            # that these hold all that the freshness stands for.
+            self.confirmations.note_grant(
+                _watcher_id(request), self._view.revision
+            )
+            age_ms = self._age_at_ms(arrived_s)
         entries = self._view.entries_after(request.revision)
         snapshot = b'' if entries is not None else self._view.snapshot()
         return WatchReply(
@@ -115,48 +212,75 @@
             freshness_age_ms=age_ms,
             entries=entries or [],
             snapshot=snapshot,
+            leader_address=None if leads else self._leader_elsewhere(),
         )
 
-    def _follow(self) -> None:
-        while not self.kernel.stopping.is_set():
-            for address in self._sources():
-                self._watch_while_answered(address)
-            self.kernel.wait_while_running(_RETRY_PAUSE_S)
-
-    def _watch_while_answered(self, address: str) -> None:
-        is_answered = True
-        while is_answered:
-            is_answered = self._watch_once(address)
-
-    def _watch_once(self, address: str) -> bool:
-        settings = self.kernel.settings
-        request = WatchRequest(
-            instance=settings.instance.name,
-            revision=self._view.revision,
-            hold_ms=int(settings.control.watch_hold_s * 1000),
-            confirmed_revision=self._view.revision,
+    def confirm_here(self, request: WatchRequest) -> None:
+        """Take a watcher's confirmation."""
+        self.confirmations.confirm(
+            _watcher_id(request), request.confirmed_revision
         )
-        asked_s = self.kernel.clock.now_s()
+
+    def _age_at_ms(self, arrived_s: float) -> int:
+        """Return the age of the freshness when a request arrived.
+
+        The watcher counts from when it sent the request, which was earlier.
+        """
+        now_s = self.kernel.clock.now_s()
+        as_of_s = now_s - self._view.freshness_age_s()
+        return max(0, int((arrived_s - as_of_s) * 1000) + 1)
+
+    def _leader_elsewhere(self) -> str | None:
+        if not self.kernel.has(ControlLog):
+            return None
+        leadership = self.kernel.plugin(ControlLog).leadership()
+        return None if leadership.is_self else leadership.leader_address
+
+    def _note_state(self, _state: ControlState) -> None:
+        self.confirmations.note_commit(self._view.revision)
+
+    def _propose_once(self, request: ProposeRequest) -> ProposeReply:
         try:
-            reply = self._network.call(
-                address,
-                'Control',
-                'watch',
-                request,
-                timeout_s=settings.control.watch_hold_s + _CALL_MARGIN_S,
-            )
+            return self._ask_leader(request)
         except UnavailableError as error:
-            EVENTS.labels('control', 'watch_failed').inc()
-            _LOG.warning('watch failed: %s', error)
-            return False
-        if reply.snapshot:
-            self._view.install(reply.snapshot)
-        self._view.apply(reply.entries)
-        is_complete = self._view.revision >= reply.revision
-        if reply.freshness_age_ms >= 0 and is_complete:
-            self._view.note_fresh(asked_s - reply.freshness_age_ms / 1000)
-        return not self.kernel.stopping.is_set()
-
-    def _sources(self) -> list[str]:
-        members = self.kernel.settings.control.initial_members
-        return [member.partition('=')[2] for member in members]
+            maybe_applied = error.maybe_applied
+        # Another instance may still reach the leader.
+        request = ProposeRequest(payload=request.payload, hops=1)
+        _own, *others = self._peers.alive()
+        for peer in others[:_MAX_FORWARDERS]:
+            try:
+                return self._network.call(
+                    peer.peer_address,
+                    'Control',
+                    'propose',
+                    request,
+                    timeout_s=_PROPOSE_TIMEOUT_S,
+                )
+            except (PeerCallError, Unavailable):
+                maybe_applied = True
+            except NotLeader:
+                EVENTS.labels('control', 'forward_refused').inc()
+        raise UnavailableError(
+            'no control leader could be reached from here or through others',
+            remedy='send it again with the same request id',
+            maybe_applied=maybe_applied,
+        )
+
+    def _ask_leader(self, request: ProposeRequest) -> ProposeReply:
+        return self._leader.call(
+            'Control', 'propose', request, timeout_s=_PROPOSE_TIMEOUT_S
+        )
+
+    def _ask_in_force(self, revision: int, hold_s: float) -> bool:
+        answer: bool = self._leader.call(
+            'Control',
+            'in_force',
+            revision,
+            int(hold_s * 1000),
+            timeout_s=hold_s + _IN_FORCE_HOLD_S,
+        )
+        return answer
+
+
+def _watcher_id(request: WatchRequest) -> WatcherId:
+    return WatcherId(request.instance, request.start_id)
--- a/oleanderpin/control/leader.py
+++ b/oleanderpin/control/leader.py
@@ -109,4 +109,9 @@
             if 'control' in peer.roles
         ]
         known = [self._leader_address, *announced, *configured]
-        return [address for address in dict.fromkeys(known) if address]
+        alive = {peer.peer_address for peer in self._peers.alive()}
+        # An address that does not respond costs a time-out, so it comes last.
+        return sorted(
+            (address for address in dict.fromkeys(known) if address),
+            key=lambda address: address not in alive,
+        )
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -20,7 +20,7 @@
 from .operators import admin  # noqa: F401
 from .routing import router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
-from .wire import network, server  # noqa: F401
+from .wire import datagrams, network, server  # noqa: F401
 
 _LOG = logging.getLogger(__name__)
 _EXIT_SETTINGS = 2
--- /dev/null
+++ b/oleanderpin/membership/probing.py
@@ -0,0 +1,219 @@
+"""Probing of one member per interval, joins and repair after partitions."""
+
+import itertools
+import random
+import threading
+import time
+from typing import Any
+
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..wire.generated.membership.ttypes import MemberUpdate
+from ..wire.network import PeerNetwork
+from .gossip import Gossip
+from .members import Member, MemberTable, Status, as_alive
+
+_JOIN_TIMEOUT_S = 2.0
+# The whole table is compared with another member now and then, which repairs
+# whatever gossip has missed; the interval grows with the membership, so that
+# the bytes per second stay the same.
+_SYNC_MIN_INTERVAL_S = 30.0
+_SYNC_INTERVAL_PER_MEMBER_S = 1.0
+# Dead members and silent seeds are pinged once in so many intervals.
+_RECONNECT_EVERY = 2
+# Members that are told directly of a suspicion, a drain or a stop; waiting
+# for the next probes of all took up to 8 s at 32 nodes.
+_NOTICES = 16
+
+
+class Prober:
+    """Runs the failure detector in one thread.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives settings and network.
+    table : MemberTable
+        Known members.
+    gossip : Gossip
+        Sends the probes.
+    """
+
+    def __init__(self, kernel: Any, table: MemberTable, gossip: Gossip) -> None:
+        """Start without a round of members."""
+        self._kernel = kernel
+        self._network = kernel.plugin(PeerNetwork)
+        self._table = table
+        self._gossip = gossip
+        self._queue: list[str] = []
+        self._synced_s = float('-inf')
+        self._reconnected = threading.Event()
+        self._reconnect_address = ''
+
+    def start(self) -> None:
+        """Start the probing thread."""
+        threading.Thread(
+            target=self._probe_loop, name='probe', daemon=True
+        ).start()
+
+    def notify(self, status: Status) -> None:
+        """Tell a few members directly that this instance drains or leaves."""
+        for member in self._some():
+            self._gossip.notify(member.info.peer_address, status)
+
+    def _probe_loop(self) -> None:
+        settings = self._kernel.settings.peers
+        for number in itertools.count():
+            started_s = time.monotonic()
+            self._table.expire()
+            self._sync_when_due()
+            if number % _RECONNECT_EVERY == 0:
+                self._reconnect()
+            member = self._next_member()
+            if member is not None:
+                self.probe(member)
+            spent_s = time.monotonic() - started_s
+            pause_s = max(0, settings.probe_interval_s - spent_s)
+            if not self._kernel.wait_while_running(pause_s):
+                return
+
+    def probe(self, member: Member) -> None:
+        """Probe a member and suspect it if no path reaches it.
+
+        Parameters
+        ----------
+        member : Member
+            The member; it is probed directly, then through others and over
+            TCP, within the probe interval.
+        """
+        started_s = time.monotonic()
+        settings = self._kernel.settings.peers
+        address = member.info.peer_address
+        answered = self._gossip.ping(address, name=member.info.name)
+        try:
+            if answered.wait(settings.probe_timeout_s):
+                return
+            EVENTS.labels('membership', 'probe_failed').inc()
+            relays = [each for each in self._running() if each is not member]
+            self._gossip.ping_through(relays, address, answered)
+            if self._ping_over_tcp(address):
+                return
+            end_s = started_s + settings.probe_interval_s
+            if answered.wait(max(0, end_s - time.monotonic())):
+                return
+        finally:
+            self._gossip.forget(answered)
+        # A probe that took much longer than planned says more about this
+        # process than about the other one.
+        if time.monotonic() - started_s < 2 * settings.probe_interval_s:
+            self._table.suspect(member.info.name)
+            self._gossip.notify_suspicion(self._some(), member.info.name)
+
+    def _ping_over_tcp(self, address: str) -> bool:
+        try:
+            reply = self._network.call(
+                address,
+                'Membership',
+                'ping',
+                self._table.own,
+                timeout_s=self._kernel.settings.peers.probe_timeout_s,
+            )
+        except UnavailableError:
+            return False
+        self._table.merge(as_alive(reply.info))
+        return True
+
+    def _next_member(self) -> Member | None:
+        """Return the next member of a shuffled round over all of them."""
+        if not self._queue:
+            self._queue = [each.info.name for each in self._running()]
+            random.shuffle(self._queue)
+        while self._queue:
+            member = self._table.find(self._queue.pop())
+            if member is not None and member.is_running:
+                return member
+        return None
+
+    def _running(self) -> list[Member]:
+        return [each for each in self._table.members() if each.is_running]
+
+    def _some(self) -> list[Member]:
+        running = self._running()
+        return random.sample(running, min(_NOTICES, len(running)))
+
+    def _reconnect(self) -> None:
+        """Ping one instance that may be back after a partition."""
+        members = self._table.members()
+        running = {
+            each.info.peer_address for each in members if each.is_running
+        }
+        running.add(self._table.own.peer_address)
+        known = [
+            each.info.peer_address
+            for each in members
+            if each.status is Status.dead
+        ]
+        seeds = self._kernel.settings.peers.seeds
+        silent = [each for each in {*known, *seeds} if each not in running]
+        self._gossip.forget(self._reconnected)
+        self._reconnected.clear()
+        if silent:
+            address = random.choice(silent)
+            names = [
+                each.info.name
+                for each in members
+                if each.info.peer_address == address
+            ]
+            name = names[0] if names else ''
+            self._reconnected = self._gossip.ping(address, name=name)
+            self._reconnect_address = address
+
+    def _sync_when_due(self) -> None:
+        if self._reconnected.is_set():
+            self._reconnected.clear()
+            self._sync(self._reconnect_address)
+        running = self._running()
+        count = len(running)
+        interval_s = max(
+            _SYNC_MIN_INTERVAL_S, count * _SYNC_INTERVAL_PER_MEMBER_S
+        )
+        now_s = time.monotonic()
+        if count and now_s - self._synced_s < interval_s:
+            return
+        addresses = [each.info.peer_address for each in running]
+        own_address = self._table.own.peer_address
+        seeds = [
+            seed
+            for seed in self._kernel.settings.peers.seeds
+            if seed != own_address
+        ]
+        if addresses or seeds:
+            if self._sync(random.choice(addresses or seeds)):
+                self._synced_s = now_s
+
+    def _sync(self, address: str) -> bool:
+        try:
+            updates = self._network.call(
+                address,
+                'Membership',
+                'join',
+                self._table.own,
+                timeout_s=_JOIN_TIMEOUT_S,
+            )
+        except UnavailableError:
+            EVENTS.labels('membership', 'join_failed').inc()
+            return False
+        for update in updates:
+            known = self._table.find(update.name)
+            is_dead_here = known is not None and known.status is Status.dead
+            is_merged = self._table.merge(update, spread=False)
+            if is_dead_here and not is_merged:
+                self._verify(update)
+        return True
+
+    def _verify(self, update: MemberUpdate) -> None:
+        """Let a member refute that is dead here but alive elsewhere."""
+        if update.status == Status.alive and update.info is not None:
+            address = update.info.peer_address
+            answered = self._gossip.ping(address, name=update.name)
+            self._gossip.forget(answered)
--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any, TypeVar
+from typing import Any, Literal, TypeVar
 
 import pydantic
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -29,6 +29,8 @@
 _THREADS = 8
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 _MAX_HEADER_BYTES = 16384
+# A change is in force by time soon after the freshness limit.
+_IN_FORCE_MARGIN_S = 3.0
 
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 Route = Callable[['Admin', HttpRequest], HttpAnswer]
@@ -135,7 +137,7 @@
 class ChangeRequest(Change):
     """Body of ``POST /v1/changes``."""
 
-    wait: str = 'accepted'
+    wait: Literal['accepted', 'in_force'] = 'accepted'
 
 
 @routes.register('POST /v1/changes')
@@ -146,7 +148,14 @@
     distribution = admin.kernel.plugin(Distribution)
     outcome = distribution.propose(Change(**fields))
     outcome.raise_for_kind()
-    return json_answer(asdict(outcome) | {'state': 'accepted'})
+    state = 'accepted'
+    if asked.wait == 'in_force':
+        limit_s = admin.kernel.settings.control.freshness_limit_s
+        is_in_force = distribution.wait_in_force(
+            outcome.revision, timeout_s=limit_s + _IN_FORCE_MARGIN_S
+        )
+        state = 'in_force' if is_in_force else 'accepted'
+    return json_answer(asdict(outcome) | {'state': state})
 
 
 @routes.register('POST /targets/announce')
--- /dev/null
+++ b/oleanderpin/tests/membership/test_members.py
@@ -0,0 +1,166 @@
+"""Membership: suspicion, refutation, restarts and partitions of one link."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from ... import daemon  # noqa: F401  registers all plug-ins
+from ...core.kernel import Kernel
+from ...membership.members import MemberTable, Status, as_alive
+from ...membership.peers import Peers
+from ...testing.clock import ManualClock
+from ...testing.fleet import LinkFaults, build_fleet
+from ...wire.datagrams import PeerDatagrams
+from ...wire.generated.membership.ttypes import MemberUpdate, PeerInfo
+from ...wire.server import PeerServer
+
+SUSPECT_TIMEOUT_S = 3.0
+
+
+def info(name: str, *, incarnation: int = 1, port: int = 1) -> PeerInfo:
+    return PeerInfo(
+        name=name,
+        incarnation=incarnation,
+        peer_address=f'127.0.0.1:{port}',
+        roles=[],
+        draining=False,
+    )
+
+
+def table(name: str, clock: ManualClock) -> MemberTable:
+    return MemberTable(
+        info(name, port=ord(name)),
+        clock=clock,
+        suspect_timeout_s=SUSPECT_TIMEOUT_S,
+    )
+
+
+def status(members: MemberTable, name: str) -> Status | None:
+    found = members.find(name)
+    return found.status if found else None
+
+
+def pass_on(source: MemberTable, target: MemberTable) -> None:
+    for update in source.updates():
+        target.merge(update)
+
+
+def test_refutation_within_the_time_limit_prevents_removal() -> None:
+    """Guards against removal of an instance that was only slow to answer."""
+    clock = ManualClock()
+    anna, bert, carl = (table(name, clock) for name in 'abc')
+    for other in (bert, carl):
+        pass_on(other, anna)
+    pass_on(anna, bert)
+    anna.suspect('b')
+    pass_on(anna, bert)
+    clock.advance(SUSPECT_TIMEOUT_S - 0.1)
+    anna.expire()
+    assert status(anna, 'b') is Status.suspect
+    pass_on(bert, anna)
+    clock.advance(SUSPECT_TIMEOUT_S)
+    anna.expire()
+    assert status(anna, 'b') is Status.alive
+    assert bert.own.incarnation == 2
+
+
+def test_unrefuted_suspicion_ends_in_removal() -> None:
+    """Guards against a dead instance that stays in look-ups, and revival."""
+    clock = ManualClock()
+    anna, bert = table('a', clock), table('b', clock)
+    pass_on(bert, anna)
+    anna.suspect('b')
+    clock.advance(SUSPECT_TIMEOUT_S)
+    anna.expire()
+    assert status(anna, 'b') is Status.dead
+    assert not anna.merge(as_alive(info('b', port=ord('b'))))
+    assert status(anna, 'b') is Status.dead
+
+
+def test_restart_replaces_the_old_incarnation() -> None:
+    """Guards against news of the old process removing the new one."""
+    clock = ManualClock()
+    anna = table('a', clock)
+    anna.merge(as_alive(info('b', incarnation=5, port=7)))
+    anna.merge(as_alive(info('b', incarnation=9, port=7)))
+    late = MemberUpdate(name='b', incarnation=5, status=int(Status.left))
+    assert not anna.merge(late)
+    assert status(anna, 'b') is Status.alive
+    anna.merge(as_alive(info('c', incarnation=20, port=7)))
+    assert status(anna, 'b') is Status.left
+    assert status(anna, 'c') is Status.alive
+
+
+def test_restart_with_a_clock_set_back_takes_a_higher_incarnation() -> None:
+    """Guards against a restarted instance that nobody accepts again."""
+    restarted = table('b', ManualClock())
+    restarted.merge(MemberUpdate(name='b', incarnation=50, status=0))
+    assert restarted.own.incarnation == 51
+
+
+def test_updates_in_one_datagram_are_bounded() -> None:
+    """Guards against datagrams that are fragmented after a mass failure."""
+    anna = table('a', ManualClock())
+    for port in range(300, 500):
+        anna.merge(as_alive(info(f'instance-{port}', port=port)))
+    sizes = []
+    while batch := anna.piggyback():
+        sizes.append(sum(len(each) for each in batch))
+    assert len(sizes) > 10
+    assert max(sizes) <= 900
+
+
+@pytest.fixture
+def trio() -> Iterator[list[Kernel]]:
+    kernels = build_fleet(
+        ['north-a', 'north-b', 'south-a'],
+        extra='[peers]\nprobe_timeout_s = 0.2\n',
+    )
+    yield kernels
+    for kernel in kernels:
+        kernel.stopping.set()
+        kernel.plugin(PeerDatagrams).stop()
+        kernel.plugin(PeerServer).stop()
+
+
+def start_transport(kernels: list[Kernel]) -> None:
+    for kernel in kernels:
+        kernel.plugin(PeerDatagrams).start()
+        kernel.plugin(PeerServer).start()
+        for other in kernels:
+            own = other.plugin(Peers).table.own
+            kernel.plugin(Peers).table.merge(as_alive(own))
+
+
+def probe(kernel: Kernel, subject: Kernel) -> Status | None:
+    """Probe once in the calling thread; return the status afterwards."""
+    members = kernel.plugin(Peers).table
+    name = subject.settings.instance.name
+    member = members.find(name)
+    assert member is not None
+    kernel.plugin(Peers).prober.probe(member)
+    return status(members, name)
+
+
+def test_cut_link_does_not_remove_a_member_that_others_reach(
+    trio: list[Kernel],
+) -> None:
+    """Guards against removal because of a silent partition of one link."""
+    anna, bert, carl = trio
+    faults = [LinkFaults(anna), LinkFaults(bert)]
+    start_transport(trio)
+    faults[0].cut(bert)
+    faults[1].cut(anna)
+    assert probe(anna, bert) is Status.alive
+    faults[0].cut(bert, carl)
+    assert probe(anna, bert) is Status.suspect
+
+
+def test_lost_datagrams_alone_do_not_remove_a_member(
+    trio: list[Kernel],
+) -> None:
+    """Guards against an empty membership where a firewall drops UDP."""
+    anna, bert, _carl = trio
+    start_transport(trio)
+    anna.plugin(PeerDatagrams).send = lambda *_ignored: None  # type: ignore[method-assign]
+    assert probe(anna, bert) is Status.alive
--- a/oleanderpin/wire/control.thrift
+++ b/oleanderpin/wire/control.thrift
@@ -26,21 +26,36 @@
   1: string instance,
   2: i64 revision,
   3: i32 hold_ms,
-  /** Lowest revision applied by the instance and those that watch it. */
+  /**
+   * Lowest revision on which the instance, or one that watches it directly or
+   * through others, may still act.
+   */
   4: i64 confirmed_revision,
+  /** Random number of the process; tells it from one before a restart. */
+  5: i32 start_id,
 }
 
 struct WatchReply {
   1: i64 revision,
-  /** Age of the freshness of this copy; negative when it is not fresh. */
+  /**
+   * Age of the freshness of this copy when the request arrived; negative when
+   * it is not fresh.
+   */
   2: i32 freshness_age_ms,
   3: list<Entry> entries,
   /** Whole state as JSON, in place of entries, when these were compacted. */
   4: binary snapshot,
+  /** Sent by a control instance that does not lead. */
+  5: optional string leader_address,
 }
 
 service Control {
   ProposeReply propose(1: ProposeRequest request)
     throws (1: common.NotLeader not_leader, 2: common.Unavailable unavailable),
   WatchReply watch(1: WatchRequest request),
+  /** Raises confirmed_revision while a watch of the same instance is held. */
+  void confirm(1: WatchRequest request),
+  /** Asks the leader; false when it is not in force within the time. */
+  bool in_force(1: i64 revision, 2: i32 hold_ms)
+    throws (1: common.NotLeader not_leader, 2: common.Unavailable unavailable),
 }
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -1,5 +1,7 @@
 """Framed compact protocol over a socket that counts bytes."""
 
+import logging
+
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
@@ -8,6 +10,8 @@
 
 # A larger frame is refused before it is read; snapshots travel in chunks.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Thrift logs each refused connection; callers report it as PeerCallError.
+logging.getLogger('thrift.transport.TSocket').setLevel(logging.CRITICAL)
 
 
 class CountingSocket(TSocket):
