--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -21,7 +21,7 @@
 from .operators import drains as drain_routes  # noqa: F401
 from .routing import links, router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
-from .wire import network, server  # noqa: F401
+from .wire import datagrams, network, server  # noqa: F401
 
 _LOG = logging.getLogger(__name__)
 _EXIT_SETTINGS = 2
