Let member commands wait for a change in progress

Cause: in one of four runs of the tests a removal right after a promotion was refused because the promotion was not committed yet; an operator would have met the same.

--- a/oleanderpin/control/members.py
+++ b/oleanderpin/control/members.py
@@ -66,7 +66,7 @@
         self._node.require_lease()
         identity = self._identity_at(address)
         with self._node.lock:
-            self._node.require_lease()
+            self._settle(timeout_s)
             members = self._node.state.log.members
             if identity.member_id in {each.member_id for each in members}:
                 return
@@ -86,7 +86,7 @@
             If this member does not lead or the change is not possible.
         """
         with self._node.lock:
-            self._node.require_lease()
+            self._settle(timeout_s)
             members = self._node.state.log.members
             removed = _find(name, members)
             if removed is None:
@@ -176,7 +176,6 @@
         return identity
 
     def _check_addition(self, address: str, members: Members) -> None:
-        self._check_no_change()
         others = [each for each in members if each.address != address]
         if len(others) >= MAX_MEMBERS:
             raise MemberProblem(
@@ -187,7 +186,6 @@
             )
 
     def _check_removal(self, removed: Member, rest: Members) -> None:
-        self._check_no_change()
         voters = [each for each in rest if each.is_voter]
         answering = sum(self._is_answering(each) for each in voters)
         if removed.is_voter and answering < majority(rest):
@@ -199,7 +197,16 @@
                 remedy='repair or remove the members that do not answer first',
             )
 
-    def _check_no_change(self) -> None:
+    def _settle(self, timeout_s: float) -> None:
+        """Wait until no member change, such as a promotion, is in progress."""
+        node = self._node
+        node.lock.wait_for(
+            lambda: (
+                node.state.role is not Role.LEADER or not self._is_changing()
+            ),
+            timeout_s,
+        )
+        node.require_lease()
         if self._is_changing():
             raise MemberProblem(
                 kind='conflict',
--- a/oleanderpin/control/raft_service.py
+++ b/oleanderpin/control/raft_service.py
@@ -21,7 +21,7 @@
 from .receiver import Receiver
 from .voting import Voting
 
-_CHANGE_TIMEOUT_S = 4.0
+_CHANGE_TIMEOUT_S = 3.0
 
 
 class RaftHandler:
--- a/oleanderpin/operators/members.py
+++ b/oleanderpin/operators/members.py
@@ -20,7 +20,7 @@
 from .admin import Admin, json_answer, read_model, routes
 
 _STATUS_TIMEOUT_S = 2.0
-_CHANGE_TIMEOUT_S = 6.0
+_CHANGE_TIMEOUT_S = 10.0
 
 
 class _Body(pydantic.BaseModel):
