Keep an instance fresh without its log, and never form a second group

Cause: (1) a control instance without a usable log, or removed from the group, followed no source of the control state and refused keyed requests. (2) First members that were all replaced and later started with empty disks formed a second group; a new test showed this, also with a check of live peers alone, because none are known right after the start.

Change: a control instance without a known leader follows the other configured members, and leaves a source that is not fresh itself (three places in distribution.py). A leader that was not heard from within election_timeout_max_s is not reported as known. Before it forms a group, a member asks the seeds and live control instances whether one exists. The role of an instance outside the members is shown as "no member", since it may have been added just now.

--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -7,6 +7,7 @@
 
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
+from ..membership.peers import Peers
 from ..wire.generated.common.ttypes import Unavailable
 from ..wire.generated.raft.ttypes import AdoptRequest, Envelope, IdentityReply
 from ..wire.network import PeerNetwork
@@ -69,6 +70,8 @@
     def _empty_members(self, addresses: list[str]) -> Members:
         """Return all members, or none unless all of them are empty."""
         members = []
+        if self._is_group_known():
+            return ()
         for address in addresses:
             identity = self._identity_at(address)
             if identity is None or identity.cluster_id:
@@ -79,6 +82,24 @@
             )
         return tuple(members)
 
+    def _is_group_known(self) -> bool:
+        """Return whether a seed or live instance belongs to a group.
+
+        ``initial_members`` may still name instances that were all replaced.
+        """
+        kernel = self._node.kernel
+        announced = [
+            peer.peer_address
+            for peer in kernel.plugin(Peers).alive()
+            if 'control' in peer.roles
+        ]
+        for address in {*kernel.settings.peers.seeds, *announced}:
+            identity = self._identity_at(address)
+            if identity is not None and identity.cluster_id:
+                EVENTS.labels('control', 'bootstrap_waits').inc()
+                return True
+        return False
+
     def _identity_at(self, address: str) -> IdentityReply | None:
         try:
             return self._network.call(
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -153,12 +153,17 @@
         is_complete = self._view.revision >= reply.revision
         if reply.freshness_age_ms >= 0 and is_complete:
             self._view.note_fresh(asked_s - reply.freshness_age_ms / 1000)
-        return not self.kernel.stopping.is_set()
+        # A source that is not fresh itself must not keep this instance.
+        is_fresh = reply.freshness_age_ms >= 0
+        return is_fresh and not self.kernel.stopping.is_set()
 
     def _sources(self) -> list[str]:
         if self.kernel.has(ControlLog):
             leadership = self.kernel.plugin(ControlLog).leadership()
-            is_known = leadership.leader_address and not leadership.is_self
-            return [leadership.leader_address] if is_known else []
+            if leadership.leader_address:
+                is_self = leadership.is_self
+                return [] if is_self else [leadership.leader_address]
         members = self.kernel.settings.control.initial_members
-        return [member.partition('=')[2] for member in members]
+        own_address = self.kernel.settings.listen.peer
+        addresses = [member.partition('=')[2] for member in members]
+        return [each for each in addresses if each != own_address]
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -111,8 +111,7 @@
 
     def leadership(self) -> Leadership:
         """Return who leads, with an empty address when that is unknown."""
-        node = self._node
-        address = node.state.leader_address if node is not None else ''
+        address = self._node.known_leader() if self._node is not None else ''
         own_address = self.kernel.settings.listen.peer
         return Leadership(address, is_self=address == own_address)
 
--- a/oleanderpin/control/members.py
+++ b/oleanderpin/control/members.py
@@ -270,7 +270,7 @@
             cluster_id=state.identity.cluster_id,
             role=_role_name(node),
             term=state.hard.term,
-            leader_address=state.leader_address,
+            leader_address=node.known_leader(),
             revision=state.applied_index,
             problem=str(state.failure or ''),
         )
@@ -284,6 +284,7 @@
         return 'leader'
     known = {each.member_id for each in state.log.members}
     if node.own_id not in known:
-        return 'removed'
+        # Just added and without the entry that adds it, or removed.
+        return 'no member'
     is_voter = node.own_id in voter_ids(state.log.members)
     return 'follower' if is_voter else 'learner'
--- a/oleanderpin/control/raft.py
+++ b/oleanderpin/control/raft.py
@@ -147,6 +147,18 @@
             lease_s = self.settings.leader_lease_s
             return self.now_s() < self.quorum_acked_s() + lease_s
 
+    def known_leader(self) -> str:
+        """Return the leader's address, empty when there is no recent one.
+
+        A removed member never hears of the next leader.
+        """
+        with self.lock:
+            state = self.state
+            limit_s = state.heard_s + self.settings.election_timeout_max_s
+            if state.role is Role.LEADER or self.now_s() < limit_s:
+                return state.leader_address
+            return ''
+
     def quorum_acked_s(self) -> float:
         """Return the latest time at which a majority followed this leader."""
         state = self.state
@@ -164,7 +176,7 @@
         """
         with self.lock:
             if self.state.role is not Role.LEADER:
-                raise NotLeader(leader_address=self.state.leader_address)
+                raise NotLeader(leader_address=self.known_leader())
             if not self.has_lease():
                 raise Unavailable(
                     problem='the leader has no lease at present',
--- a/oleanderpin/tests/control/test_log.py
+++ b/oleanderpin/tests/control/test_log.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ...control.change import Outcome
+from ...core.metrics import EVENTS
 from ...core.http import HttpRequest
 from ...operators.admin import Admin
 from ...wire.generated.common.ttypes import NotLeader, Unavailable
@@ -57,6 +58,8 @@
     assert group.leader(among=others(group, failed)) != failed
     answer = group.change(2, through=others(group, failed)[0])
     assert answer.kind == 'ok'
+    # Without its log the instance still serves as an entry instance.
+    wait_until('fresh', lambda: group.view(failed).is_fresh())
     group.stop(failed)
     group.start(failed)
     wait_until('ready', lambda: readiness(group, failed) == 200)
@@ -209,3 +212,30 @@
         members.remove(healthy, timeout_s=10)
     members.remove(lost, timeout_s=10)
     assert group.change(1).kind == 'ok'
+
+
+def test_wiped_first_members_form_no_second_group(group: Group) -> None:
+    """Guards against settings that still name replaced members."""
+    leader = group.leader()
+    group.start('c3')
+    group.log(leader).members.add(group.address('c3'), timeout_s=10)
+    for name in ('c0', 'c1', 'c2'):
+        wait_until(
+            'c3 is a voter',
+            lambda: (
+                group.log('c3').own_member().role
+                not in {'learner', 'waiting to be added'}
+            ),
+        )
+        log = group.log(group.leader())
+        log.members.remove(name, timeout_s=10)
+    wait_until('c3 leads alone', lambda: group.log('c3').has_lease())
+    for name in ('c0', 'c1', 'c2'):
+        group.stop(name)
+        shutil.rmtree(group.folder / name)
+    group.start('c0', 'c1', 'c2')
+    waits = EVENTS.labels('control', 'bootstrap_waits')
+    seen = waits._value.get()
+    wait_until('bootstrap tried', lambda: waits._value.get() > seen + 5)
+    roles = {group.log(name).own_member().role for name in ('c0', 'c1', 'c2')}
+    assert roles == {'waiting to be added'}
