--- /dev/null
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -0,0 +1,238 @@
+"""Freshness, confirmations and the order of revisions."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ... import daemon  # noqa: F401  registers all plug-ins
+from ...control.authority import Authority
+from ...control.change import Change
+from ...control.confirmations import Confirmations, WatcherId
+from ...control.distribution import Distribution
+from ...control.log import ControlLog
+from ...control.sources import relays, sources
+from ...control.state import Service
+from ...control.view import ControlView
+from ...core.errors import Refusal
+from ...core.kernel import Kernel
+from ...membership.peers import Peer
+from ...testing.clock import ManualClock
+from ...testing.fleet import build_fleet
+from ...wire.generated.control.ttypes import WatchRequest
+from ...wire.server import PeerServer
+
+LIMIT_S = 6.0
+KEY_HASH = 'a' * 64
+
+
+class Chain:
+    """Leader, two relays in a row and a last instance, on a manual clock."""
+
+    def __init__(self, data_dir: str) -> None:
+        self.clock = ManualClock()
+        self.kernels = build_fleet(
+            ['north-a', 'north-a', 'north-a', 'north-a'],
+            data_dir=data_dir,
+            clock=self.clock,
+        )
+        for kernel in self.kernels:
+            kernel.plugin(PeerServer).start()
+        self.kernels[0].plugin(ControlLog).start()
+        # Ages are rounded up to milliseconds.
+        self.clock.advance(0.1)
+
+    def view(self, number: int) -> ControlView:
+        return self.kernels[number].plugin(ControlView)
+
+    def distribution(self, number: int) -> Distribution:
+        return self.kernels[number].plugin(Distribution)
+
+    def watch(self, number: int) -> None:
+        """Let an instance watch the one before it once."""
+        source = self.kernels[number - 1].settings.listen.peer
+        self.distribution(number).follower.watch_once(source, hold_s=0)
+
+    def change(self, command: str, **arguments: Any) -> int:
+        change = Change(
+            request_id=f'request-{self.view(0).revision}',
+            command=command,
+            arguments=arguments,
+        )
+        return self.distribution(0).propose(change).revision
+
+    def stop(self) -> None:
+        for kernel in self.kernels:
+            kernel.stopping.set()
+            kernel.plugin(PeerServer).stop()
+
+
+@pytest.fixture
+def chain(tmp_path: Path) -> Iterator[Chain]:
+    built = Chain(str(tmp_path))
+    yield built
+    built.stop()
+
+
+def test_freshness_is_not_passed_on_as_younger_than_it_is(
+    chain: Chain,
+) -> None:
+    """Guards against authority that outlives the leader's word for it."""
+    confirmed_s = chain.clock.now_s()
+    for number in (1, 2, 3):
+        chain.watch(number)
+        age_s = chain.view(number).freshness_age_s()
+        assert age_s >= chain.clock.now_s() - confirmed_s
+        chain.clock.advance(1.5)
+    # A relay that hears nothing new cannot renew the freshness of others.
+    chain.watch(3)
+    assert chain.view(3).freshness_age_s() >= 4.5
+    chain.clock.advance(LIMIT_S - 4.5)
+    chain.watch(3)
+    assert not chain.view(3).is_fresh()
+
+
+def test_time_in_a_held_watch_does_not_make_freshness_younger(
+    chain: Chain,
+) -> None:
+    """Guards against counting from the answer instead of the question."""
+    chain.watch(1)
+    relay = chain.distribution(1)
+    view = chain.view(1)
+
+    def hold(revision: int, *, timeout_s: float) -> bool:
+        chain.clock.advance(1.0)
+        chain.watch(1)
+        return False
+
+    chain.clock.advance(2.0)
+    view.wait_for = hold  # type: ignore[method-assign]
+    request = WatchRequest('i2', 0, 1000, 0, 1)
+    reply = relay.watch_here(request)
+    # The relay became fresh after the request, so the watcher may count
+    # from when it asked, and not from later.
+    assert reply.freshness_age_ms == 0
+
+
+def test_revoked_key_stops_working_on_a_cut_off_instance(
+    chain: Chain,
+) -> None:
+    """Guards against a revoked key that works for as long as a partition."""
+    chain.change('profile.put', name='counter')
+    chain.change('account.put', name='shop', rate_per_s=1, burst=1)
+    chain.change('service.put', name='desk', profile='counter')
+    chain.change('key.add', key_hash=KEY_HASH, account='shop')
+    chain.watch(1)
+    authority = chain.kernels[1].plugin(Authority)
+    service: Service = chain.view(1).state.services['desk']
+    assert authority.check(key_hash=KEY_HASH, service=service).name == 'shop'
+    revision = chain.change('key.revoke', key_hash=KEY_HASH)
+    # The instance hears nothing of the change.
+    chain.clock.advance(LIMIT_S)
+    with pytest.raises(Refusal) as refused:
+        authority.check(key_hash=KEY_HASH, service=service)
+    assert refused.value.reason == 'no_fresh_authority'
+    chain.clock.advance(0.2)
+    assert chain.distribution(0).wait_in_force(revision, timeout_s=0)
+
+
+def test_in_force_waits_for_an_instance_behind_a_relay(chain: Chain) -> None:
+    """Guards against `in_force` while an instance uses the old state."""
+    distribution = chain.distribution(0)
+    chain.clock.advance(LIMIT_S)
+    distribution.confirmations.begin_leadership(is_first=True)
+    for number in (1, 2):
+        chain.watch(number)
+    revision = chain.change('profile.put', name='counter')
+    assert not distribution.wait_in_force(revision, timeout_s=0.1)
+    chain.watch(1)
+    chain.watch(1)
+    # The relay has applied the change, its watcher has not.
+    assert not distribution.wait_in_force(revision, timeout_s=0.1)
+    chain.watch(2)
+    chain.watch(2)
+    chain.watch(1)
+    assert distribution.wait_in_force(revision, timeout_s=5)
+
+
+def test_in_force_ends_by_time_for_a_dead_instance(chain: Chain) -> None:
+    """Guards against a change that waits for an instance that is gone."""
+    distribution = chain.distribution(0)
+    distribution.confirmations.begin_leadership(is_first=True)
+    chain.watch(1)
+    revision = chain.change('profile.put', name='counter')
+    chain.clock.advance(LIMIT_S - 0.1)
+    assert not distribution.wait_in_force(revision, timeout_s=0.1)
+    chain.clock.advance(0.3)
+    assert distribution.wait_in_force(revision, timeout_s=5)
+
+
+def test_confirmations_after_a_change_of_leader_count_late() -> None:
+    """Guards against a new leader that does not know the old one's watchers."""
+    clock = ManualClock()
+    confirmations = Confirmations(clock, freshness_limit_s=LIMIT_S)
+    assert not confirmations.wait(1, 1, 0)
+    confirmations.begin_leadership(is_first=False)
+    clock.advance(LIMIT_S)
+    assert not confirmations.wait(1, 1, 0)
+    clock.advance(1)
+    assert confirmations.wait(1, 1, 0)
+
+
+def test_restarted_relay_does_not_confirm_for_its_former_watchers() -> None:
+    """Guards against `in_force` while watchers of a dead relay are fresh."""
+    clock = ManualClock()
+    confirmations = Confirmations(clock, freshness_limit_s=LIMIT_S)
+    confirmations.begin_leadership(is_first=True)
+    confirmations.note_grant(WatcherId('relay', 1), 3)
+    confirmations.note_grant(WatcherId('relay', 2), 3)
+    confirmations.confirm(WatcherId('relay', 2), 4)
+    assert not confirmations.wait(4, 4, 0)
+    clock.advance(LIMIT_S + 1)
+    assert confirmations.wait(4, 4, 0)
+
+
+def test_older_state_is_never_installed(chain: Chain) -> None:
+    """Guards against a lagging source that brings back a revoked key."""
+    chain.change('profile.put', name='counter')
+    older = chain.view(0).snapshot()
+    chain.change('profile.put', name='other')
+    chain.watch(1)
+    assert not chain.view(1).install(older)
+    assert chain.view(1).revision == 2
+
+
+def test_freshness_from_before_the_start_is_not_taken(chain: Chain) -> None:
+    """Guards against a restarted instance that acts on an older revision."""
+    chain.watch(1)
+    chain.clock.advance(1.0)
+    restarted: Kernel = build_fleet(['north-a'], clock=chain.clock)[0]
+    source = chain.kernels[1].settings.listen.peer
+    follower = restarted.plugin(Distribution).follower
+    follower.watch_once(source, hold_s=0)
+    assert not restarted.plugin(ControlView).is_fresh()
+    chain.clock.advance(0.1)
+    chain.watch(1)
+    follower.watch_once(source, hold_s=0)
+    assert restarted.plugin(ControlView).is_fresh()
+
+
+def peer(name: str, domain: str, **changes: Any) -> Peer:
+    return Peer(name, 'r', domain, 's', '', '', f'at-{name}', 1, **changes)
+
+
+def test_relays_watch_control_and_others_watch_relays() -> None:
+    """Guards against all instances watching the leader."""
+    peers = [peer(f'a{number}', 'a') for number in range(6)]
+    peers += [peer(f'b{number}', 'b') for number in range(3)]
+    chosen = {each.name for each in relays('a', peers)}
+    assert len(chosen) == 2
+    near = {f'at-{name}' for name in chosen}
+    for each in peers[:6]:
+        first = sources(each, peers, ['leader'])[0]
+        assert first == 'leader' if each.name in chosen else first in near
+    gone = [each for each in peers if each.name not in chosen]
+    assert len(relays('a', gone)) == 2
+    draining = [peer('c', 'c', draining=True), peer('d', 'c')]
+    assert [each.name for each in relays('c', draining)] == ['d']
