Report sources, watchers and missing instances in the status

Cause: GET /v1/status did not tell why a copy ages or who is missing. A test covers the fallback when no relay responds.

--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -5,6 +5,7 @@
 TCP and UDP, without headers.
 """
 
+import logging
 import os
 import statistics
 import sys
@@ -108,6 +109,7 @@
 
 def main() -> int:
     """Print the figures."""
+    logging.disable()
     with tempfile.TemporaryDirectory() as folder:
         kernels = start(_SIZE, os.path.join(folder, 'main'))
         print(measure_idle(kernels), flush=True)
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -148,10 +148,11 @@
                 self._kernel.wait_while_running(_LEADER_INTERVAL_S)
             else:
                 self._confirmations.end_leadership()
-                self._follow_step()
+                self.follow_step()
             was_leading = leads
 
-    def _follow_step(self) -> None:
+    def follow_step(self) -> None:
+        """Watch the preferred source once; avoid it if it does not serve."""
         known = self.ordered_sources()
         if not known:
             self._kernel.wait_while_running(_RETRY_PAUSE_S)
@@ -177,8 +178,9 @@
         try:
             reply = self.watch_once(address, hold_s=hold_s)
         except UnavailableError as error:
-            EVENTS.labels('control', 'watch_failed').inc()
-            _LOG.warning('watch failed: %s', error)
+            if not self._kernel.stopping.is_set():
+                EVENTS.labels('control', 'watch_failed').inc()
+                _LOG.warning('watch failed: %s', error)
             return False
         if reply.leader_address:
             self._hinted_leader = reply.leader_address
--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -23,6 +23,7 @@
 from ..core.http import HttpAnswer, HttpListener, HttpRequest
 from ..core.plugin import Plugin, plugins
 from ..core.registry import Registry
+from ..membership.members import Status
 from ..membership.peers import Peers
 from ..targets.table import Announcement, Departure, TargetTable
 
@@ -175,14 +176,24 @@
 @routes.register('GET /v1/status')
 def _get_status(admin: Admin, _request: HttpRequest) -> HttpAnswer:
     view = admin.kernel.plugin(ControlView)
-    peers = admin.kernel.plugin(Peers).alive()
+    peers = admin.kernel.plugin(Peers)
+    distribution = admin.kernel.plugin(Distribution)
+    settings = admin.kernel.settings
     return json_answer(
         {
-            'instance': admin.kernel.settings.instance.name,
+            'instance': settings.instance.name,
             'revision': view.revision,
             'is_fresh': view.is_fresh(),
             'freshness_age_s': min(view.freshness_age_s(), 1e9),
-            'instances': [_as_document(peer) for peer in peers],
+            'freshness_limit_s': settings.control.freshness_limit_s,
+            'watches': distribution.follower.source,
+            'watchers': distribution.confirmations.watchers(),
+            'instances': [_as_document(peer) for peer in peers.alive()],
+            'missing': [
+                {'name': member.info.name, 'status': member.status.name}
+                for member in peers.table.members()
+                if member.status is not Status.alive
+            ],
         }
     )
 
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -17,9 +17,10 @@
 from ...control.view import ControlView
 from ...core.errors import Refusal
 from ...core.kernel import Kernel
-from ...membership.peers import Peer
+from ...membership.members import as_alive
+from ...membership.peers import Peer, Peers
 from ...testing.clock import ManualClock
-from ...testing.fleet import build_fleet
+from ...testing.fleet import LinkFaults, build_fleet
 from ...wire.generated.control.ttypes import WatchRequest
 from ...wire.server import PeerServer
 
@@ -218,6 +219,34 @@
     assert restarted.plugin(ControlView).is_fresh()
 
 
+def test_fallback_when_no_relay_responds(chain: Chain) -> None:
+    """Guards against an instance that loses authority with its relays."""
+    for kernel in chain.kernels:
+        for other in chain.kernels:
+            own = other.plugin(Peers).table.own
+            kernel.plugin(Peers).table.merge(as_alive(own))
+    alive = chain.kernels[0].plugin(Peers).alive()
+    chosen = {each.name for each in relays('north-a', alive)}
+    leaf = next(
+        each
+        for each in chain.kernels[1:]
+        if each.settings.instance.name not in chosen
+    )
+    cut = [
+        each for each in chain.kernels if each.settings.instance.name in chosen
+    ]
+    LinkFaults(leaf).cut(*cut)
+    leader = chain.kernels[0].settings.listen.peer
+    for kernel in chain.kernels[1:]:
+        if kernel is not leaf:
+            follower = kernel.plugin(Distribution).follower
+            follower.watch_once(leader, hold_s=0)
+    assert not leaf.plugin(ControlView).is_fresh()
+    for _step in range(len(chosen) + 1):
+        leaf.plugin(Distribution).follower.follow_step()
+    assert leaf.plugin(ControlView).is_fresh()
+
+
 def peer(name: str, domain: str, **changes: Any) -> Peer:
     return Peer(name, 'r', domain, 's', '', '', f'at-{name}', 1, **changes)
 
