Announce drains at once and cache the live instances

Cause: plug-ins drain in turn, the membership last, so a drain was announced only when it was over; an instance that left refuted the echo of its own leave; each call of alive() built one object per instance.

Change: the probing thread announces a drain within one interval, a leaving instance does not refute, and alive() is kept until the table changes. The benchmark retries when a free port was taken meanwhile.

--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -37,6 +37,7 @@
 _SETTLE_S = 20.0
 _MEASURE_S = 10.0
 _FRESH_TIMEOUT_S = 60.0
+_ATTEMPTS = 10
 
 
 def sent_bytes() -> float:
@@ -47,9 +48,7 @@
 def start(size: int, folder: str) -> list[Kernel]:
     """Start ``size`` instances and wait until all are fresh."""
     places = [_DOMAINS[number % len(_DOMAINS)] for number in range(size)]
-    kernels = build_fleet(places, data_dir=folder)
-    for kernel in kernels:
-        kernel.start()
+    kernels = _start_on_free_ports(places, folder)
     end_s = time.monotonic() + _FRESH_TIMEOUT_S
     while not all(each.plugin(ControlView).is_fresh() for each in kernels):
         if time.monotonic() > end_s:
@@ -58,6 +57,20 @@
     return kernels
 
 
+def _start_on_free_ports(places: list[str], folder: str) -> list[Kernel]:
+    # A port found free may be taken by an outgoing connection meanwhile.
+    for _attempt in range(_ATTEMPTS):
+        kernels = build_fleet(places, data_dir=folder)
+        try:
+            for kernel in kernels:
+                kernel.start()
+        except OSError:
+            stop(kernels)
+        else:
+            return kernels
+    raise RuntimeError('no free ports found')
+
+
 def stop(kernels: list[Kernel]) -> None:
     """Stop all instances."""
     for kernel in kernels:
@@ -108,14 +121,16 @@
 
 
 def main() -> int:
-    """Print the figures."""
+    """Print the figures; sizes may be given as arguments."""
+    sizes = [int(argument) for argument in sys.argv[1:]]
     logging.disable()
     with tempfile.TemporaryDirectory() as folder:
-        kernels = start(_SIZE, os.path.join(folder, 'main'))
-        print(measure_idle(kernels), flush=True)
-        print(measure_changes(kernels), flush=True)
-        stop(kernels)
-        for size in _SLOPE_SIZES:
+        if not sizes:
+            kernels = start(_SIZE, os.path.join(folder, 'main'))
+            print(measure_idle(kernels), flush=True)
+            print(measure_changes(kernels), flush=True)
+            stop(kernels)
+        for size in sizes or _SLOPE_SIZES:
             kernels = start(size, os.path.join(folder, str(size)))
             print(measure_idle(kernels), flush=True)
             stop(kernels)
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -128,19 +128,12 @@
         Unavailable
             If no leader could be reached from here.
         """
-        if self.kernel.has(ControlLog):
-            log = self.kernel.plugin(ControlLog)
-            return log.propose(request.payload, timeout_s=_PROPOSE_TIMEOUT_S)
-        if request.hops >= _MAX_HOPS:
-            raise NotLeader(leader_address='')
-        request.hops += 1
         try:
-            reply = self._ask_leader(request)
+            return self._append_or_forward(request)
         except UnavailableError as error:
             raise Unavailable(
                 problem=error.problem, maybe_applied=error.maybe_applied
             ) from error
-        return Outcome.decode(reply.payload)
 
     def wait_in_force(self, revision: int, *, timeout_s: float) -> bool:
         """Wait until no instance can use a state older than ``revision``.
@@ -239,6 +232,16 @@
     def _note_state(self, _state: ControlState) -> None:
         self.confirmations.note_commit(self._view.revision)
 
+    def _append_or_forward(self, request: ProposeRequest) -> Outcome:
+        if self.kernel.has(ControlLog):
+            log = self.kernel.plugin(ControlLog)
+            return log.propose(request.payload, timeout_s=_PROPOSE_TIMEOUT_S)
+        if request.hops >= _MAX_HOPS:
+            raise NotLeader(leader_address='')
+        request.hops += 1
+        reply = self._ask_leader(request)
+        return Outcome.decode(reply.payload)
+
     def _propose_once(self, request: ProposeRequest) -> ProposeReply:
         try:
             return self._ask_leader(request)
--- a/oleanderpin/membership/members.py
+++ b/oleanderpin/membership/members.py
@@ -76,6 +76,9 @@
         self._lock = threading.RLock()
         self._members: dict[str, Member] = {}
         self._rumours: dict[str, _Rumour] = {}
+        self._is_leaving = False
+        # Changes with the table, so that what is derived from it can be kept.
+        self.version = 0
         self.announce_own()
 
     def members(self) -> list[Member]:
@@ -102,6 +105,11 @@
                 self.own.incarnation += 1
             self._spread(self.own_update())
 
+    def leave(self) -> None:
+        """Stop refuting: the news that this instance leaves comes back."""
+        with self._lock:
+            self._is_leaving = True
+
     def own_update(self, status: Status = Status.alive) -> MemberUpdate:
         """Return the update that describes this instance."""
         return MemberUpdate(
@@ -234,12 +242,13 @@
         if spread:
             self._spread(_as_update(member))
         else:
+            self.version += 1
             # An older rumour about this member would be passed on otherwise.
             self._rumours.pop(member.info.name, None)
 
     def _refute(self, update: MemberUpdate) -> bool:
         order = _order(update)
-        if order <= (self.own.incarnation, Status.alive):
+        if self._is_leaving or order <= (self.own.incarnation, Status.alive):
             return False
         self.own.incarnation = update.incarnation + 1
         EVENTS.labels('membership', 'refuted').inc()
@@ -247,6 +256,7 @@
         return True
 
     def _spread(self, update: MemberUpdate) -> None:
+        self.version += 1
         count = len(self._members) + 2
         sends = _RETRANSMIT_FACTOR * math.ceil(math.log2(count))
         self._rumours[update.name] = _Rumour(encode(update), sends)
--- a/oleanderpin/membership/peers.py
+++ b/oleanderpin/membership/peers.py
@@ -17,6 +17,9 @@
 from .probing import Prober
 
 
+_Cached = tuple[tuple[int, bool], tuple['Peer', ...]]
+
+
 @dataclass(frozen=True, slots=True)
 class Peer:
     """A live instance."""
@@ -63,6 +66,7 @@
             clock=kernel.clock,
             suspect_timeout_s=kernel.settings.peers.suspect_timeout_s,
         )
+        self._cached: _Cached = ((-1, False), ())
         gossip = Gossip(kernel, self.table)
         self.prober = Prober(kernel, self.table, gossip)
         kernel.plugin(PeerServer).register(
@@ -74,29 +78,33 @@
         """Start the probing thread."""
         self.prober.start()
 
-    def drain(self, *, deadline_s: float) -> None:
-        """Announce that this instance drains."""
-        self.table.announce_own(draining=True)
-        self.prober.notify(Status.alive)
-
     def stop(self) -> None:
         """Announce that this instance leaves."""
+        self.table.leave()
         self.prober.notify(Status.left)
 
     def own(self) -> Peer:
         """Return this instance as its peers see it."""
-        return replace(
-            _as_peer(self.table.own), draining=self.kernel.draining.is_set()
-        )
+        return self.alive()[0]
 
     def alive(self) -> tuple[Peer, ...]:
         """Return the live instances that are not suspected, this one first."""
+        # Look-ups ask on each request, so the answer is kept until it changes.
+        state = (self.table.version, self.kernel.draining.is_set())
+        cached_state, peers = self._cached
+        if state != cached_state:
+            peers = self._find_alive(is_draining=state[1])
+            self._cached = (state, peers)
+        return peers
+
+    def _find_alive(self, *, is_draining: bool) -> tuple[Peer, ...]:
+        own = replace(_as_peer(self.table.own), draining=is_draining)
         others = [
             _as_peer(member.info)
             for member in self.table.members()
             if member.status is Status.alive
         ]
-        return (self.own(), *others)
+        return (own, *others)
 
 
 def _own_info(settings: Any) -> PeerInfo:
--- a/oleanderpin/membership/probing.py
+++ b/oleanderpin/membership/probing.py
@@ -66,6 +66,7 @@
         for number in itertools.count():
             started_s = time.monotonic()
             self._table.expire()
+            self._announce_drain()
             self._sync_when_due()
             if number % _RECONNECT_EVERY == 0:
                 self._reconnect()
@@ -109,6 +110,14 @@
             self._table.suspect(member.info.name)
             self._gossip.notify_suspicion(self._some(), member.info.name)
 
+    def _announce_drain(self) -> None:
+        # Plug-ins drain in turn, each waiting for its work to finish, so the
+        # announcement does not wait for the turn of the membership.
+        is_draining = self._kernel.draining.is_set()
+        if is_draining and not self._table.own.draining:
+            self._table.announce_own(draining=True)
+            self.notify(Status.alive)
+
     def _ping_over_tcp(self, address: str) -> bool:
         try:
             reply = self._network.call(
--- a/oleanderpin/tests/membership/test_members.py
+++ b/oleanderpin/tests/membership/test_members.py
@@ -98,6 +98,15 @@
     assert restarted.own.incarnation == 51
 
 
+def test_leaving_instance_does_not_refute_its_own_leave() -> None:
+    """Guards against an instance that is listed again after it has left."""
+    anna = table('a', ManualClock())
+    anna.leave()
+    echo = MemberUpdate(name='a', incarnation=1, status=int(Status.left))
+    assert not anna.merge(echo)
+    assert anna.own.incarnation == 1
+
+
 def test_updates_in_one_datagram_are_bounded() -> None:
     """Guards against datagrams that are fragmented after a mass failure."""
     anna = table('a', ManualClock())
