Return empty burst at once and renew less often

Cause: a share that ran low renewed as fast as the gap between renewals allowed, 7.7 times a second per holder, because the ledger may grant less than the reserve that the holder compared with. After a burst, a holder kept the empty burst until its next regular renewal. Bursts of 35 were refused because only 32 requests could wait.

Change: low is measured against what was granted, renewals for low shares are 0.2 s apart, and those for waiting requests start 10 ms late so that one burst asks once. Burst beyond 1.5 times its use is given back at once. Three quarters of the caller threads are waiting places; while the leader is unreachable, a request waits only if the share itself earns. Running totals no longer reach a division by zero through rounding; the property test found that.

--- a/oleanderpin/limits/bucket.py
+++ b/oleanderpin/limits/bucket.py
@@ -13,6 +13,8 @@
 _IDLE_S = 0.4
 # Below this part of the reserve an early renewal is due.
 _LOW_PART = 0.4
+# Burst beyond this multiple of its use is given back at once.
+_EXCESS_FACTOR = 1.5
 # Permits asked for beyond those in use, so that shares grow ahead of need.
 _PERMIT_HEADROOM = 1.25
 
@@ -78,7 +80,14 @@
             return True
         if self.is_permit:
             return self.in_use > 0 and self.in_use + 1 > self.burst
-        return self.tokens < self.reserve * _LOW_PART
+        # The ledger may grant less than the reserve that was asked for.
+        return self.tokens < min(self.reserve, self.burst) * _LOW_PART
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether much of the burst stands empty after a peak."""
+        used = max(self.tokens, self.reserve + self.waiting, 1.0)
+        return not self.is_permit and self.burst > used * _EXCESS_FACTOR
 
     def report(self, resource: str, now_s: float) -> Holding:
         """Give back burst that stands empty and describe the rest.
@@ -86,11 +95,7 @@
         Empty burst is of use only in the pool, where it can be filled.
         """
         demand_per_s = self._demand_per_s(now_s)
-        expected = demand_per_s * _RESERVE_S
-        self.reserve = 0.0
-        if demand_per_s > 0:
-            deviation = _RESERVE_DEVIATIONS * math.sqrt(expected)
-            self.reserve = 1 + expected + deviation
+        self.reserve = _reserve(demand_per_s)
         if self.is_permit:
             return self._report_permits(resource)
         keep = max(self.tokens, self.reserve + self.waiting)
@@ -146,3 +151,10 @@
         self.given = grant.given
         self.tokens = min(tokens, self.burst)
         self.returned += tokens - self.tokens
+
+
+def _reserve(demand_per_s: float) -> float:
+    if demand_per_s <= 0:
+        return 0.0
+    expected = demand_per_s * _RESERVE_S
+    return 1 + expected + _RESERVE_DEVIATIONS * math.sqrt(expected)
--- a/oleanderpin/limits/holder.py
+++ b/oleanderpin/limits/holder.py
@@ -91,11 +91,12 @@
         with self._lock:
             return self._bucket(resource).is_low
 
-    def is_any_low(self) -> bool:
-        """Return whether a resource is low that may not be exhausted."""
+    def is_renewal_urgent(self) -> bool:
+        """Return whether units are needed here, or idle and needed there."""
         with self._lock:
             return any(
-                bucket.is_low and not bucket.is_exhausted
+                bucket.has_excess
+                or (bucket.waiting and not bucket.is_exhausted)
                 for bucket in self._buckets.values()
             )
 
--- a/oleanderpin/limits/ledger.py
+++ b/oleanderpin/limits/ledger.py
@@ -135,7 +135,8 @@
     def lent(self, resource: str) -> Whole:
         """Return the most that holders may hold of a resource."""
         self._expire(self._clock.now_s())
-        return self._pools[resource].lent
+        pool = self._pools[resource]
+        return Whole(pool.lent_per_s, pool.lent_burst)
 
     def tokens(self, resource: str) -> float:
         """Return the tokens that are not lent."""
--- a/oleanderpin/limits/pool.py
+++ b/oleanderpin/limits/pool.py
@@ -43,7 +43,8 @@
     whole: Whole
     now_s: float
     tokens: float = 0.0
-    lent: Whole = Whole(0, 0)
+    lent_per_s: float = 0.0
+    lent_burst: float = 0.0
     demand_per_s: float = 0.0
     steady_demand_per_s: float = 0.0
     wanted_burst: float = 0.0
@@ -51,34 +52,37 @@
     shares: dict[int, Share] = field(default_factory=dict)
 
     @property
-    def free(self) -> Whole:
-        """What is not lent."""
-        return Whole(
-            max(0.0, self.whole.rate_per_s - self.lent.rate_per_s),
-            max(0.0, self.whole.burst - self.lent.burst),
-        )
+    def free_per_s(self) -> float:
+        """Rate that is not lent."""
+        return max(0.0, self.whole.rate_per_s - self.lent_per_s)
+
+    @property
+    def free_burst(self) -> float:
+        """Burst that is not lent."""
+        return max(0.0, self.whole.burst - self.lent_burst)
 
     @property
     def is_exhausted(self) -> bool:
         """Whether nothing is left to give and demand reaches the rate."""
         limit = self.whole.rate_per_s * _EXHAUSTED_PART
         if self.whole.rate_per_s == 0:
-            return self.free.burst < 1
+            return self.free_burst < 1
         return self.tokens < 1 and self.steady_demand_per_s >= limit
 
     def refill(self, now_s: float) -> None:
         """Add the tokens that the unlent rate earned until ``now_s``."""
-        elapsed_s = max(0.0, now_s - self.now_s)
-        self.now_s = max(self.now_s, now_s)
-        earned = elapsed_s * self.free.rate_per_s
-        self.put_tokens(earned)
+        elapsed_s = now_s - self.now_s
+        if elapsed_s <= 0:
+            return
+        self.now_s = now_s
+        self.put_tokens(elapsed_s * self.free_per_s)
         weight = math.exp(-elapsed_s / _DEMAND_TIME_CONSTANT_S)
         change_per_s = self.steady_demand_per_s - self.demand_per_s
         self.steady_demand_per_s = self.demand_per_s + change_per_s * weight
 
     def put_tokens(self, tokens: float) -> None:
         """Add tokens as far as the unlent burst has room for them."""
-        self.tokens = min(self.free.burst, self.tokens + tokens)
+        self.tokens = min(self.free_burst, self.tokens + tokens)
 
     def replace_whole(self, whole: Whole) -> None:
         """Change the whole; what is lent follows with the next grants."""
@@ -87,13 +91,12 @@
 
     def count(self, share: Share, rate_per_s: float, burst: float) -> None:
         """Count ``share`` with a new rate and burst."""
-        self.lent = Whole(
-            self.lent.rate_per_s + rate_per_s - share.rate_per_s,
-            self.lent.burst + burst - share.burst,
-        )
+        self.lent_per_s += rate_per_s - share.rate_per_s
         share.rate_per_s = rate_per_s
-        share.burst = burst
-        self.put_tokens(0)
+        if burst != share.burst:
+            self.lent_burst += burst - share.burst
+            share.burst = burst
+            self.put_tokens(0)
 
     def note_demand(
         self,
@@ -119,10 +122,8 @@
         """
         self.shares.pop(lease_id, None)
         shares = self.shares.values()
-        self.lent = Whole(
-            sum(share.rate_per_s for share in shares),
-            sum(share.burst for share in shares),
-        )
+        self.lent_per_s = sum(share.rate_per_s for share in shares)
+        self.lent_burst = sum(share.burst for share in shares)
         self.demand_per_s = sum(share.demand_per_s for share in shares)
         self.wanted_burst = sum(share.wanted_burst for share in shares)
         self.reserve = sum(share.reserve for share in shares)
@@ -131,7 +132,9 @@
         """Return what the holder should have, in proportion to demand."""
         rate_per_s = 0.0
         if share.demand_per_s > 0:
-            scale = self.whole.rate_per_s / self.demand_per_s
+            # Rounding can leave a running total below one of its parts.
+            total = max(self.demand_per_s, share.demand_per_s)
+            scale = self.whole.rate_per_s / total
             rate_per_s = share.demand_per_s * min(_HEADROOM, scale)
         base = (
             self.whole.burst
@@ -146,12 +149,15 @@
         if not share.wanted_burst and not share.reserve:
             return 0.0
         whole = self.whole.burst
-        reserved = min(self.reserve, whole * _RESERVE_PART)
+        reserved = min(max(0.0, self.reserve), whole * _RESERVE_PART)
         wanted = 0.0
         if share.reserve > 0:
-            wanted += share.reserve * reserved / self.reserve
+            wanted += (
+                share.reserve * reserved / max(self.reserve, share.reserve)
+            )
         if share.wanted_burst > 0:
-            scale = min(1.0, (whole - reserved) / self.wanted_burst)
+            total = max(self.wanted_burst, share.wanted_burst)
+            scale = min(1.0, (whole - reserved) / total)
             wanted += share.wanted_burst * scale
         if self.whole.rate_per_s == 0:
             # A part of a permit is of no use to anyone.
@@ -161,9 +167,8 @@
 
     def grow(self, share: Share, target: Whole) -> Whole:
         """Lend up to ``target`` with tokens; return what is granted."""
-        free = self.free
-        rate_per_s = min(target.rate_per_s, share.rate_per_s + free.rate_per_s)
-        burst = min(target.burst, share.burst + free.burst)
+        rate_per_s = min(target.rate_per_s, share.rate_per_s + self.free_per_s)
+        burst = min(target.burst, share.burst + self.free_burst)
         if burst < 1:
             burst = min(burst, share.burst)
         # Tokens in transit must fit beside all that the holder may hold.
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -21,8 +21,12 @@
 _LOG = logging.getLogger(__name__)
 _CALL_TIMEOUT_S = 1.0
 _LEAVE_TIMEOUT_S = 0.5
-# Early renewals are at least this far apart.
+# Renewals for waiting requests are at least this far apart.
 EARLY_GAP_S = 0.05
+# Renewals for shares that run low are at least this far apart.
+LOW_GAP_S = 0.2
+# Requests of one burst arrive within this time; they ask together.
+COLLECT_S = 0.01
 # How long the leader's answer that it has nothing to give holds.
 EXHAUSTED_VALID_S = 0.25
 
@@ -78,13 +82,15 @@
             incarnation=kernel.plugin(Peers).own().incarnation,
             lease_s=kernel.settings.limits.lease_s,
         )
-        # Waiting requests occupy threads of the caller listener; those of one
-        # resource may occupy half of them.
-        places = kernel.settings.forwarding.threads // 2
+        # Waiting requests occupy threads of the caller listener. Half of them
+        # was too few for bursts of 35 requests at one instance.
+        places = kernel.settings.forwarding.threads * 3 // 4
         self._queues: defaultdict[str, _Queue] = defaultdict(
             lambda: _Queue(places)
         )
         self._is_due = threading.Event()
+        self._renewed_s = float('-inf')
+        self._is_cut_off = False
         self._accounts: Mapping[str, Account] = {}
         self._thread = threading.Thread(
             target=self._renew_loop, name='share-renewal', daemon=True
@@ -127,10 +133,13 @@
         queue = self._queues[resource]
         if queue.is_empty() and self._holder.take(resource):
             if self._holder.is_low(resource):
-                self._is_due.set()
+                self._renew_if_old()
             return 'ok'
         if self._is_exhausted(resource):
             return 'exhausted'
+        if self._is_cut_off and self._holder.next_unit_s(resource) is None:
+            # Waiting would only hold a thread.
+            return 'timeout'
         event = queue.enter()
         if event is None:
             return 'crowded'
@@ -202,7 +211,8 @@
     def _renew_loop(self) -> None:
         interval_s = 0.0
         while not self.kernel.stopping.is_set():
-            self._is_due.wait(interval_s)
+            if self._is_due.wait(interval_s):
+                self.kernel.wait_while_running(COLLECT_S)
             self._is_due.clear()
             self._track_accounts()
             self._renew()
@@ -210,11 +220,16 @@
                 interval_s = self._interval_s()
 
     def _interval_s(self) -> float:
-        if self._holder.is_any_low():
+        if self._holder.is_renewal_urgent():
             return 0.0
         return self.kernel.settings.limits.renew_interval_s - EARLY_GAP_S
 
+    def _renew_if_old(self) -> None:
+        if self.kernel.clock.now_s() - self._renewed_s > LOW_GAP_S:
+            self._is_due.set()
+
     def _renew(self, *, is_leaving: bool = False) -> None:
+        self._renewed_s = self.kernel.clock.now_s()
         renewal = self._holder.request(is_leaving=is_leaving)
         try:
             reply = self._leader.call(
@@ -224,9 +239,11 @@
                 timeout_s=_LEAVE_TIMEOUT_S if is_leaving else _CALL_TIMEOUT_S,
             )
         except UnavailableError as error:
+            self._is_cut_off = True
             EVENTS.labels('limits', 'renewal_failed').inc()
             _LOG.info('shares not renewed: %s', error)
             return
+        self._is_cut_off = False
         EVENTS.labels('limits', 'renewed').inc()
         if self._holder.apply(decode_grants(reply)):
             for queue in list(self._queues.values()):
--- a/oleanderpin/tests/limits/test_ledger.py
+++ b/oleanderpin/tests/limits/test_ledger.py
@@ -10,6 +10,7 @@
 from ...limits.holder import Holder
 from ...limits.ledger import Ledger
 from ...limits.messages import Grants, Renewal, Whole
+from ...limits.pool import Pool, Share
 from ...testing import ManualClock
 
 LEASE_S = 4.0
@@ -321,6 +322,18 @@
     assert fleet.holders[0].held(ACCOUNT)[1] <= burst
 
 
+def test_rounding_of_totals_does_not_stop_grants() -> None:
+    """Guards against a division by a total that rounding made zero."""
+    pool = Pool(RATE, 0.0, tokens=RATE.burst)
+    large, small = Share(), Share()
+    for share, amount in ((large, 1e17), (small, 1.0), (large, 0.0)):
+        pool.note_demand(
+            share, demand_per_s=amount, wanted_burst=amount, reserve=amount
+        )
+    assert pool.wanted_burst == 0
+    assert pool.target(small).burst >= 1
+
+
 def test_change_of_the_account_reaches_holders(fleet: Fleet) -> None:
     for _step in range(20):
         fleet.clock.advance(0.1)
