Serve an account that starts to wait before those that wait already

Cause: an account with few requests waited for a turn of every other account, at the end of the rotation: 10 ms at the median.

Change: it has its first turn before the others and then keeps its place among them until a turn finds its line empty.

--- a/oleanderpin/limits/round_robin.py
+++ b/oleanderpin/limits/round_robin.py
@@ -1,7 +1,7 @@
 """Deficit round robin over the waiting requests of client accounts."""
 
 import threading
-from collections import OrderedDict, deque
+from collections import deque
 from dataclasses import dataclass, field
 
 # Weight of the last request in an account's mean duration.
@@ -59,13 +59,20 @@
 
 
 class RoundRobin:
-    """Waiting requests, served in turn by account in shares of slot time."""
+    """Waiting requests, served in turn by account in shares of slot time.
+
+    An account that starts to wait has its first turn before those that wait
+    already. It then takes its place among them, also when its line is empty
+    meanwhile, so that it cannot be first again at once.
+    """
 
     def __init__(self, durations: Durations) -> None:
         """Start empty."""
         self._durations = durations
-        self._lines: OrderedDict[str, deque[Waiter]] = OrderedDict()
+        self._lines: dict[str, deque[Waiter]] = {}
         self._deficits: dict[str, float] = {}
+        self._new: deque[str] = deque()
+        self._old: deque[str] = deque()
         self._length = 0
 
     def __len__(self) -> int:
@@ -80,39 +87,40 @@
         """Add a request at the end of its account's line."""
         if waiter.account not in self._lines:
             self._lines[waiter.account] = deque()
-            # Served at its first turn, after the accounts that wait already.
             self._deficits[waiter.account] = 1.0
+            self._new.append(waiter.account)
         self._lines[waiter.account].append(waiter)
         self._length += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Take out a request that stopped waiting, if it is still here."""
-        line = self._lines.get(waiter.account)
-        if line is not None and waiter in line:
-            line.remove(waiter)
+        line = self._lines.get(waiter.account, ())
+        if waiter in line:
+            self._lines[waiter.account].remove(waiter)
             self._length -= 1
-            self._forget_if_empty(waiter.account)
 
     def pop(self, now_s: float) -> Waiter | None:
         """Return the next request; those past their deadline are dropped."""
-        while self._lines:
-            account, line = next(iter(self._lines.items()))
+        while self._length:
+            turn = self._new or self._old
+            account = turn[0]
+            line = self._lines[account]
+            while line and line[0].deadline_s <= now_s:
+                line.popleft()
+                self._length -= 1
             cost = self._durations.cost(account)
-            if self._deficits[account] < cost:
-                self._deficits[account] += 1
-                self._lines.move_to_end(account)
-                continue
-            waiter = line.popleft()
-            self._length -= 1
-            is_late = waiter.deadline_s <= now_s
-            if not is_late:
+            if line and self._deficits[account] >= cost:
                 self._deficits[account] -= cost
-            self._forget_if_empty(account)
-            if not is_late:
-                return waiter
+                self._length -= 1
+                return line.popleft()
+            turn.popleft()
+            self._end_turn(account, was_new=turn is self._new)
         return None
 
-    def _forget_if_empty(self, account: str) -> None:
-        if not self._lines[account]:
+    def _end_turn(self, account: str, *, was_new: bool) -> None:
+        if self._lines[account] or was_new:
+            self._deficits[account] += 1
+            self._old.append(account)
+        else:
             self._lines.pop(account)
             self._deficits.pop(account)
--- a/oleanderpin/tests/limits/test_fair_queue.py
+++ b/oleanderpin/tests/limits/test_fair_queue.py
@@ -33,6 +33,18 @@
     assert line.pop(NOW_S) is None
 
 
+def test_newcomer_is_served_first_but_not_twice() -> None:
+    """Guards against a wait behind all lines, and against jumping them."""
+    line = RoundRobin(Durations())
+    for account in ('large', 'other', 'large', 'other', 'large'):
+        line.push(Waiter(account, NOW_S + 1))
+    served = [line.pop(NOW_S).account for _each in range(2)]
+    for _each in range(2):
+        line.push(Waiter('quiet', NOW_S + 1))
+        served.append(line.pop(NOW_S).account)
+    assert served == ['large', 'other', 'quiet', 'large']
+
+
 def test_long_requests_cost_more() -> None:
     """Guards against an account that takes the slot time by long requests."""
     durations = Durations()
