Do not call an account over its rate while the ledger recovers

Cause: after a leader change nothing grows for one lease time. A request that waited in vain in that time got 429 over_rate although its account may have been within its rate. Two threads that met at the first request of an account could also get different waiting queues.

Change: the answer tells that the ledger recovers; such requests are refused with no_rate_share, which names other instances. Queues are created once.

Conclusion: over_rate now means that the leader had nothing to give.

--- a/oleanderpin/limits/bucket.py
+++ b/oleanderpin/limits/bucket.py
@@ -143,15 +143,13 @@
         self.burst = max(min(self.burst, wanted), self.in_use)
         return Holding(resource, burst=self.burst, wanted_burst=wanted)
 
-    def apply(self, grant: Grant, *, now_s: float, is_adopted: bool) -> None:
+    def apply(self, grant: Grant, *, is_adopted: bool) -> None:
         """Use what the ledger granted from now on.
 
         Parameters
         ----------
         grant : Grant
             The ledger's grant.
-        now_s : float
-            Monotonic time.
         is_adopted : bool
             Whether the ledger continues a claim; nothing grows then.
         """
@@ -163,7 +161,6 @@
         self.rate_per_s = rate_per_s
         self.burst = max(burst, self.in_use)
         self.is_exhausted = grant.is_exhausted
-        self.answered_s = now_s
         # The ledger counts anew when a resource was given up in between.
         tokens = self.tokens + max(0.0, grant.given - self.given)
         self.given = grant.given
--- a/oleanderpin/limits/codec.py
+++ b/oleanderpin/limits/codec.py
@@ -60,6 +60,7 @@
         lease_id=grants.lease_id,
         sequence=grants.sequence,
         is_adopted=grants.is_adopted,
+        is_recovering=grants.is_recovering,
         grants=[
             wire.Grant(
                 resource=grant.resource,
@@ -81,6 +82,7 @@
         reply.lease_id,
         reply.sequence,
         is_adopted=reply.is_adopted,
+        is_recovering=reply.is_recovering,
         grants=tuple(
             Grant(
                 grant.resource,
--- a/oleanderpin/limits/holder.py
+++ b/oleanderpin/limits/holder.py
@@ -115,7 +115,7 @@
             return self._now_s - bucket.answered_s
 
     def answered_s(self, resource: str) -> float:
-        """Return when the ledger last answered about ``resource``."""
+        """Return when the ledger last gave what it had of ``resource``."""
         with self._lock:
             return self._bucket(resource).answered_s
 
@@ -201,7 +201,9 @@
                     self._skip(grant)
                     continue
                 bucket.refill(now_s)
-                bucket.apply(grant, now_s=now_s, is_adopted=grants.is_adopted)
+                bucket.apply(grant, is_adopted=grants.is_adopted)
+                if not grants.is_recovering:
+                    bucket.answered_s = now_s
             self._forget_sent(grants.number)
             return True
 
--- a/oleanderpin/limits/ledger.py
+++ b/oleanderpin/limits/ledger.py
@@ -192,6 +192,7 @@
             lease.lease_id,
             lease.sequence,
             is_adopted=lease.is_adopted and not step.is_joined,
+            is_recovering=step.is_recovering,
             grants=grants,
         )
 
--- a/oleanderpin/limits/messages.py
+++ b/oleanderpin/limits/messages.py
@@ -74,6 +74,7 @@
     ``sequence`` 0 marks an answer to an outdated request, to be ignored.
     ``is_adopted`` tells that the lease continues what the holder claimed
     from an earlier ledger; otherwise a new ``lease_id`` starts from nothing.
+    ``is_recovering`` tells that nothing grows yet after a leader change.
     """
 
     incarnation: int
@@ -81,4 +82,5 @@
     lease_id: int
     sequence: int
     is_adopted: bool = False
+    is_recovering: bool = False
     grants: tuple[Grant, ...] = ()
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any, Literal
@@ -84,10 +84,8 @@
         )
         # Waiting requests occupy threads of the caller listener. Half of them
         # was too few for bursts of 35 requests at one instance.
-        places = kernel.settings.forwarding.threads * 3 // 4
-        self._queues: defaultdict[str, _Queue] = defaultdict(
-            lambda: _Queue(places)
-        )
+        self._places = kernel.settings.forwarding.threads * 3 // 4
+        self._queues: dict[str, _Queue] = {}
         self._is_due = threading.Event()
         self._renewed_s = float('-inf')
         self._is_cut_off = False
@@ -130,7 +128,7 @@
             ``timeout``.
         """
         self._holder.note_arrival(resource)
-        queue = self._queues[resource]
+        queue = self._queue(resource)
         if queue.is_empty() and self._holder.take(resource):
             if self._holder.is_low(resource):
                 self._renew_if_old()
@@ -184,12 +182,12 @@
             yield
         finally:
             self._holder.give_back(resource)
-            self._queues[resource].wake_first()
+            self._queue(resource).wake_first()
 
     def _wait(
         self, resource: str, event: threading.Event, deadline_s: float
     ) -> AcquireResult:
-        queue = self._queues[resource]
+        queue = self._queue(resource)
         while not self.kernel.stopping.is_set():
             is_first = queue.is_first(event)
             if is_first and self._holder.take(resource):
@@ -204,6 +202,13 @@
             event.clear()
         return 'timeout'
 
+    def _queue(self, resource: str) -> _Queue:
+        queue = self._queues.get(resource)
+        if queue is None:
+            # Threads that meet here must get the same queue.
+            queue = self._queues.setdefault(resource, _Queue(self._places))
+        return queue
+
     def _is_exhausted(self, resource: str) -> bool:
         age_s = self._holder.exhausted_age_s(resource)
         return age_s is not None and age_s < EXHAUSTED_VALID_S
--- a/oleanderpin/tests/limits/test_limiter.py
+++ b/oleanderpin/tests/limits/test_limiter.py
@@ -139,6 +139,17 @@
     assert caught.value.details.suggest_instances
 
 
+def test_recovering_ledger_is_not_called_over_rate(
+    instance: Instance,
+) -> None:
+    """Guards against 429 for accounts in rate after a leader change."""
+    instance.put(SHOP)
+    instance.shares.start()
+    with pytest.raises(Refusal) as caught:
+        instance.admit(0.3)
+    assert caught.value.reason == 'no_rate_share'
+
+
 def test_unobserved_lead_starts_a_new_ledger(instance: Instance) -> None:
     """Guards against a ledger that another leader has replaced meanwhile."""
     instance.recover()
--- a/oleanderpin/wire/shares.thrift
+++ b/oleanderpin/wire/shares.thrift
@@ -42,6 +42,8 @@
   4: i64 sequence,
   5: bool is_adopted,
   6: list<Grant> grants,
+  /** Nothing grows yet after a leader change. */
+  7: bool is_recovering,
 }
 
 service Shares {
