--- a/oleanderpin/limits/bucket.py
+++ b/oleanderpin/limits/bucket.py
@@ -8,11 +8,27 @@
 
 # Demand covered by the bucket between two renewals and their round trip.
 _RESERVE_S = 0.3
-_RESERVE_DEVIATIONS = 2.0
+_RESERVE_DEVIATIONS = 3.0
+# A full share gives its rate back after this long without requests.
+_IDLE_S = 0.4
 # Below this part of the reserve an early renewal is due.
 _LOW_PART = 0.4
+# Burst beyond this multiple of its use is given back at once.
+_EXCESS_FACTOR = 1.5
 # Permits asked for beyond those in use, so that shares grow ahead of need.
 _PERMIT_HEADROOM = 1.25
+# The rate follows a caller that moves to another instance.
+_RATE_TIME_CONSTANT_S = 0.7
+# The reserve is not raised by a single burst, which the pool can serve.
+_RESERVE_TIME_CONSTANT_S = 2.0
+
+
+def _rate_demand() -> DemandEstimator:
+    return DemandEstimator(time_constant_s=_RATE_TIME_CONSTANT_S)
+
+
+def _reserve_demand() -> DemandEstimator:
+    return DemandEstimator(time_constant_s=_RESERVE_TIME_CONSTANT_S)
 
 
 @dataclass(slots=True)
@@ -37,7 +53,13 @@
     reserve: float = 0.0
     is_exhausted: bool = False
     answered_s: float = float('-inf')
-    demand: DemandEstimator = field(default_factory=DemandEstimator)
+    demand: DemandEstimator = field(default_factory=_rate_demand)
+    usual_demand: DemandEstimator = field(default_factory=_reserve_demand)
+
+    def note_arrival(self, now_s: float) -> None:
+        """Count a request that needs a unit."""
+        self.demand.note_arrival(now_s)
+        self.usual_demand.note_arrival(now_s)
 
     def drop(self) -> None:
         """Hold nothing, because the lease ended."""
@@ -76,24 +98,27 @@
             return True
         if self.is_permit:
             return self.in_use > 0 and self.in_use + 1 > self.burst
-        return self.tokens < self.reserve * _LOW_PART
+        # The ledger may grant less than the reserve that was asked for.
+        return self.tokens < min(self.reserve, self.burst) * _LOW_PART
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether much of the burst stands empty after a peak."""
+        used = max(self.tokens, self.reserve + self.waiting, 1.0)
+        return not self.is_permit and self.burst > used * _EXCESS_FACTOR
 
     def report(self, resource: str, now_s: float) -> Holding:
         """Give back burst that stands empty and describe the rest.
 
         Empty burst is of use only in the pool, where it can be filled.
         """
-        demand_per_s = self.demand.rate_per_s(now_s)
-        expected = demand_per_s * _RESERVE_S
-        self.reserve = 0.0
-        if demand_per_s > 0:
-            deviation = _RESERVE_DEVIATIONS * math.sqrt(expected)
-            self.reserve = 1 + expected + deviation
+        demand_per_s = self._demand_per_s(now_s)
+        self.reserve = _reserve(self.usual_demand.rate_per_s(now_s))
         if self.is_permit:
             return self._report_permits(resource)
-        self.reserve += self.waiting
-        self.burst = min(self.burst, max(self.tokens, self.reserve))
-        wanted = self.reserve + self.burst - self.tokens
+        keep = max(self.tokens, self.reserve + self.waiting)
+        self.burst = min(self.burst, keep)
+        wanted = self.waiting + self.burst - self.tokens
         return Holding(
             resource,
             rate_per_s=self.rate_per_s,
@@ -101,8 +126,16 @@
             returned=self.returned,
             demand_per_s=demand_per_s,
             wanted_burst=wanted if self.reserve else 0.0,
+            reserve=self.reserve,
         )
 
+    def _demand_per_s(self, now_s: float) -> float:
+        demand_per_s = self.demand.rate_per_s(now_s)
+        is_full = self.tokens >= self.burst
+        is_idle = self.demand.idle_s(now_s) > _IDLE_S
+        # A full bucket wastes its rate, which another instance may need.
+        return 0.0 if is_full and is_idle else demand_per_s
+
     def _report_permits(self, resource: str) -> Holding:
         wanted = float(self.in_use + self.waiting)
         if wanted:
@@ -110,15 +143,13 @@
         self.burst = max(min(self.burst, wanted), self.in_use)
         return Holding(resource, burst=self.burst, wanted_burst=wanted)
 
-    def apply(self, grant: Grant, *, now_s: float, is_adopted: bool) -> None:
+    def apply(self, grant: Grant, *, is_adopted: bool) -> None:
         """Use what the ledger granted from now on.
 
         Parameters
         ----------
         grant : Grant
             The ledger's grant.
-        now_s : float
-            Monotonic time.
         is_adopted : bool
             Whether the ledger continues a claim; nothing grows then.
         """
@@ -130,9 +161,15 @@
         self.rate_per_s = rate_per_s
         self.burst = max(burst, self.in_use)
         self.is_exhausted = grant.is_exhausted
-        self.answered_s = now_s
         # The ledger counts anew when a resource was given up in between.
         tokens = self.tokens + max(0.0, grant.given - self.given)
         self.given = grant.given
         self.tokens = min(tokens, self.burst)
         self.returned += tokens - self.tokens
+
+
+def _reserve(demand_per_s: float) -> float:
+    if demand_per_s <= 0:
+        return 0.0
+    expected = demand_per_s * _RESERVE_S
+    return 1 + expected + _RESERVE_DEVIATIONS * math.sqrt(expected)
--- a/oleanderpin/limits/holder.py
+++ b/oleanderpin/limits/holder.py
@@ -65,7 +65,7 @@
     def note_arrival(self, resource: str) -> None:
         """Count a request that needs a unit, for the demand."""
         with self._lock:
-            self._bucket(resource).demand.note_arrival(self._tick())
+            self._bucket(resource).note_arrival(self._tick())
 
     def take(self, resource: str) -> bool:
         """Take one unit; return whether there was one."""
@@ -91,11 +91,12 @@
         with self._lock:
             return self._bucket(resource).is_low
 
-    def is_any_low(self) -> bool:
-        """Return whether a resource is low that may not be exhausted."""
+    def is_renewal_urgent(self) -> bool:
+        """Return whether units are needed here, or idle and needed there."""
         with self._lock:
             return any(
-                bucket.is_low and not bucket.is_exhausted
+                bucket.has_excess
+                or (bucket.waiting and not bucket.is_exhausted)
                 for bucket in self._buckets.values()
             )
 
@@ -113,6 +114,11 @@
                 return None
             return self._now_s - bucket.answered_s
 
+    def answered_s(self, resource: str) -> float:
+        """Return when the ledger last gave what it had of ``resource``."""
+        with self._lock:
+            return self._bucket(resource).answered_s
+
     def next_unit_s(self, resource: str) -> float | None:
         """Return the seconds until the share itself earns a unit.
 
@@ -195,7 +201,9 @@
                     self._skip(grant)
                     continue
                 bucket.refill(now_s)
-                bucket.apply(grant, now_s=now_s, is_adopted=grants.is_adopted)
+                bucket.apply(grant, is_adopted=grants.is_adopted)
+                if not grants.is_recovering:
+                    bucket.answered_s = now_s
             self._forget_sent(grants.number)
             return True
 
--- a/oleanderpin/wire/shares.thrift
+++ b/oleanderpin/wire/shares.thrift
@@ -11,6 +11,7 @@
   4: optional double returned,
   5: optional double demand_per_s,
   6: optional double wanted_burst,
+  7: optional double reserve,
 }
 
 struct RenewRequest {
@@ -41,6 +42,8 @@
   4: i64 sequence,
   5: bool is_adopted,
   6: list<Grant> grants,
+  /** Nothing grows yet after a leader change. */
+  7: bool is_recovering,
 }
 
 service Shares {
