Try targets that refuse connections last

Cause: after the loss of a failure domain most refused requests had tried three dead targets in turn, until the announcements lapsed after 3 s.

Change: a target that refused a connection is passed over for 1 s unless nothing else stands in the way.

--- a/oleanderpin/routing/choice.py
+++ b/oleanderpin/routing/choice.py
@@ -60,6 +60,9 @@
             choice = self._pick_far(tiers.far)
             if choice is not None:
                 return choice
+            candidate = self._last_resort(tiers.near)
+            if candidate is not None and not self.obstacles:
+                return Choice(candidate)
         return None
 
     def _pick_far(self, far: list[Candidate]) -> Choice | None:
@@ -89,6 +92,17 @@
             return self._better(drawn)
         return self._scan(pool)
 
+    def _last_resort(self, pool: list[Candidate]) -> Candidate | None:
+        """Return a target that refused a connection a moment ago.
+
+        It is tried only when nothing else stands in the way: a request that
+        can wait for a busy target should not use up its attempts here.
+        """
+        for candidate in pool:
+            if self._state(candidate) == 'unreachable':
+                return candidate
+        return None
+
     def _draw(self, pool: list[Candidate]) -> list[Candidate]:
         drawn: list[Candidate] = []
         draws = 0
@@ -131,6 +145,8 @@
             return 'full'
         if not self._is_allowed(candidate):
             return 'blocked'
+        if not candidate.evidence.is_reachable(self.now_s):
+            return 'unreachable'
         return 'ready' if self._passes_ramp(candidate) else 'cold'
 
     def _raise_for(self, candidate: Candidate) -> Candidate | None:
--- a/oleanderpin/routing/evidence.py
+++ b/oleanderpin/routing/evidence.py
@@ -13,6 +13,9 @@
 # Targets announce every second; a report that was not renewed for two
 # announcements no longer describes the target.
 _REPORT_LIMIT_S = 2.0
+# A target that refused a connection is tried again after this time, unless
+# nothing else can take the request.
+_UNREACHABLE_S = 1.0
 _OVERLOAD_RESULTS = frozenset(('shed', 'timeout'))
 _FAILURE_RESULTS = frozenset(
     ('target_error', 'no_connection', 'timeout', 'reset')
@@ -38,6 +41,7 @@
         '_latency_ms',
         '_measured_s',
         '_reported_s',
+        '_unreachable_until_s',
         'in_flight',
         'limit',
         'target',
@@ -55,6 +59,7 @@
         self._failures = 0.0
         self._failed_s = now_s
         self._reported_s = now_s
+        self._unreachable_until_s = float('-inf')
 
     def note_announcement(self, target: Target, *, now_s: float) -> None:
         """Take over an announcement; an unchanged one only grows older."""
@@ -77,6 +82,13 @@
             self._failed_s = now_s
         elif outcome.result == 'ok':
             self._failures = 0.0
+            self._unreachable_until_s = float('-inf')
+        if outcome.result == 'no_connection':
+            self._unreachable_until_s = now_s + _UNREACHABLE_S
+
+    def is_reachable(self, now_s: float) -> bool:
+        """Return whether no connection was refused within the last second."""
+        return now_s >= self._unreachable_until_s
 
     def failures(self, now_s: float) -> float:
         """Return the recent failures, decayed."""
--- a/oleanderpin/tests/routing/test_router.py
+++ b/oleanderpin/tests/routing/test_router.py
@@ -177,3 +177,24 @@
     held = [router.choose(fleet.world.service, route='r') for _ in range(40)]
     counts = Counter(each.target.address for each in held)
     assert counts[slow] <= 40 / 4 + 5
+
+
+def test_dead_targets_are_tried_last() -> None:
+    """Guards against attempts that only meet targets of a lost domain."""
+    fleet = Fleet(shift_cap_percent=100)
+    router = fleet.routers['north-a']
+    dead = {'north-a-0', 'north-a-1'}
+    wasted = 0
+    for _each in range(100):
+        with router.choose(fleet.world.service, route='r') as selection:
+            is_dead = selection.target.address in dead
+            wasted += is_dead
+            result = 'no_connection' if is_dead else 'ok'
+            selection.record(AttemptOutcome(result, 10.0))
+    assert wasted == len(dead)
+    tried = ['north-b-0', 'north-b-1', 'south-a-0', 'south-a-1']
+    tried += ['south-b-0', 'south-b-1']
+    with router.choose(
+        fleet.world.service, route='r', exclude=tried
+    ) as selection:
+        assert selection.target.address in dead
