--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -1,112 +1,25 @@
-"""HTTP listeners on cheroot, with strict reading of headers."""
+"""HTTP listeners on cheroot, with strict reading of requests."""
 
-import re
+import logging
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from cheroot.server import Gateway, HeaderReader, HTTPRequest, HTTPServer
+from cheroot.server import Gateway
 
-from .errors import ValidationError
+from .errors import Refusal, ValidationError
+from .http_head import Header, bad_request
+from .http_server import CallerServer
+from .http_stream import Body, StreamError
 from .metrics import EVENTS
 
-_TOKEN = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
-_BAD_VALUE = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
-_SINGLE = frozenset(
-    (
-        b'authorization',
-        b'content-length',
-        b'host',
-        b'idempotency-key',
-        b'transfer-encoding',
-        b'x-request-deadline-ms',
-    )
-)
-_SOCKET_TIMEOUT_S = 10
-_REASONS = {
-    200: 'OK',
-    202: 'Accepted',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    403: 'Forbidden',
-    404: 'Not Found',
-    409: 'Conflict',
-    413: 'Content Too Large',
-    429: 'Too Many Requests',
-    500: 'Internal Server Error',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
-
-Header = tuple[str, str]
-
-
-class StrictHeaderReader(HeaderReader):
-    """Reads headers in order and refuses ambiguous ones."""
-
-    def __init__(self) -> None:
-        """Start without headers."""
-        self.headers: list[Header] = []
-
-    def __call__(
-        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
-    ) -> dict[bytes, bytes]:
-        """Read one block of headers.
-
-        Raises
-        ------
-        ValueError
-            If a line is malformed or a single-valued header is repeated.
-        """
-        headers: dict[bytes, bytes] = {} if hdict is None else hdict
-        self.headers = []
-        while True:
-            line = rfile.readline()
-            if line == b'\r\n':
-                return headers
-            name, header_value = _parse_line(line)
-            self._keep(headers, name, header_value)
-
-    def _keep(
-        self, headers: dict[bytes, bytes], name: bytes, header_value: bytes
-    ) -> None:
-        title = name.title()
-        if title in headers:
-            if name.lower() in _SINGLE:
-                raise ValueError(f'repeated header {name!r}')
-            headers[title] = b', '.join((headers[title], header_value))
-        else:
-            headers[title] = header_value
-        self.headers.append(
-            (
-                name.decode('latin-1'),
-                header_value.decode('latin-1'),
-            )
-        )
-
-
-class _Request(HTTPRequest):
-    """A cheroot request whose header reader keeps the order of headers."""
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.header_reader = StrictHeaderReader()
-
-    def read_request_headers(self) -> bool:
-        """Read the headers, refusing a body with two framings."""
-        if not super().read_request_headers():
-            return False
-        if b'Content-Length' in self.inheaders and (
-            b'Transfer-Encoding' in self.inheaders
-        ):
-            self.simple_response(
-                '400 Bad Request',
-                'Content-Length and Transfer-Encoding exclude each other',
-            )
-            return False
-        return True
+_LOG = logging.getLogger(__name__)
+_DRAIN_POLL_S = 0.05
+# Idle connections and the listener are closed only after this quiet time, so
+# that requests on their way are still taken.
+_QUIET_S = 0.2
 
 
 @dataclass(slots=True)
@@ -118,15 +31,16 @@
     method : str
         Method in upper case.
     path : str
-        Path without query.
+        Path without query, as sent (percent-encoded).
     query : str
         Query string without ``?``.
     headers : list of (str, str)
         Headers in order, names as sent.
     client_ip : str
         Address of the caller.
-    raw : HTTPRequest
-        The cheroot request, for reading the body and writing the answer.
+    raw : ParsedRequest
+        The request on its connection, for reading the body and writing the
+        answer.
     """
 
     method: str
@@ -144,15 +58,25 @@
                 return header_value
         return None
 
+    def open_body(self) -> Body:
+        """Return the body as a stream."""
+        body: Body = self.raw.open_body()
+        return body
+
     def read_body(self, *, limit_bytes: int) -> bytes:
         """Return the whole body.
 
         Raises
         ------
         ValidationError
-            If it is longer than ``limit_bytes``.
+            If it is longer than ``limit_bytes`` or malformed.
         """
-        body: bytes = self.raw.rfile.read(limit_bytes + 1)
+        try:
+            body = self.open_body().read_up_to(limit_bytes + 1)
+        except StreamError as error:
+            raise ValidationError(
+                f'malformed body: {error}', remedy='send the whole body'
+            ) from error
         if len(body) > limit_bytes:
             raise ValidationError(
                 f'body is longer than {limit_bytes} bytes',
@@ -175,13 +99,13 @@
 
 
 def send_head(raw: Any, status: int, headers: Iterable[Header]) -> None:
-    """Set the status line and headers of the answer."""
-    reason = _REASONS.get(status, 'Unknown')
-    raw.status = f'{status} {reason}'.encode('latin-1')
-    raw.outheaders = [
-        (name.encode('latin-1'), header_value.encode('latin-1'))
-        for name, header_value in headers
-    ]
+    """Set the status line and headers of the answer.
+
+    They are sent with the first bytes of the body. Without Content-Length
+    the body is sent in chunks.
+    """
+    raw.set_head(status, list(headers))
+    raw.ensure_headers_sent()
 
 
 def send_answer(raw: Any, answer: HttpAnswer) -> None:
@@ -192,9 +116,7 @@
         *answer.headers,
     ]
     send_head(raw, answer.status, headers)
-    raw.ensure_headers_sent()
-    if answer.body and raw.method != b'HEAD':
-        raw.write(answer.body)
+    raw.write(b'' if raw.method == b'HEAD' else answer.body)
 
 
 class HttpListener:
@@ -220,20 +142,17 @@
         threads: int,
         max_header_bytes: int,
     ) -> None:
-        """Bind the address."""
+        """Prepare the server; `start` binds the address."""
         host, port = address.split(':')
-        self._server = HTTPServer(
+        self._server = CallerServer(
             (host, int(port)),
             gateway=_gateway_class(handler),
             minthreads=threads,
             maxthreads=threads,
             server_name='oleanderpin',
         )
-        self._server.ConnectionClass.RequestHandlerClass = _Request
         self._server.max_request_header_size = max_header_bytes
-        self._server.timeout = _SOCKET_TIMEOUT_S
-        self._server.request_queue_size = 512
-        setattr(self._server, 'error_log', _count_error)  # noqa: B010
+        setattr(self._server, 'error_log', _log_error)  # noqa: B010
         self._thread = threading.Thread(
             target=self._server.serve, name=f'http-{port}', daemon=True
         )
@@ -249,45 +168,86 @@
         self._server.prepare()
         self._thread.start()
 
+    def drain(self) -> None:
+        """Answer ``Connection: close`` from now on."""
+        self._server.is_draining = True
+
+    def wait_idle(self, *, timeout_s: float) -> bool:
+        """Wait until no request is in progress.
+
+        Returns
+        -------
+        bool
+            Whether that happened within ``timeout_s`` seconds.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        quiet_since_s: float | None = None
+        while True:
+            now_s = time.monotonic()
+            if now_s >= deadline_s:
+                return self._is_idle()
+            if not self._is_idle():
+                quiet_since_s = None
+            elif quiet_since_s is None:
+                quiet_since_s = now_s
+            elif now_s - quiet_since_s >= _QUIET_S:
+                return True
+            time.sleep(_DRAIN_POLL_S)
+
     def stop(self) -> None:
-        """Finish requests in progress and close the listener."""
+        """Close the listener and all connections."""
         self._server.stop()
 
+    def _is_idle(self) -> bool:
+        server = self._server
+        is_served = server.activity.wait_idle(0)
+        return is_served and not (
+            server.requests.qsize or server.has_partial_requests()
+        )
+
 
 def _gateway_class(handler: Handler) -> type[Gateway]:
     class HandlerGateway(Gateway):  # noqa: WPS431 - cheroot takes a class
         def respond(self) -> None:
-            answer = handler(_http_request(self.req))
+            raw = self.req
+            try:
+                answer = handler(_http_request(raw))
+            except Refusal as refusal:
+                raw.refuse(refusal)
+                return
+            except StreamError as error:
+                _refuse_body(raw, error)
+                return
             if answer is not None:
-                send_answer(self.req, answer)
+                send_answer(raw, answer)
 
     return HandlerGateway
 
 
+def _refuse_body(raw: Any, error: StreamError) -> None:
+    if raw.sent_headers:
+        raise error
+    raw.refuse(
+        bad_request(
+            'malformed_body',
+            str(error),
+            remedy='send the body as its framing announces',
+        )
+    )
+
+
 def _http_request(raw: Any) -> HttpRequest:
     return HttpRequest(
-        method=raw.method.decode('latin-1'),
+        method=raw.head.method,
         path=raw.path.decode('latin-1'),
-        query=(raw.qs or b'').decode('latin-1'),
-        headers=raw.header_reader.headers,
+        query=raw.qs.decode('latin-1'),
+        headers=raw.head.headers.items,
         client_ip=raw.conn.remote_addr,
         raw=raw,
     )
 
 
-def _parse_line(line: bytes) -> tuple[bytes, bytes]:
-    if not line.endswith(b'\r\n'):
-        raise ValueError('header line without CRLF')
-    name, separator, header_value = line[:-2].partition(b':')
-    if not separator or not _TOKEN.match(name):
-        raise ValueError(f'malformed header line {line[:40]!r}')
-    header_value = header_value.strip(b' \t')
-    if _BAD_VALUE.search(header_value):
-        raise ValueError(f'control character in header {name!r}')
-    return name, header_value
-
-
-def _count_error(
-    msg: str = '', level: int = 20, traceback: bool = False
-) -> None:
+def _log_error(msg: str = '', level: int = 20, traceback: bool = False) -> None:
     EVENTS.labels('http', 'connection_error').inc()
+    if traceback:
+        _LOG.error('HTTP server error: %s', msg, exc_info=True)
--- /dev/null
+++ b/oleanderpin/core/http_server.py
@@ -0,0 +1,172 @@
+"""A cheroot server whose worker threads never wait for a slow head."""
+
+import re
+import resource
+import time
+from typing import Any
+
+from cheroot import connections
+from cheroot.server import HTTPServer
+
+from .http_head import bad_request
+from .http_connection import Activity, CallerConnection
+from .metrics import EVENTS
+
+# Time for a request's head and small body, and for idle connections.
+REQUEST_TIMEOUT_S = 10.0
+_MAX_CONNECTIONS = 4096
+_SMALL_BODY_BYTES = 65536
+_DISCARD_BYTES = 65536
+_CONTENT_LENGTH = re.compile(
+    rb'\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n', re.IGNORECASE
+)
+_EXPECT = re.compile(rb'\nexpect:', re.IGNORECASE)
+
+
+class _Connections(connections.ConnectionManager):
+    """Idle connections and those whose next request is incomplete."""
+
+    _selector: Any
+
+    def snapshot(self) -> list[Any]:
+        """Return the connections that no worker holds."""
+        return [
+            conn
+            for _descriptor, conn in self._selector.connections
+            if conn is not self.server
+        ]
+
+    def count(self) -> int:
+        """Return how many connections no worker holds."""
+        return len(self._selector) - 1
+
+    def put_partial(self, conn: CallerConnection) -> None:
+        """Wait for more bytes of a connection."""
+        if conn.last_used is None:
+            conn.last_used = time.time()
+        self._selector.register(conn.socket.fileno(), 1, data=conn)
+
+    def _expire(self, threshold: float) -> None:
+        old = [
+            (descriptor, conn)
+            for descriptor, conn in self._selector.connections
+            if conn is not self.server and conn.last_used < threshold
+        ]
+        for descriptor, conn in old:
+            self._selector.unregister(descriptor)
+            if conn.rfile.has_data() and not conn.linger_left:
+                conn.problem = bad_request(
+                    'request_timeout',
+                    f'no whole request within {REQUEST_TIMEOUT_S} s',
+                    remedy='send it faster',
+                    status=408,
+                )
+                self.server.requests.put(conn)
+            else:
+                conn.close()
+
+
+class CallerServer(HTTPServer):
+    """Passes a connection to a worker when a whole head has arrived."""
+
+    ConnectionClass = CallerConnection
+    keep_alive_conn_limit = _MAX_CONNECTIONS
+    timeout: Any
+    _connections: Any
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Start without connections."""
+        super().__init__(*args, **kwargs)
+        self.activity = Activity()
+        self.is_draining = False
+        self.timeout = REQUEST_TIMEOUT_S
+        self.request_queue_size = 512
+        soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+        # The other half of the descriptors serves targets and peers.
+        self._max_connections = min(_MAX_CONNECTIONS, soft_limit // 2)
+
+    def prepare(self) -> None:
+        """Bind and use this module's connection manager."""
+        super().prepare()
+        self._connections.close()
+        self._connections = _Connections(self)
+
+    def process_conn(self, conn: CallerConnection) -> None:
+        """Take what has arrived; hand over the connection if that is enough."""
+        is_open = self._receive(conn)
+        if conn.linger_left:
+            self._discard(conn, is_open=is_open)
+        elif self._is_request_whole(conn):
+            conn.last_used = None
+            self.requests.put(conn)
+        elif is_open and self.ready:
+            self._wait(conn)
+        else:
+            conn.close()
+
+    def linger(self, conn: CallerConnection) -> None:
+        """Discard what a refused caller still sends, then close."""
+        conn.rfile.close()
+        conn.last_used = time.time()
+        self._connections.put_partial(conn)
+
+    def has_partial_requests(self) -> bool:
+        """Return whether a caller is in the middle of sending a request."""
+        return any(
+            conn.rfile.has_data() and not conn.linger_left
+            for conn in self._connections.snapshot()
+        )
+
+    def _receive(self, conn: CallerConnection) -> bool:
+        is_first = not conn.rfile.has_data()
+        try:
+            is_open = bool(conn.rfile.receive(blocking=False))
+        except BlockingIOError:
+            return True
+        except OSError:
+            EVENTS.labels('http', 'connection_error').inc()
+            return False
+        if is_first:
+            # The time limit of a request starts with its first byte.
+            conn.last_used = time.time()
+        return is_open
+
+    def _is_request_whole(self, conn: CallerConnection) -> bool:
+        head_end = conn.rfile.head_end()
+        limit = self.max_request_header_size
+        if head_end > limit or (head_end < 0 and len(conn.rfile) > limit):
+            conn.problem = bad_request(
+                'headers_too_large',
+                f'request line and headers exceed {limit} bytes',
+                remedy='send fewer or shorter headers',
+                status=431,
+            )
+            return True
+        if head_end < 0:
+            return False
+        head = conn.rfile.peek(head_end)
+        match = _CONTENT_LENGTH.search(head)
+        if match is None or _EXPECT.search(head):
+            return True
+        length = int(match.group(1))
+        missing = head_end + length - len(conn.rfile)
+        return length > _SMALL_BODY_BYTES or missing <= 0
+
+    def _wait(self, conn: CallerConnection) -> None:
+        if self._connections.count() > self._max_connections:
+            EVENTS.labels('http', 'connection_limit').inc()
+            conn.close()
+            return
+        try:
+            self._connections.put_partial(conn)
+        except (OSError, ValueError, KeyError):
+            EVENTS.labels('http', 'connection_error').inc()
+            conn.close()
+
+    def _discard(self, conn: CallerConnection, *, is_open: bool) -> None:
+        conn.linger_left = max(0, conn.linger_left - len(conn.rfile))
+        conn.rfile.close()
+        if is_open and conn.linger_left and self.ready:
+            self._connections.put_partial(conn)
+        else:
+            conn.close()
--- /dev/null
+++ b/oleanderpin/core/http_stream.py
@@ -0,0 +1,254 @@
+"""Buffered reading from sockets, and bodies with their framings."""
+
+import re
+import socket
+from collections.abc import Callable
+
+_RECEIVE_BYTES = 65536
+_MAX_CHUNK_LINE_BYTES = 256
+_MAX_TRAILER_BYTES = 8192
+_HEAD_END = re.compile(rb'\n\r?\n')
+# Sixteen digits hold any length that can occur, and bound the work of int().
+_CHUNK_SIZE = re.compile(
+    rb'^([0-9A-Fa-f]{1,15})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?$'
+)
+
+
+class StreamError(Exception):
+    """A message that broke off or is malformed."""
+
+
+class SocketReader:
+    """Reads from a socket through a buffer of its own.
+
+    Parameters
+    ----------
+    sock : socket
+        Connected socket; its timeout bounds each wait for data.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Start with an empty buffer."""
+        self.socket = sock
+        self._buffer = bytearray()
+        self.bytes_read = 0
+        # Called before each blocking receive; it may raise to give up.
+        self.before_receive: Callable[[], None] | None = None
+
+    def __len__(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._buffer)
+
+    def has_data(self) -> bool:
+        """Return whether bytes are buffered."""
+        return bool(self._buffer)
+
+    def receive(self, *, blocking: bool = True) -> bool:
+        """Receive once into the buffer.
+
+        Returns
+        -------
+        bool
+            False when the other end has closed the connection.
+
+        Raises
+        ------
+        BlockingIOError
+            If ``blocking`` is False and nothing has arrived.
+        """
+        flags = 0 if blocking else socket.MSG_DONTWAIT
+        if blocking and self.before_receive is not None:
+            self.before_receive()
+        received = self.socket.recv(_RECEIVE_BYTES, flags)
+        self._buffer += received
+        self.bytes_read += len(received)
+        return bool(received)
+
+    def head_end(self) -> int:
+        """Return the length of the buffered head, or -1 if incomplete."""
+        start = 2 if self._buffer.startswith(b'\r\n') else 0
+        match = _HEAD_END.search(self._buffer, start)
+        return match.end() if match else -1
+
+    def peek(self, size: int) -> bytes:
+        """Return the first buffered bytes without taking them."""
+        return bytes(self._buffer[:size])
+
+    def take(self, size: int) -> bytes:
+        """Take at most ``size`` buffered bytes."""
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
+
+    def read_some(self, size: int) -> bytes:
+        """Return between one and ``size`` bytes; none at the end."""
+        if self._buffer:
+            return self.take(size)
+        if self.before_receive is not None:
+            self.before_receive()
+        received = self.socket.recv(size)
+        self.bytes_read += len(received)
+        return received
+
+    def read_head(self, *, limit_bytes: int) -> bytes:
+        """Return a whole head.
+
+        Raises
+        ------
+        StreamError
+            If it is longer than ``limit_bytes`` or breaks off.
+        """
+        end = self.head_end()
+        while end < 0:
+            if len(self._buffer) > limit_bytes:
+                raise StreamError(f'head is longer than {limit_bytes} bytes')
+            if not self.receive():
+                raise StreamError('connection closed inside the head')
+            end = self.head_end()
+        return self.take(end)
+
+    def read_line(self, *, limit_bytes: int) -> bytes:
+        """Return a line without its CRLF.
+
+        Raises
+        ------
+        StreamError
+            If it is too long, breaks off or ends without CR.
+        """
+        end = self._buffer.find(b'\n')
+        while end < 0:
+            if len(self._buffer) > limit_bytes:
+                raise StreamError(f'line is longer than {limit_bytes} bytes')
+            if not self.receive():
+                raise StreamError('connection closed inside a line')
+            end = self._buffer.find(b'\n')
+        line = self.take(end + 1)
+        if len(line) > limit_bytes or not line.endswith(b'\r\n'):
+            raise StreamError(f'malformed line {line[:40]!r}')
+        return line[:-2]
+
+    def close(self) -> None:
+        """Drop the buffer; the socket is closed by its owner."""
+        self._buffer.clear()
+
+
+class Body:
+    """A message body; this one is empty."""
+
+    length: int | None = 0
+
+    def __init__(self) -> None:
+        """Start at the first byte."""
+        self.is_finished = True
+
+    def read_some(self, size: int) -> bytes:
+        """Return between one and ``size`` bytes; none at the end.
+
+        Raises
+        ------
+        StreamError
+            If the body breaks off or is malformed.
+        """
+        return b''
+
+    def read_up_to(self, size: int) -> bytes:
+        """Return ``size`` bytes, or fewer if the body ends before."""
+        parts = []
+        missing = size
+        while missing > 0:
+            part = self.read_some(missing)
+            if not part:
+                break
+            parts.append(part)
+            missing -= len(part)
+        return b''.join(parts)
+
+
+class LengthBody(Body):
+    """A body of known length."""
+
+    def __init__(self, reader: SocketReader, length: int) -> None:
+        """Expect ``length`` bytes."""
+        super().__init__()
+        self._reader = reader
+        self.length = length
+        self.remaining = length
+        self.is_finished = not length
+
+    def read_some(self, size: int) -> bytes:
+        """Return between one and ``size`` bytes; none at the end."""
+        if not self.remaining:
+            return b''
+        part = self._reader.read_some(min(size, self.remaining))
+        if not part:
+            raise StreamError(f'{self.remaining} bytes of the body missing')
+        self.remaining -= len(part)
+        self.is_finished = not self.remaining
+        return part
+
+
+class ChunkedBody(Body):
+    """A body in chunked transfer coding; trailers are dropped."""
+
+    length = None
+
+    def __init__(self, reader: SocketReader) -> None:
+        """Expect the first chunk."""
+        super().__init__()
+        self._reader = reader
+        self._chunk_left = 0
+        self._is_first = True
+        self.is_finished = False
+
+    def read_some(self, size: int) -> bytes:
+        """Return between one and ``size`` bytes; none at the end."""
+        if self.is_finished:
+            return b''
+        if not self._chunk_left:
+            self._start_chunk()
+            if self.is_finished:
+                return b''
+        part = self._reader.read_some(min(size, self._chunk_left))
+        if not part:
+            raise StreamError('connection closed inside a chunk')
+        self._chunk_left -= len(part)
+        if not self._chunk_left:
+            self._end_chunk()
+        return part
+
+    def _start_chunk(self) -> None:
+        line = self._reader.read_line(limit_bytes=_MAX_CHUNK_LINE_BYTES)
+        match = _CHUNK_SIZE.match(line)
+        if match is None:
+            raise StreamError(f'malformed chunk size {line[:40]!r}')
+        self._chunk_left = int(match.group(1), 16)
+        if not self._chunk_left:
+            self._drop_trailers()
+            self.is_finished = True
+
+    def _end_chunk(self) -> None:
+        if self._reader.read_line(limit_bytes=2):
+            raise StreamError('chunk is longer than its size')
+
+    def _drop_trailers(self) -> None:
+        left = _MAX_TRAILER_BYTES
+        while line := self._reader.read_line(limit_bytes=left):
+            left -= len(line) + 2
+
+
+class UntilCloseBody(Body):
+    """A body that ends where the connection is closed."""
+
+    length = None
+
+    def __init__(self, reader: SocketReader) -> None:
+        """Read until the end."""
+        super().__init__()
+        self._reader = reader
+        self.is_finished = False
+
+    def read_some(self, size: int) -> bytes:
+        """Return between one and ``size`` bytes; none at the end."""
+        part = b'' if self.is_finished else self._reader.read_some(size)
+        self.is_finished = not part
+        return part
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -12,7 +12,7 @@
 from .core.kernel import Kernel
 from .core.logs import configure_logs
 from .core.settings import load_settings
-from .forwarding import attempts, pipeline  # noqa: F401
+from .forwarding import attempts, holder, pipeline  # noqa: F401
 from .limits import fair_queue, limiter  # noqa: F401
 from .lookup import answer  # noqa: F401
 from .membership import peers  # noqa: F401
--- /dev/null
+++ b/oleanderpin/forwarding/body.py
@@ -0,0 +1,148 @@
+"""Request bodies: small ones are buffered, others are streamed."""
+
+import hashlib
+import time
+from dataclasses import dataclass
+
+from ..core.errors import Refusal, RefusalDetails
+from ..core.http import HttpRequest
+from ..core.http_server import REQUEST_TIMEOUT_S
+from ..core.http_stream import Body, StreamError
+
+_PART_BYTES = 65536
+# A caller that sends less than this within the progress time-out is stalled;
+# without it one byte per time-out would hold a worker thread forever.
+_MIN_PROGRESS_BYTES = 4096
+
+
+class CallerBodyError(Exception):
+    """The caller's body broke off, stalled or is malformed."""
+
+    def __init__(self, problem: str, *, is_stalled: bool = False) -> None:
+        """Keep whether the caller only stopped sending."""
+        super().__init__(problem)
+        self.is_stalled = is_stalled
+
+    def refusal(self, *, not_run: bool) -> Refusal:
+        """Return what the caller is told.
+
+        Parameters
+        ----------
+        not_run : bool
+            Whether it is certain that no target ran the request.
+        """
+        return Refusal(
+            'request_timeout' if self.is_stalled else 'malformed_body',
+            f'body of the request: {self}',
+            remedy='send the body as its framing announces, without pauses',
+            details=RefusalDetails(
+                status=408 if self.is_stalled else 400, not_run=not_run
+            ),
+        )
+
+
+@dataclass(slots=True)
+class RequestBody:
+    """A body of which the first part is buffered.
+
+    Parameters
+    ----------
+    prefix : bytes
+        The whole body, or its first part.
+    rest : Body or None
+        What follows the prefix; None when the body is whole.
+    length : int or None
+        Length as announced; None for a body in chunks.
+    """
+
+    prefix: bytes = b''
+    rest: Body | None = None
+    length: int | None = 0
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the body can be sent more than once."""
+        return self.rest is None
+
+    def digest(self) -> str:
+        """Return a digest of the buffered part and the length."""
+        digest = hashlib.sha256(self.prefix)
+        digest.update(f'|{self.length}'.encode())
+        return digest.hexdigest()
+
+
+class BodySource:
+    """Reads a streamed body, checking that the caller makes progress."""
+
+    def __init__(self, body: Body, *, progress_timeout_s: float) -> None:
+        """Start the first progress period."""
+        self._body = body
+        self._timeout_s = progress_timeout_s
+        self._since_s = time.monotonic()
+        self._received = 0
+
+    def read_some(self) -> bytes:
+        """Return the next part; none at the end.
+
+        Raises
+        ------
+        CallerBodyError
+            If the body broke off, stalled or is malformed.
+        """
+        try:
+            part = self._body.read_some(_PART_BYTES)
+        except TimeoutError:
+            raise CallerBodyError('nothing arrived', is_stalled=True) from None
+        except (StreamError, OSError) as error:
+            raise CallerBodyError(str(error)) from error
+        self._check_progress(len(part))
+        return part
+
+    def _check_progress(self, received: int) -> None:
+        self._received += received
+        now_s = time.monotonic()
+        if now_s - self._since_s < self._timeout_s:
+            return
+        if self._received < _MIN_PROGRESS_BYTES and received:
+            raise CallerBodyError('too slow', is_stalled=True)
+        self._since_s = now_s
+        self._received = 0
+
+
+def read_request_body(request: HttpRequest, *, limit_bytes: int) -> RequestBody:
+    """Buffer a body of at most ``limit_bytes``, or the start of a longer one.
+
+    Raises
+    ------
+    CallerBodyError
+        If the body broke off, stalled or is malformed.
+    """
+    body = request.open_body()
+    if body.is_finished:
+        return RequestBody()
+    # One byte more tells whether a body in chunks ends at the limit.
+    size = limit_bytes if body.length is not None else limit_bytes + 1
+    try:
+        prefix = _read_prefix(body, size)
+    except TimeoutError:
+        raise CallerBodyError('nothing arrived', is_stalled=True) from None
+    except (StreamError, OSError) as error:
+        raise CallerBodyError(str(error)) from error
+    if body.is_finished:
+        return RequestBody(prefix, None, len(prefix))
+    return RequestBody(prefix, body, body.length)
+
+
+def _read_prefix(body: Body, size: int) -> bytes:
+    parts: list[bytes] = []
+    missing = size
+    give_up_s = time.monotonic() + REQUEST_TIMEOUT_S
+    while missing > 0:
+        part = body.read_some(missing)
+        if not part:
+            break
+        parts.append(part)
+        missing -= len(part)
+        if time.monotonic() > give_up_s:
+            raise CallerBodyError('too slow', is_stalled=True)
+    return b''.join(parts)
--- /dev/null
+++ b/oleanderpin/forwarding/connections.py
@@ -0,0 +1,222 @@
+"""Connections to targets."""
+
+import select
+import socket
+import threading
+from collections import defaultdict, deque
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from ..core.http_stream import SocketReader
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from ..targets.table import Target
+
+# Non-idempotent requests use only connections that worked this recently.
+FRESH_S = 1.0
+_AGEING_INTERVAL_S = 1.0
+
+
+class NoConnectionError(Exception):
+    """No connection to a target; certainly no byte of a request was sent."""
+
+
+class ConnectionLimitError(NoConnectionError):
+    """All connections that this instance may open to a target are in use."""
+
+
+class TargetConnection:
+    """One open connection to a target."""
+
+    def __init__(self, address: str, connection: Any, *, now_s: float) -> None:
+        """Wrap a connected urllib3 connection."""
+        self.address = address
+        self.is_new = True
+        self.used_s = now_s
+        self.was_fresh = True
+        self._connection = connection
+        self.sock: socket.socket = connection.sock
+        self.reader = SocketReader(self.sock)
+
+    def send(self, payload: bytes, *, timeout_s: float) -> None:
+        """Send all bytes within ``timeout_s`` seconds."""
+        self.sock.settimeout(timeout_s)
+        self._connection.send(payload)
+
+    def is_usable(self) -> bool:
+        """Return whether the connection is open and owes nothing."""
+        if self.reader.has_data():
+            return False
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
+        return not poller.poll(0)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+
+@plugins.register('target-connections')
+class TargetConnections(Plugin):
+    """Idle and used connections by target, bounded for each target."""
+
+    roles = frozenset(('entry',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Start without connections."""
+        super().__init__(kernel)
+        self._peers = kernel.plugin(Peers)
+        self._lock = threading.Lock()
+        self._idle: dict[str, deque[TargetConnection]] = defaultdict(deque)
+        self._open: defaultdict[str, int] = defaultdict(int)
+
+    def start(self) -> None:
+        """Start closing connections that were idle too long."""
+        threading.Thread(
+            target=self._age_loop, name='connection-ageing', daemon=True
+        ).start()
+
+    def take(
+        self, target: Target, *, needs_fresh: bool, timeout_s: float
+    ) -> TargetConnection:
+        """Return a connection for one request.
+
+        Parameters
+        ----------
+        target : Target
+            Target to connect to.
+        needs_fresh : bool
+            Whether only a new connection, or one used within the last
+            second, will do.
+        timeout_s : float
+            Time for opening a connection.
+
+        Raises
+        ------
+        NoConnectionError
+            If none can be opened.
+        """
+        now_s = self.kernel.clock.now_s()
+        while True:
+            idle = self._pop_idle(target.address)
+            if idle is None:
+                return self._open_new(target, timeout_s=timeout_s)
+            is_fresh = now_s - idle.used_s <= FRESH_S
+            is_young = now_s - idle.used_s <= self._idle_limit_s()
+            if is_young and (is_fresh or not needs_fresh) and idle.is_usable():
+                idle.is_new = False
+                idle.was_fresh = is_fresh
+                return idle
+            self.close(idle)
+
+    def give_back(self, connection: TargetConnection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        if connection.reader.has_data():
+            # Bytes beyond the answer belong to no request of ours.
+            EVENTS.labels('forwarding', 'surplus_bytes').inc()
+            self.close(connection)
+            return
+        connection.used_s = self.kernel.clock.now_s()
+        with self._lock:
+            self._idle[connection.address].append(connection)
+
+    def close(self, connection: TargetConnection) -> None:
+        """Close a connection and count it off."""
+        connection.close()
+        self._count_off(connection.address)
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to a target, which may be silent."""
+        with self._lock:
+            connections = self._idle.pop(address, deque())
+        for connection in connections:
+            self.close(connection)
+
+    def can_connect(self, target: Target) -> bool:
+        """Return whether a new connection to a target can be opened.
+
+        It is kept for the next request.
+        """
+        timeout_s = self.kernel.settings.forwarding.connect_timeout_s
+        try:
+            self.give_back(self._open_new(target, timeout_s=timeout_s))
+        except ConnectionLimitError:
+            return True
+        except NoConnectionError:
+            return False
+        return True
+
+    def stop(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.close_idle(address)
+
+    def close_aged(self) -> None:
+        """Close connections that were idle too long."""
+        oldest_s = self.kernel.clock.now_s() - self._idle_limit_s()
+        with self._lock:
+            aged = []
+            for address in list(self._idle):
+                idle = self._idle[address]
+                while idle and idle[0].used_s < oldest_s:
+                    aged.append(idle.popleft())
+                if not idle:
+                    self._idle.pop(address)
+        for connection in aged:
+            self.close(connection)
+
+    def open_count(self, address: str) -> int:
+        """Return how many connections to a target are open."""
+        with self._lock:
+            return self._open.get(address, 0)
+
+    def _age_loop(self) -> None:
+        while self.kernel.wait_while_running(_AGEING_INTERVAL_S):
+            self.close_aged()
+
+    def _idle_limit_s(self) -> float:
+        return float(self.kernel.settings.forwarding.idle_connection_s)
+
+    def _pop_idle(self, address: str) -> TargetConnection | None:
+        with self._lock:
+            idle = self._idle.get(address)
+            # The most recently used one is the most likely to work.
+            return idle.pop() if idle else None
+
+    def _count_off(self, address: str) -> None:
+        with self._lock:
+            self._open[address] -= 1
+            if self._open[address] <= 0:
+                self._open.pop(address)
+
+    def _limit(self, target: Target) -> int:
+        entries = [
+            peer for peer in self._peers.alive() if 'entry' in peer.roles
+        ]
+        return max(1, target.connections // max(1, len(entries)))
+
+    def _open_new(
+        self, target: Target, *, timeout_s: float
+    ) -> TargetConnection:
+        limit = self._limit(target)
+        with self._lock:
+            if self._open[target.address] >= limit:
+                raise ConnectionLimitError(
+                    f'{limit} connections to {target.address} are in use'
+                )
+            self._open[target.address] += 1
+        host, port = target.address.split(':')
+        connection = HTTPConnection(
+            host, int(port), timeout=max(0.001, timeout_s)
+        )
+        try:
+            connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._count_off(target.address)
+            raise NoConnectionError(str(error)) from error
+        return TargetConnection(
+            target.address, connection, now_s=self.kernel.clock.now_s()
+        )
--- /dev/null
+++ b/oleanderpin/forwarding/fanout.py
@@ -0,0 +1,62 @@
+"""Calls to several peers at the same time."""
+
+import queue
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+_WORKERS = 24
+
+
+class Fanout:
+    """Daemon threads that run calls and put their results in a queue."""
+
+    def __init__(self) -> None:
+        """Start without threads."""
+        self._jobs: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+
+    def start(self) -> None:
+        """Start the threads."""
+        for number in range(_WORKERS):
+            threading.Thread(
+                target=self._work, name=f'fanout-{number}', daemon=True
+            ).start()
+
+    def run(
+        self, calls: list[Callable[[], Any]], *, timeout_s: float
+    ) -> Iterator[Any]:
+        """Run calls side by side and return the results as they come.
+
+        Parameters
+        ----------
+        calls : list of callable
+            Calls that do not raise.
+        timeout_s : float
+            Longest wait for each next result.
+        """
+        results: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        for call in calls:
+            self._jobs.put(_job(call, results))
+        return _results(results, len(calls), timeout_s)
+
+    def _work(self) -> None:
+        while True:
+            self._jobs.get()()
+
+
+def _results(
+    results: queue.SimpleQueue[Any], count: int, timeout_s: float
+) -> Iterator[Any]:
+    missing = count
+    while missing:
+        missing -= 1
+        try:
+            yield results.get(timeout=max(0.001, timeout_s))
+        except queue.Empty:
+            return
+
+
+def _job(
+    call: Callable[[], Any], results: queue.SimpleQueue[Any]
+) -> Callable[[], None]:
+    return lambda: results.put(call())
--- /dev/null
+++ b/oleanderpin/forwarding/holder.py
@@ -0,0 +1,288 @@
+"""Idempotency records that a control voter keeps in memory."""
+
+import copy
+import logging
+import os
+import threading
+from collections import OrderedDict, defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..wire.generated.idempotency import Idempotency
+from ..wire.generated.idempotency.ttypes import (
+    ClaimReply,
+    CopyReply,
+    Record,
+    Verdict,
+)
+from ..wire.network import PeerNetwork
+from ..wire.server import PeerServer
+from .voters import idempotency_voters, majority
+
+_LOG = logging.getLogger(__name__)
+RECORD_TTL_S = 600.0
+# 64 MiB in all, of which one client account may take a quarter.
+MAX_BYTES = 64 * 1024 * 1024
+MAX_ACCOUNT_BYTES = MAX_BYTES // 4
+# Measured size of an empty record with its keys in the tables, rounded up.
+_RECORD_BYTES = 1024
+_PAGE_RECORDS = 500
+_PAGE_BYTES = 4 * 1024 * 1024
+_COPY_RETRY_S = 0.5
+_COPY_TIMEOUT_S = 2.0
+_MARKER = 'idempotency-held'
+
+
+@dataclass(slots=True)
+class _Kept:
+    record: Record
+    expires_s: float
+
+    def size(self) -> int:
+        return _RECORD_BYTES + len(self.record.outcome or b'')
+
+
+class RecordTable:
+    """Records by name, bounded in time and memory."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._kept: OrderedDict[str, _Kept] = OrderedDict()
+        self._bytes: defaultdict[str, int] = defaultdict(int)
+        self._total_bytes = 0
+
+    def get(self, name: str, now_s: float) -> Record | None:
+        """Return a record that has not expired."""
+        while self._kept:
+            oldest = next(iter(self._kept.values()))
+            if oldest.expires_s > now_s:
+                break
+            self.remove(oldest.record.name)
+        kept = self._kept.get(name)
+        return kept.record if kept and kept.expires_s > now_s else None
+
+    def put(self, record: Record, *, expires_s: float) -> bool:
+        """Keep a record; return False if there is no room for it."""
+        kept = _Kept(record, expires_s)
+        size = kept.size()
+        account = record.account or ''
+        self.remove(record.name)
+        if (
+            self._total_bytes + size > MAX_BYTES
+            or self._bytes[account] + size > MAX_ACCOUNT_BYTES
+        ):
+            EVENTS.labels('idempotency', 'full').inc()
+            return False
+        self._kept[record.name] = kept
+        self._bytes[account] += size
+        self._total_bytes += size
+        return True
+
+    def remove(self, name: str) -> None:
+        """Forget a record."""
+        kept = self._kept.pop(name, None)
+        if kept is None:
+            return
+        account = kept.record.account or ''
+        self._total_bytes -= kept.size()
+        self._bytes[account] -= kept.size()
+        if not self._bytes[account]:
+            self._bytes.pop(account)
+
+    def page(self, after: str, now_s: float) -> tuple[list[Record], str]:
+        """Return records after a name, and the name to go on after."""
+        records: list[Record] = []
+        size = 0
+        for name in sorted(name for name in self._kept if name > after):
+            kept = self._kept[name]
+            if kept.expires_s <= now_s:
+                continue
+            if len(records) >= _PAGE_RECORDS or size > _PAGE_BYTES:
+                return records, records[-1].name
+            kept.record.ttl_ms = int((kept.expires_s - now_s) * 1000)
+            records.append(kept.record)
+            size += kept.size()
+        return records, ''
+
+
+class _HolderHandler:
+    """Serves the Thrift service ``Idempotency``."""
+
+    def __init__(self, holder: 'IdempotencyHolder') -> None:
+        self._holder = holder
+
+    def claim(self, record: Record) -> ClaimReply:
+        return self._holder.claim(record)
+
+    def complete(self, record: Record) -> None:
+        self._holder.complete(record)
+
+    def copy(self, after: str) -> CopyReply:
+        return self._holder.copy(after)
+
+
+@plugins.register('idempotency-holder')
+class IdempotencyHolder(Plugin):
+    """Grants claims, one for each name.
+
+    A majority that granted a record always meets the copied holders, so a
+    restarted holder that has copied can grant without forgetting a claim.
+    """
+
+    roles = frozenset(('control',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Register the Thrift service."""
+        super().__init__(kernel)
+        self._network = kernel.plugin(PeerNetwork)
+        self._lock = threading.Lock()
+        self._table = RecordTable()
+        self._is_settled = False
+        self._has_held = False
+        kernel.plugin(PeerServer).register(
+            'Idempotency', Idempotency.Processor(_HolderHandler(self))
+        )
+
+    def start(self) -> None:
+        """Start copying the records of the other voters."""
+        self._has_held = self._marker().exists()
+        threading.Thread(
+            target=self._settle, name='idempotency-copy', daemon=True
+        ).start()
+
+    def claim(self, record: Record) -> ClaimReply:
+        """Grant a claim unless the name is taken."""
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            if not self._is_settled:
+                return ClaimReply(verdict=Verdict.ABSTAIN)
+            known = self._table.get(record.name, now_s)
+            if known is not None and known.is_done:
+                return ClaimReply(verdict=Verdict.DONE, record=known)
+            if known is not None and known.claim_id != record.claim_id:
+                return ClaimReply(verdict=Verdict.HELD, record=known)
+            if not self._keep(record, expires_s=now_s + RECORD_TTL_S):
+                return ClaimReply(verdict=Verdict.ABSTAIN)
+        return ClaimReply(verdict=Verdict.GRANTED)
+
+    def complete(self, record: Record) -> None:
+        """Keep an outcome, or withdraw a claim."""
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            known = self._table.get(record.name, now_s)
+            if known is not None and known.claim_id != record.claim_id:
+                EVENTS.labels('idempotency', 'foreign_claim').inc()
+            elif record.is_done:
+                if not self._keep(record, expires_s=now_s + RECORD_TTL_S):
+                    # Without room for the outcome the claim must stay.
+                    claim = copy.copy(record)
+                    claim.outcome = b''
+                    claim.is_done = False
+                    self._keep(claim, expires_s=now_s + RECORD_TTL_S)
+            elif known is not None:
+                self._table.remove(record.name)
+
+    def copy(self, after: str) -> CopyReply:
+        """Return a page of records for a holder that has restarted."""
+        with self._lock:
+            records, next_after = self._table.page(
+                after, self.kernel.clock.now_s()
+            )
+            return CopyReply(
+                is_settled=self._is_settled,
+                has_held=self._has_held,
+                records=records,
+                next_after=next_after,
+            )
+
+    def _settle(self) -> None:
+        own_name = self.kernel.settings.instance.name
+        voters = idempotency_voters(self.kernel)
+        others = {name: peer for name, peer in voters if name != own_name}
+        needed = len(voters) - majority(len(voters)) + 1
+        # After the life of a record there is nothing left to be copied.
+        give_up_s = self.kernel.clock.now_s() + RECORD_TTL_S
+        copied: set[str] = set()
+        if not others and not self._has_held:
+            needed = 0
+        while len(copied) < needed and self.kernel.clock.now_s() < give_up_s:
+            copied |= self._copy_from_all(others, except_names=copied)
+            if len(copied) >= needed:
+                break
+            if not self.kernel.wait_while_running(_COPY_RETRY_S):
+                return
+        with self._lock:
+            self._is_settled = True
+        _LOG.info('idempotency records complete')
+
+    def _copy_from_all(
+        self, others: dict[str, str], *, except_names: set[str]
+    ) -> set[str]:
+        return {
+            name
+            for name, peer_address in others.items()
+            if name not in except_names and self._copy_from(peer_address)
+        }
+
+    def _copy_from(self, peer_address: str) -> bool:
+        after = ''
+        while True:
+            try:
+                reply = self._network.call(
+                    peer_address,
+                    'Idempotency',
+                    'copy',
+                    after,
+                    timeout_s=_COPY_TIMEOUT_S,
+                )
+            except UnavailableError:
+                return False
+            # One that restarted as well may have forgotten records.
+            if reply.has_held and not reply.is_settled:
+                return False
+            self._merge(reply.records)
+            after = reply.next_after
+            if not after:
+                return True
+
+    def _merge(self, records: list[Record]) -> None:
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            for record in records:
+                known = self._table.get(record.name, now_s)
+                if known is None or (record.is_done and not known.is_done):
+                    self._keep(
+                        record, expires_s=now_s + (record.ttl_ms or 0) / 1000
+                    )
+
+    def _keep(self, record: Record, *, expires_s: float) -> bool:
+        try:
+            self._mark_held()
+        except OSError:
+            _LOG.exception('cannot record that claims are held')
+            return False
+        return self._table.put(record, expires_s=expires_s)
+
+    def _mark_held(self) -> None:
+        """Note on disk that records existed, before the first is kept."""
+        if self._has_held:
+            return
+        marker = self._marker()
+        marker.parent.mkdir(parents=True, exist_ok=True)
+        marker.touch()
+        descriptor = os.open(marker.parent, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._has_held = True
+
+    def _marker(self) -> Path:
+        data_dir = self.kernel.settings.instance.data_dir
+        if data_dir is None:
+            raise RuntimeError('a control instance has a data folder')
+        return data_dir / _MARKER
--- /dev/null
+++ b/oleanderpin/forwarding/idempotency.py
@@ -0,0 +1,251 @@
+"""Requests with an Idempotency-Key run once, on whatever instance."""
+
+import hashlib
+import secrets
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from thrift.Thrift import TException
+
+from ..core.errors import Refusal, RefusalDetails, UnavailableError
+from ..core.http_head import bad_request
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..wire.generated.idempotency.ttypes import ClaimReply, Record, Verdict
+from ..wire.network import PeerNetwork
+from .answer import Answer
+from .call import Call
+from .fanout import Fanout
+from .holder import IdempotencyHolder
+from .outcome import Outcome
+from .voters import idempotency_voters, majority
+
+# Two delays between regions and the work of a busy voter, with a margin.
+_CALL_TIMEOUT_S = 1.0
+_CLAIM_ID_BYTES = 12
+
+
+class Guard:
+    """The claim of one request; without a key it does nothing.
+
+    ``replay`` is the first answer when the request is a resend.
+    """
+
+    def __init__(self, finish: Callable[[Outcome | None], None]) -> None:
+        """Keep what tells the voters."""
+        self.replay: Answer | None = None
+        self.is_finished = False
+        self._finish = finish
+
+    def complete(self, answer: Answer) -> None:
+        """Keep the answer for resends, before the caller sees it."""
+        self.finish(None if answer.passes_not_run else Outcome.of(answer))
+
+    def finish(self, outcome: Outcome | None) -> None:
+        """Keep an outcome, or withdraw the claim when it is None."""
+        if not self.is_finished:
+            self.is_finished = True
+            self._finish(outcome)
+
+
+@dataclass(slots=True)
+class _Tally:
+    """Replies of the voters to one claim."""
+
+    needed: int
+    granted: int = 0
+    held: Record | None = None
+    done: Record | None = None
+
+    def note(self, reply: ClaimReply | None) -> bool:
+        """Count a reply; return whether the claim is decided."""
+        if reply is None or reply.verdict == Verdict.ABSTAIN:
+            return False
+        if reply.verdict == Verdict.GRANTED:
+            self.granted += 1
+            return self.granted >= self.needed
+        if reply.verdict == Verdict.DONE:
+            self.done = reply.record
+            return True
+        self.held = reply.record
+        return False
+
+
+@plugins.register('idempotency')
+class IdempotencyRecords(Plugin):
+    """Claims keys on a majority of the control voters."""
+
+    roles = frozenset(('entry',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Keep the way to the voters."""
+        super().__init__(kernel)
+        self._network = kernel.plugin(PeerNetwork)
+        self._fanout = Fanout()
+
+    def start(self) -> None:
+        """Start the threads that call voters."""
+        self._fanout.start()
+
+    @contextmanager
+    def guard(self, call: Call, account: str) -> Iterator[Guard]:
+        """Hold the claim of a request while it runs.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        account : str
+            Client account; empty on open services.
+
+        Raises
+        ------
+        Refusal
+            If the key is in use, was used for another request, or no
+            majority of the voters can be reached.
+        """
+        if call.request.idempotency_key is None:
+            yield Guard(_ignore)
+            return
+        record = _record(call, account)
+        guard = Guard(lambda outcome: self._complete(record, outcome))
+        guard.replay = self._claim(record, call)
+        if guard.replay is not None:
+            guard.is_finished = True
+        try:
+            yield guard
+        except Refusal as refusal:
+            is_not_run = refusal.details.not_run
+            guard.finish(None if is_not_run else Outcome.unknown())
+            raise
+        finally:
+            guard.finish(Outcome.unknown())
+
+    def _claim(self, record: Record, call: Call) -> Answer | None:
+        voters = idempotency_voters(self.kernel)
+        tally = _Tally(majority(len(voters)))
+        timeout_s = min(_CALL_TIMEOUT_S, max(0.001, call.remaining_s()))
+        for reply in self._ask(voters, 'claim', record, timeout_s=timeout_s):
+            if tally.note(reply):
+                break
+        known = tally.done or tally.held
+        if tally.granted >= tally.needed:
+            return None
+        self._complete(record, None, is_waiting=False)
+        if known is not None and known.request_digest != record.request_digest:
+            raise bad_request(
+                'idempotency_key_reused',
+                'the Idempotency-Key was used for another request',
+                remedy='send a new key with a new request',
+                status=422,
+            )
+        if tally.done is not None:
+            return Outcome(tally.done.outcome).answer()
+        if tally.held is not None:
+            raise Refusal(
+                'duplicate_in_progress',
+                'a request with this Idempotency-Key is in progress',
+                remedy='repeat it later to get its outcome',
+                details=RefusalDetails(
+                    status=409, not_run=False, retry_after_s=1.0
+                ),
+            )
+        raise Refusal(
+            'idempotency_unavailable',
+            f'fewer than {tally.needed} of {len(voters)} control instances '
+            'can keep the record',
+            remedy='try again later',
+            details=RefusalDetails(retry_after_s=1.0),
+        )
+
+    def _complete(
+        self,
+        record: Record,
+        outcome: Outcome | None,
+        *,
+        is_waiting: bool = True,
+    ) -> None:
+        voters = idempotency_voters(self.kernel)
+        final = Record(
+            name=record.name,
+            account=record.account,
+            claim_id=record.claim_id,
+            request_digest=record.request_digest,
+            is_done=outcome is not None,
+            outcome=outcome.payload if outcome else b'',
+        )
+        confirmed = 0
+        replies = self._ask(
+            voters, 'complete', final, timeout_s=_CALL_TIMEOUT_S
+        )
+        if not is_waiting:
+            return
+        for reply in replies:
+            confirmed += reply is not None
+            if confirmed >= majority(len(voters)):
+                return
+        EVENTS.labels('idempotency', 'outcome_not_kept').inc()
+
+    def _ask(
+        self,
+        voters: tuple[tuple[str, str], ...],
+        method: str,
+        record: Record,
+        *,
+        timeout_s: float,
+    ) -> Iterator[Any]:
+        calls = [
+            self._call_to(name, address, method, record, timeout_s)
+            for name, address in voters
+        ]
+        return self._fanout.run(calls, timeout_s=timeout_s)
+
+    def _call_to(
+        self,
+        name: str,
+        address: str,
+        method: str,
+        record: Record,
+        timeout_s: float,
+    ) -> Callable[[], Any]:
+        """Return a call whose result is None when the voter gave no reply."""
+        own_name = self.kernel.settings.instance.name
+
+        def call() -> Any:
+            try:
+                if name == own_name and self.kernel.has(IdempotencyHolder):
+                    holder = self.kernel.plugin(IdempotencyHolder)
+                    reply = getattr(holder, method)(record)
+                else:
+                    reply = self._network.call(
+                        address,
+                        'Idempotency',
+                        method,
+                        record,
+                        timeout_s=timeout_s,
+                    )
+            except (UnavailableError, TException):
+                EVENTS.labels('idempotency', f'{method}_failed').inc()
+                return None
+            return True if reply is None else reply
+
+        return call
+
+
+def _ignore(_outcome: Outcome | None) -> None:
+    """Do nothing: the request has no key."""
+
+
+def _record(call: Call, account: str) -> Record:
+    key = call.request.idempotency_key
+    text = '\n'.join((account, call.service.name, str(key)))
+    return Record(
+        name=hashlib.sha256(text.encode()).hexdigest(),
+        account=account,
+        claim_id=secrets.token_hex(_CLAIM_ID_BYTES),
+        request_digest=call.fingerprint,
+        is_done=False,
+        outcome=b'',
+    )
--- /dev/null
+++ b/oleanderpin/forwarding/keys.py
@@ -0,0 +1,70 @@
+"""Search for keys that stand where a target would see them."""
+
+import base64
+import binascii
+import re
+from collections.abc import Callable, Iterable
+from urllib.parse import unquote_plus
+
+_SEPARATORS = re.compile(r'[\s;,&=?"\'/:|<>()\[\]{}]+')
+_BASE64 = re.compile(r'[A-Za-z0-9+/_-]{8,}={0,2}')
+# Callers encode a value at most once and frameworks once more.
+_DECODE_ROUNDS = 3
+
+
+def contains_key(
+    texts: Iterable[str],
+    *,
+    own_key: str | None,
+    is_key: Callable[[str], bool],
+) -> bool:
+    """Return whether a key stands in one of the texts.
+
+    Percent-encoded and base64-encoded keys are found as well.
+
+    Parameters
+    ----------
+    texts : iterable of str
+        Path, query, header names and header values that a target would get.
+    own_key : str or None
+        The key that came in ``Authorization``; it is found inside words too.
+    is_key : callable
+        Tells whether a word is the text of any issued key.
+    """
+    for text in texts:
+        for variant in _variants(text):
+            if own_key is not None and own_key in variant:
+                return True
+            if any(is_key(word) for word in _words(variant)):
+                return True
+    return False
+
+
+def _words(text: str) -> set[str]:
+    words = set(_SEPARATORS.split(text))
+    words.add(text)
+    words.discard('')
+    return words
+
+
+def _variants(text: str) -> set[str]:
+    variants = {text}
+    while len(variants) <= _DECODE_ROUNDS:
+        text = unquote_plus(text)
+        if text in variants:
+            break
+        variants.add(text)
+    encoded = {
+        match for variant in variants for match in _BASE64.findall(variant)
+    }
+    variants.update(filter(None, map(_decode_base64, encoded)))
+    return variants
+
+
+def _decode_base64(text: str) -> str:
+    bare = text.rstrip('=').replace('-', '+').replace('_', '/')
+    padded = bare + '=' * (-len(bare) % 4)
+    try:
+        return base64.b64decode(padded, validate=True).decode()
+    except (binascii.Error, ValueError):
+        return ''
--- a/oleanderpin/forwarding/refusal.py
+++ b/oleanderpin/forwarding/refusal.py
@@ -1,12 +1,11 @@
-"""Refusals as ``application/problem+json``."""
+"""Refusals of callers' requests as answers."""
 
-import json
 from collections.abc import Sequence
 from typing import Any
 
 from ..core.errors import Refusal
 from ..core.http import HttpAnswer
-from ..core.metrics import REFUSALS
+from ..core.problem import problem_document, retry_headers
 
 
 def refusal_answer(
@@ -23,27 +22,12 @@
     instances : sequence of dict
         Other instances that may serve the request.
     """
-    REFUSALS.labels(refusal.reason).inc()
-    details = refusal.details
-    document = {
-        'type': f'urn:oleanderpin:refusal:{refusal.reason}',
-        'title': refusal.reason.replace('_', ' '),
-        'status': details.status,
-        'detail': str(refusal),
-        'reason': refusal.reason,
-        'not_run': details.not_run,
-        'retry_after_s': details.retry_after_s,
-        'request_id': request_id,
-    }
-    if instances:
-        document['instances'] = list(instances)
-    headers = [('X-Request-Id', request_id)]
-    if details.retry_after_s is not None:
-        seconds = max(1, round(details.retry_after_s))
-        headers.append(('Retry-After', str(seconds)))
+    document = problem_document(
+        refusal, request_id=request_id, instances=instances
+    )
     return HttpAnswer(
-        details.status,
-        json.dumps(document).encode(),
+        refusal.details.status,
+        document,
         content_type='application/problem+json',
-        headers=headers,
+        headers=retry_headers(refusal, request_id),
     )
--- a/oleanderpin/forwarding/request.py
+++ b/oleanderpin/forwarding/request.py
@@ -1,17 +1,19 @@
 """A caller's request, taken apart and cleaned for the target."""
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
-from urllib.parse import unquote
 
 from ..control.authority import hash_key
-from ..core.errors import Refusal, RefusalDetails
 from ..core.http import Header, HttpRequest
+from ..core.http_head import bad_request
+from .keys import contains_key
 
 DEADLINE_HEADER = 'X-Request-Deadline-Ms'
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
+REQUEST_ID_HEADER = 'X-Request-Id'
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     (
         'connection',
         'keep-alive',
@@ -25,8 +27,19 @@
         'expect',
     )
 )
-_REPLACED = frozenset(('host', 'content-length', DEADLINE_HEADER.lower()))
+_REPLACED = frozenset(
+    (
+        'authorization',
+        'content-length',
+        'host',
+        'x-not-run',
+        DEADLINE_HEADER.lower(),
+        REQUEST_ID_HEADER.lower(),
+    )
+)
 _BEARER = re.compile(r'^bearer +(\S+)$', re.IGNORECASE)
+_NUMBER = re.compile(r'^\d{1,15}$')
+_IDEMPOTENCY_KEY = re.compile(r'^[\x21-\x7e]{1,255}$')
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +53,6 @@
     key_hash: str | None
     idempotency_key: str | None
     deadline_ms: float | None
-    content_length: int | None
-    has_body: bool
     headers: tuple[Header, ...]
 
     @property
@@ -50,23 +61,43 @@
         return self.method in _IDEMPOTENT_METHODS
 
 
-def parse_caller_request(request: HttpRequest) -> CallerRequest:
+def parse_caller_request(
+    request: HttpRequest,
+    *,
+    is_key_hash: Callable[[str], bool],
+) -> CallerRequest:
     """Take a request apart and drop what a target must not see.
 
+    Parameters
+    ----------
+    request : HttpRequest
+        The request as received.
+    is_key_hash : callable
+        Tells whether a hash belongs to an issued key.
+
     Raises
     ------
     Refusal
-        If a header is malformed or the key stands in a wrong place.
+        If a header is malformed or a key stands in a wrong place.
     """
     key = _bearer_key(request)
-    length = _number(request, 'Content-Length')
-    has_body = bool(length) or request.header('Transfer-Encoding') is not None
     target = request.path
     if request.query:
         target = f'{target}?{request.query}'
-    headers = _clean_headers(request.headers)
-    if key is not None:
-        _refuse_key_elsewhere(key, target, headers)
+    headers = clean_headers(request.headers)
+    texts = {target, request.path, request.query}
+    for header in headers:
+        texts.update(header)
+    if contains_key(
+        texts,
+        own_key=key,
+        is_key=lambda word: is_key_hash(hash_key(word)),
+    ):
+        raise bad_request(
+            'key_in_unexpected_place',
+            'a key stands outside the Authorization header',
+            remedy='send it in the Authorization header only',
+        )
     segments = request.path.split('/', 2)
     first_segment = segments[1] if len(segments) > 1 else ''
     return CallerRequest(
@@ -75,14 +106,28 @@
         path_and_query=target,
         route=f'{request.method} /{first_segment}',
         key_hash=hash_key(key) if key is not None else None,
-        idempotency_key=request.header(IDEMPOTENCY_HEADER),
-        deadline_ms=_number(request, DEADLINE_HEADER),
-        content_length=length,
-        has_body=has_body,
+        idempotency_key=_idempotency_key(request),
+        deadline_ms=_deadline_ms(request),
         headers=headers,
     )
 
 
+def clean_headers(headers: list[Header]) -> tuple[Header, ...]:
+    """Return the headers without those that concern one connection only."""
+    named = {
+        token.strip().lower()
+        for name, header_value in headers
+        if name.lower() == 'connection'
+        for token in header_value.split(',')
+    }
+    dropped = HOP_BY_HOP | _REPLACED | named
+    return tuple(
+        (name, header_value)
+        for name, header_value in headers
+        if name.lower() not in dropped
+    )
+
+
 def _service_name(request: HttpRequest) -> str:
     host = request.header('Host') or ''
     return host.partition(':')[0].lower()
@@ -94,54 +139,33 @@
         return None
     match = _BEARER.match(authorization)
     if match is None:
-        raise _bad_request(
+        raise bad_request(
             'bad_authorization',
             'Authorization does not hold a bearer key',
-            'send Authorization: Bearer <key>',
+            remedy='send Authorization: Bearer <key>',
         )
     return match.group(1)
 
 
-def _number(request: HttpRequest, name: str) -> int | None:
-    text = request.header(name)
-    if text is None:
-        return None
-    if not text.isascii() or not text.isdigit():
-        raise _bad_request(
-            'bad_header', f'{name}: {text!r} is not a number', 'send digits'
+def _idempotency_key(request: HttpRequest) -> str | None:
+    text = request.header(IDEMPOTENCY_HEADER)
+    if text is not None and not _IDEMPOTENCY_KEY.match(text):
+        raise bad_request(
+            'bad_header',
+            f'{IDEMPOTENCY_HEADER}: {text[:40]!r}',
+            remedy='send 1 to 255 visible ASCII characters',
         )
-    return int(text)
+    return text
 
 
-def _clean_headers(headers: list[Header]) -> tuple[Header, ...]:
-    named = {
-        token.strip().lower()
-        for name, header_value in headers
-        if name.lower() == 'connection'
-        for token in header_value.split(',')
-    }
-    dropped = _HOP_BY_HOP | _REPLACED | named | {'authorization'}
-    return tuple(
-        (name, header_value)
-        for name, header_value in headers
-        if name.lower() not in dropped
-    )
-
-
-def _refuse_key_elsewhere(
-    key: str, target: str, headers: tuple[Header, ...]
-) -> None:
-    places = [header_value for _name, header_value in headers]
-    places.extend((target, unquote(target)))
-    if any(key in place for place in places):
-        raise _bad_request(
-            'key_in_unexpected_place',
-            'the key stands outside the Authorization header',
-            'send it in the Authorization header only',
+def _deadline_ms(request: HttpRequest) -> int | None:
+    text = request.header(DEADLINE_HEADER)
+    if text is None:
+        return None
+    if not _NUMBER.match(text):
+        raise bad_request(
+            'bad_header',
+            f'{DEADLINE_HEADER}: {text[:40]!r} is not a number',
+            remedy='send at most 15 digits',
         )
-
-
-def _bad_request(reason: str, problem: str, remedy: str) -> Refusal:
-    return Refusal(
-        reason, problem, remedy=remedy, details=RefusalDetails(status=400)
-    )
+    return int(text)
--- a/oleanderpin/testing/__init__.py
+++ b/oleanderpin/testing/__init__.py
@@ -2,6 +2,15 @@
 
 from .builders import free_ports, settings_text
 from .clock import ManualClock
+from .scripted import ScriptedConnection, ScriptedTarget, answer_all
 from .targets import FakeTarget
 
-__all__ = ('FakeTarget', 'ManualClock', 'free_ports', 'settings_text')
+__all__ = (
+    'FakeTarget',
+    'ManualClock',
+    'ScriptedConnection',
+    'ScriptedTarget',
+    'answer_all',
+    'free_ports',
+    'settings_text',
+)
