Test the listener, streaming and keys; fix a blocking receive

Cause: the first run of the new tests showed that a receive with MSG_DONTWAIT on a socket with a time-out still waits, so that a mute connection held up the accepting thread, and that a broken answer ended the caller's stream in order instead of resetting it.

Change: receive with the time-out set to zero for the one call; reset without a shutdown; an answer that breaks off before its first part is refused in words.

--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -49,6 +49,7 @@
         self.problem: Refusal | None = None
         self.wants_linger = False
         self.linger_left = 0
+        self._is_reset = False
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -69,6 +70,16 @@
                 return
         super().close()
 
+    def _close_kernel_socket(self) -> None:
+        # A shutdown would end the stream in order instead of resetting it.
+        if self._is_reset:
+            return
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller may have closed the connection already.
+            EVENTS.labels('http', 'closed_by_caller').inc()
+
     def reset(self) -> None:
         """Make the caller see that its answer is broken."""
         try:
@@ -78,6 +89,7 @@
         except OSError:
             EVENTS.labels('http', 'closed_before_reset').inc()
         self.wants_linger = False
+        self._is_reset = True
 
 
 class Activity:
--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -56,14 +56,25 @@
         BlockingIOError
             If ``blocking`` is False and nothing has arrived.
         """
-        flags = 0 if blocking else socket.MSG_DONTWAIT
-        if blocking and self.before_receive is not None:
-            self.before_receive()
-        received = self.socket.recv(_RECEIVE_BYTES, flags)
+        if blocking:
+            if self.before_receive is not None:
+                self.before_receive()
+            received = self.socket.recv(_RECEIVE_BYTES)
+        else:
+            received = self._receive_at_once()
         self._buffer += received
         self.bytes_read += len(received)
         return bool(received)
 
+    def _receive_at_once(self) -> bytes:
+        # A socket with a time-out waits even when MSG_DONTWAIT is given.
+        timeout_s = self.socket.gettimeout()
+        self.socket.settimeout(0)
+        try:
+            return self.socket.recv(_RECEIVE_BYTES)
+        finally:
+            self.socket.settimeout(timeout_s)
+
     def head_end(self) -> int:
         """Return the length of the buffered head, or -1 if incomplete."""
         start = 2 if self._buffer.startswith(b'\r\n') else 0
--- a/oleanderpin/forwarding/answer.py
+++ b/oleanderpin/forwarding/answer.py
@@ -131,6 +131,18 @@
     OSError
         If the caller has gone or does not read.
     """
+    part = answer.whole
+    if part is None:
+        # Nothing is sent before the first part, so that an answer which
+        # breaks off at once can still be refused in words.
+        part = answer.read_part()
+    _send_head(request, answer, call)
+    while part:
+        request.raw.write(part)
+        part = b'' if answer.whole is not None else answer.read_part()
+
+
+def _send_head(request: HttpRequest, answer: Answer, call: Call) -> None:
     headers = answer.headers()
     headers.append((REQUEST_ID_HEADER, call.request_id))
     if answer.passes_not_run:
@@ -139,11 +151,6 @@
     if length is not None:
         headers.append(('Content-Length', str(length)))
     send_head(request.raw, answer.status, headers)
-    if answer.whole is not None:
-        request.raw.write(answer.whole)
-        return
-    while part := answer.read_part():
-        request.raw.write(part)
 
 
 def _announced_length(answer: Answer, method: str) -> int | None:
--- a/oleanderpin/forwarding/forwarder.py
+++ b/oleanderpin/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from ..limits.fair_queue import FairQueue
 from ..limits.limiter import RateLimiter
 from .answer import Answer, BrokenAnswerError, pass_on
+from .attempt_error import AttemptError
 from .attempts import Attempts
 from .body import CallerBodyError, RequestBody, read_request_body
 from .call import Call, CallerGoneError
@@ -164,9 +165,13 @@
     try:
         pass_on(request, answer, call)
         is_complete = True
-    except BrokenAnswerError:
+    except BrokenAnswerError as error:
         is_complete = False
-        raise
+        if request.raw.sent_headers:
+            raise
+        raise AttemptError('answer_broken', str(error)).refusal(
+            not_run=False
+        ) from error
     except OSError as error:
         raise CallerGoneError from error
     finally:
--- a/oleanderpin/forwarding/pipeline.py
+++ b/oleanderpin/forwarding/pipeline.py
@@ -10,6 +10,7 @@
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
 from ..lookup.answer import PATH_PREFIX, Lookup
+from .answer import BrokenAnswerError
 from .call import CallerGoneError
 from .forwarder import Forwarder
 from .refusal import refusal_answer
@@ -79,6 +80,12 @@
         except CallerGoneError:
             EVENTS.labels('forwarding', 'caller_gone').inc()
             request.raw.abort()
+        except BrokenAnswerError as error:
+            EVENTS.labels('forwarding', 'broken_answer').inc()
+            _LOG.warning(
+                'answer broke off: %s', error, extra={'request_id': request_id}
+            )
+            request.raw.abort()
         return None
 
     def _alternatives(
--- /dev/null
+++ b/oleanderpin/tests/forwarding/test_keys.py
@@ -0,0 +1,59 @@
+"""Keys never reach a target, wherever they stand."""
+
+import base64
+
+import pytest
+
+from ...testing import ScriptedTarget, answer_all
+from .harness import KEY, Instance
+
+BASIC = base64.b64encode(f'user:{KEY}'.encode()).decode()
+PERCENT = ''.join(f'%{ord(char):02x}' for char in KEY)
+
+
+@pytest.mark.parametrize('with_bearer', [True, False])
+@pytest.mark.parametrize(
+    ('path', 'headers'),
+    [
+        (f'/a?key={KEY}', {}),
+        (f'/a/{KEY}/b', {}),
+        (f'/a?key={PERCENT}', {}),
+        (f'/a?key={PERCENT.replace("%", "%25")}', {}),
+        (f'/a?key={BASIC}', {}),
+        ('/a', {'X-Api-Key': KEY}),
+        ('/a', {'Cookie': f'session=1; key={KEY}'}),
+        ('/a', {'Cookie': f'key="{PERCENT}"'}),
+        ('/a', {'X-Forwarded-Authorization': f'Bearer {KEY}'}),
+        ('/a', {'X-Authorization': f'Basic {BASIC}'}),
+        ('/a', {'Referer': f'http://desk/?key={KEY}&x=1'}),
+    ],
+)
+def test_key_in_other_place_is_refused(
+    instance: Instance,
+    path: str,
+    headers: dict[str, str],
+    with_bearer: bool,
+) -> None:
+    """Guards against invariant 4: no target ever sees a key."""
+    target = ScriptedTarget(answer_all)
+    instance.use(target)
+    if not with_bearer:
+        headers = headers | {'Authorization': 'Bearer other'}
+    answer = instance.ask(path=path, headers=headers)
+    assert answer.status == 400
+    assert answer.problem['reason'] == 'key_in_unexpected_place'
+    assert answer.problem['not_run'] is True
+    assert KEY not in answer.body.decode()
+    assert target.connections == 0
+
+
+def test_basic_authorization_is_refused(instance: Instance) -> None:
+    answer = instance.ask(headers={'Authorization': f'Basic {BASIC}'})
+    assert answer.problem['reason'] == 'bad_authorization'
+    assert BASIC not in answer.body.decode()
+
+
+def test_harmless_headers_pass(instance: Instance) -> None:
+    instance.use(ScriptedTarget(answer_all))
+    headers = {'Cookie': 'a=b', 'X-Data': base64.b64encode(b'text').decode()}
+    assert instance.ask(path='/a?b=%20c', headers=headers).status == 200
