--- /dev/null
+++ b/oleanderpin/tests/forwarding/test_drain.py
@@ -0,0 +1,83 @@
+"""Graceful stop: no request is cut."""
+
+import threading
+import time
+from typing import Any
+
+from ...testing import ScriptedConnection, ScriptedTarget, answer_all
+from .harness import KEY, Instance
+
+GET = f'GET /a HTTP/1.1\r\nHost: desk\r\nAuthorization: Bearer {KEY}\r\n\r\n'
+SHORT_TTL = '[forwarding]\nlookup_ttl_s = 0.3\n'
+
+
+def drain(instance: Instance, *, timeout_s: float) -> threading.Thread:
+    deadline_s = instance.kernel.clock.now_s() + timeout_s
+    thread = threading.Thread(
+        target=instance.pipeline.drain, kwargs={'deadline_s': deadline_s}
+    )
+    thread.start()
+    return thread
+
+
+def test_transfer_in_flight_is_finished(make_instance: Any) -> None:
+    """Guards against cutting a long transfer at a planned stop."""
+    instance = make_instance(extra=SHORT_TTL)
+    release = threading.Event()
+
+    def slow(connection: ScriptedConnection) -> None:
+        connection.read_head()
+        connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n')
+        connection.send(b'x' * 100000)
+        release.wait(10)
+        connection.send(b'x' * 100000)
+
+    instance.use(ScriptedTarget(slow))
+    with instance.connect() as sock:
+        sock.sendall(GET.encode())
+        received = sock.recv(1000)
+        thread = drain(instance, timeout_s=20)
+        time.sleep(0.8)
+        assert thread.is_alive()
+        release.set()
+        while part := sock.recv(65536):
+            received += part
+            if received.count(b'x') >= 200000:
+                break
+    thread.join(5)
+    assert not thread.is_alive()
+    assert received.count(b'x') >= 200000
+
+
+def test_requests_are_served_until_lookups_have_expired(
+    make_instance: Any,
+) -> None:
+    """Guards against refusing callers who were just told to come here."""
+    instance = make_instance(extra=SHORT_TTL)
+    instance.use(ScriptedTarget(answer_all))
+    thread = drain(instance, timeout_s=20)
+    time.sleep(0.1)
+    assert thread.is_alive()
+    answer = instance.ask()
+    assert answer.status == 200
+    assert answer.headers['Connection'] == 'close'
+    thread.join(5)
+    assert not thread.is_alive()
+
+
+def test_drain_ends_at_its_time_limit(make_instance: Any) -> None:
+    instance = make_instance(extra=SHORT_TTL)
+    release = threading.Event()
+
+    def hang(connection: ScriptedConnection) -> None:
+        connection.read_head()
+        release.wait(10)
+
+    instance.use(ScriptedTarget(hang))
+    with instance.connect() as sock:
+        sock.sendall(GET.encode())
+        time.sleep(0.1)
+        thread = drain(instance, timeout_s=0.6)
+        thread.join(5)
+        release.set()
+        assert not thread.is_alive()
