Keep a worker on its connection while others are idle

Cause: each request passed through the accepting thread and the queue of the workers; a profile also showed that outcomes were encoded for requests without an Idempotency-Key.

Change: a worker waits up to 2 ms for the next request on the same connection while at most half of the workers are busy; outcomes are encoded only for requests with a key.

--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -52,9 +52,12 @@
         self._is_reset = False
 
     def communicate(self) -> bool:
-        """Serve one request; return whether the connection stays open."""
-        with self.server.activity.running():
-            return bool(super().communicate())
+        """Serve requests; return whether the connection stays open."""
+        with self.server.activity:
+            while super().communicate():
+                if not self.server.has_next(self):
+                    return True
+        return False
 
     def close(self) -> None:
         """Close, after the caller has read a refusal."""
@@ -100,10 +103,6 @@
         self._changed = threading.Condition()
         self._count = 0
 
-    def running(self) -> 'Activity':
-        """Return the context in which one request is served."""
-        return self
-
     def __enter__(self) -> None:
         """Count a request."""
         with self._changed:
@@ -116,6 +115,11 @@
             if not self._count:
                 self._changed.notify_all()
 
+    @property
+    def count(self) -> int:
+        """How many requests are being served."""
+        return self._count
+
     def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no request is served; return whether that happened."""
         with self._changed:
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -2,6 +2,8 @@
 
 import re
 import resource
+import select
+import socket
 import time
 from typing import Any
 
@@ -15,6 +17,8 @@
 # Time for a request's head and small body, and for idle connections.
 REQUEST_TIMEOUT_S = 10.0
 _MAX_CONNECTIONS = 4096
+# Longest wait for the next request on the same connection.
+_NEXT_REQUEST_MS = 2
 _SMALL_BODY_BYTES = 65536
 _DISCARD_BYTES = 65536
 _CONTENT_LENGTH = re.compile(
@@ -23,6 +27,12 @@
 _EXPECT = re.compile(rb'\nexpect:', re.IGNORECASE)
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(_NEXT_REQUEST_MS))
+
+
 class _Connections(connections.ConnectionManager):
     """Idle connections and those whose next request is incomplete."""
 
@@ -104,6 +114,19 @@
         else:
             conn.close()
 
+    def has_next(self, conn: CallerConnection) -> bool:
+        """Return whether the worker goes on with the same connection.
+
+        Handing a connection back and forth between threads costs more than
+        a short wait for the next request, as long as workers are to spare.
+        """
+        if self.requests.qsize or self.activity.count > self.requests.max // 2:
+            return False
+        if not conn.rfile.has_data() and not _is_readable(conn.socket):
+            return False
+        # An end of the stream is left to the accepting thread to find.
+        return self._receive(conn) and self._is_request_whole(conn)
+
     def linger(self, conn: CallerConnection) -> None:
         """Discard what a refused caller still sends, then close."""
         conn.rfile.close()
--- a/oleanderpin/forwarding/idempotency.py
+++ b/oleanderpin/forwarding/idempotency.py
@@ -33,19 +33,21 @@
     ``replay`` is the first answer when the request is a resend.
     """
 
-    def __init__(self, finish: Callable[[Outcome | None], None]) -> None:
-        """Keep what tells the voters."""
+    def __init__(self, finish: Callable[[Outcome | None], None] | None) -> None:
+        """Keep what tells the voters; None for a request without a key."""
         self.replay: Answer | None = None
-        self.is_finished = False
+        self.is_finished = finish is None
         self._finish = finish
 
     def complete(self, answer: Answer) -> None:
         """Keep the answer for resends, before the caller sees it."""
+        if self.is_finished:
+            return
         self.finish(None if answer.passes_not_run else Outcome.of(answer))
 
     def finish(self, outcome: Outcome | None) -> None:
         """Keep an outcome, or withdraw the claim when it is None."""
-        if not self.is_finished:
+        if not self.is_finished and self._finish is not None:
             self.is_finished = True
             self._finish(outcome)
 
@@ -107,7 +109,7 @@
             majority of the voters can be reached.
         """
         if call.request.idempotency_key is None:
-            yield Guard(_ignore)
+            yield Guard(None)
             return
         record = _record(call, account)
         guard = Guard(lambda outcome: self._complete(record, outcome))
@@ -234,10 +236,6 @@
         return call
 
 
-def _ignore(_outcome: Outcome | None) -> None:
-    """Do nothing: the request has no key."""
-
-
 def _record(call: Call, account: str) -> Record:
     key = call.request.idempotency_key
     text = '\n'.join((account, call.service.name, str(key)))
