--- a/oleanderpin/cli/client.py
+++ b/oleanderpin/cli/client.py
@@ -59,6 +59,16 @@
         """
         return self._call('GET', path, b'')
 
+    def post(self, path: str, document: dict[str, Any]) -> Any:
+        """Return the decoded answer to ``POST path``.
+
+        Raises
+        ------
+        OleanderpinError
+            The typed error of the instance, or `UnavailableError`.
+        """
+        return self._call('POST', path, json.dumps(document).encode())
+
     def change(
         self,
         command: str,
@@ -96,7 +106,7 @@
             'operator': self._operator,
             'wait': wait,
         }
-        return self._call('POST', '/v1/changes', json.dumps(document).encode())
+        return self.post('/v1/changes', document)
 
     def _call(self, method: str, path: str, body: bytes) -> Any:
         failures: list[Exception] = []
--- a/oleanderpin/cli/groups.py
+++ b/oleanderpin/cli/groups.py
@@ -281,15 +281,15 @@
 
     def add(self, peer_address: str) -> str:
         """Add the instance at a peer address, first as a learner."""
-        return self._change('members.add', {'peer_address': peer_address})
+        return self._post('add', {'address': str(peer_address)})
 
     def remove(self, member_id: str) -> str:
         """Remove a member by its id."""
-        return self._change('members.remove', {'member_id': str(member_id)})
+        return self._post('remove', {'member': str(member_id)})
 
-    def _change(self, command: str, arguments: dict[str, Any]) -> str:
-        outcome = self._session.change(command, arguments, revision=None)
-        return self._session.show(outcome)
+    def _post(self, action: str, document: dict[str, Any]) -> str:
+        path = f'/v1/members/{action}'
+        return self._session.show(self._session.client.post(path, document))
 
 
 class Blocks(_Group):
--- a/oleanderpin/tests/operators/test_members.py
+++ b/oleanderpin/tests/operators/test_members.py
@@ -26,7 +26,9 @@
 
 def ask(group: Group, method: str, path: str, document: Any = None) -> Any:
     body = json.dumps(document).encode()
-    raw = SimpleNamespace(rfile=io.BytesIO(body))
+    stream = io.BytesIO(body)
+    stream_body = SimpleNamespace(read_up_to=stream.read)
+    raw = SimpleNamespace(open_body=lambda: stream_body)
     request = HttpRequest(method, path, '', [], '127.0.0.1', raw)
     answer: HttpAnswer = group.kernels['c0'].plugin(Admin).handle(request)
     return answer.status, json.loads(answer.body)
