Keep idempotency records on the committed voters

Cause: the voters were the configured first members; after a member was replaced, claims could meet on different majorities or find no voter. A voter whose disk was wiped counted as one that had nothing to copy. Change: the members of the log are part of the control state; a new voter grants claims only after all views that it knows must have it, and after it has copied the records; claims need a fresh view; copies from an unsettled voter count only at the first start of all.

--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -16,6 +16,7 @@
 from .state import (
     Account,
     Block,
+    ControlMember,
     ControlState,
     Drain,
     Key,
@@ -383,6 +384,37 @@
     return replace(state, blocks=rest)
 
 
+class MemberFields(_Arguments):
+    """One member of the control group."""
+
+    member_id: str
+    name: str
+    address: str
+    is_voter: bool
+
+
+class MembersSet(_Arguments):
+    """Arguments of ``members.set``, which only the log itself proposes."""
+
+    members: tuple[MemberFields, ...]
+
+
+MEMBERS_SET = 'members.set'
+
+
+@command(MEMBERS_SET, MembersSet)
+def _set_members(
+    state: ControlState, arguments: MembersSet, _unix_s: float
+) -> ControlState:
+    members = {
+        member.member_id: ControlMember(**member.model_dump())
+        for member in arguments.members
+    }
+    if members == state.members:
+        return state
+    return replace(state, members=members)
+
+
 def _require(state: ControlState, table: str, name: str) -> Any:
     try:
         return getattr(state, table)[name]
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
@@ -15,11 +15,12 @@
 from ..wire.server import PeerServer
 from .bootstrap import Bootstrap
 from .change import Change, Outcome
+from .commands import MEMBERS_SET
 from .members import MemberChanges, OwnMember, describe_own
 from .raft import RaftNode
 from .raft_service import RaftHandler
 from .receiver import Receiver
-from .records import EntryKind, LogEntry
+from .records import EntryKind, LogEntry, decode_members
 from .replication import Replication
 from .snapshots import Snapshots
 from .storage import Contents, LogStorage
@@ -275,11 +276,19 @@
 
 
 def _to_view(entry: LogEntry) -> Entry:
-    is_change = entry.kind == EntryKind.CHANGE
-    return Entry(
-        revision=entry.index,
-        term=entry.term,
-        payload=entry.payload if is_change else b'',
+    payload = entry.payload
+    if entry.kind == EntryKind.MEMBERS:
+        payload = _members_change(entry).encode()
+    return Entry(revision=entry.index, term=entry.term, payload=payload)
+
+
+def _members_change(entry: LogEntry) -> Change:
+    members = decode_members(entry.payload)
+    return Change(
+        request_id=f'members-{entry.index}',
+        command=MEMBERS_SET,
+        arguments={'members': [asdict(member) for member in members]},
+        operator='control-log',
     )
 
 
--- a/oleanderpin/control/machine.py
+++ b/oleanderpin/control/machine.py
@@ -193,6 +193,8 @@
     def _commit(
         self, change: Change, found: Command, name: str, state: ControlState
     ) -> None:
+        if state is self.state:
+            return
         if found.table:
             meta = ObjectMeta(self.revision, change.request_id, change.operator)
             state = state.with_record(
--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -4,7 +4,9 @@
 
 import xxhash
 
+from ..core.settings import Settings
 from ..membership.peers import Peer
+from .state import ControlMember, ControlState
 
 RELAYS_PER_DOMAIN = 2
 # Bounds the peers of other failure domains that are asked in turn while
@@ -12,6 +14,29 @@
 _MAX_FALLBACKS = 3
 
 
+def control_members(
+    settings: Settings, state: ControlState
+) -> list[ControlMember]:
+    """Return the members of the control group.
+
+    Parameters
+    ----------
+    settings : Settings
+        Name the first members, for as long as the state holds none.
+    state : ControlState
+        Holds the committed members.
+    """
+    if state.members:
+        return list(state.members.values())
+    configured = [
+        member.partition('=') for member in settings.control.initial_members
+    ]
+    return [
+        ControlMember('', name, address, is_voter=True)
+        for name, _equals, address in configured
+    ]
+
+
 def rank(owner: str, candidate: str) -> int:
     """Return the rendezvous hash of ``candidate`` for ``owner``.
 
--- a/oleanderpin/control/state.py
+++ b/oleanderpin/control/state.py
@@ -95,6 +95,16 @@
     site: str
 
 
+@dataclass(frozen=True, slots=True)
+class ControlMember:
+    """A member of the control group; a learner is no voter."""
+
+    member_id: str
+    name: str
+    address: str
+    is_voter: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ObjectMeta:
     """Last accepted change of an object."""
@@ -131,6 +141,7 @@
     drains: Mapping[str, Drain] = field(default_factory=_empty)
     moves: Mapping[str, Move] = field(default_factory=_empty)
     blocks: Mapping[str, Block] = field(default_factory=_empty)
+    members: Mapping[str, ControlMember] = field(default_factory=_empty)
     metas: Mapping[str, ObjectMeta] = field(default_factory=_empty)
 
     def with_record(self, table: str, name: str, record: Any) -> 'ControlState':
@@ -160,6 +171,7 @@
         'drains': Drain,
         'moves': Move,
         'blocks': Block,
+        'members': ControlMember,
         'metas': ObjectMeta,
     }
 )
--- a/oleanderpin/forwarding/holder.py
+++ b/oleanderpin/forwarding/holder.py
@@ -35,6 +35,7 @@
 _COPY_RETRY_S = 0.5
 _COPY_TIMEOUT_S = 2.0
 _MARKER = 'idempotency-held'
+_CLOCK_MARGIN_S = 1.0
 
 
 @dataclass(slots=True)
@@ -151,7 +152,7 @@
         """Start copying the records of the other voters."""
         self._has_held = self._marker().exists()
         threading.Thread(
-            target=self._settle, name='idempotency-copy', daemon=True
+            target=self._follow_membership, name='idempotency-copy', daemon=True
         ).start()
 
     def claim(self, record: Record) -> ClaimReply:
@@ -199,19 +200,51 @@
                 next_after=next_after,
             )
 
-    def _settle(self) -> None:
-        own_name = self.kernel.settings.instance.name
+    def _follow_membership(self) -> None:
+        """Copy the records whenever this instance becomes a voter."""
+        was_voter = False
+        is_first_look = True
+        while not self.kernel.stopping.is_set():
+            is_voter = self._is_voter()
+            if is_voter and not was_voter:
+                if not is_first_look:
+                    # Until then instances may still ask the voters before.
+                    self._wait_for_fresh_views()
+                self.copy_records()
+            if was_voter and not is_voter:
+                with self._lock:
+                    self._is_settled = False
+            was_voter = is_voter
+            is_first_look = False
+            self.kernel.wait_while_running(_COPY_RETRY_S)
+
+    def _is_voter(self) -> bool:
+        own_address = self.kernel.settings.listen.peer
         voters = idempotency_voters(self.kernel)
-        others = {name: peer for name, peer in voters if name != own_name}
-        needed = len(voters) - majority(len(voters)) + 1
+        return own_address in {address for _name, address in voters}
+
+    def _wait_for_fresh_views(self) -> None:
+        limit_s = self.kernel.settings.control.freshness_limit_s
+        self.kernel.wait_while_running(limit_s + _CLOCK_MARGIN_S)
+
+    def copy_records(self) -> None:
+        """Copy the records of the other voters, then grant claims."""
+        own_address = self.kernel.settings.listen.peer
         # After the life of a record there is nothing left to be copied.
         give_up_s = self.kernel.clock.now_s() + RECORD_TTL_S
         copied: set[str] = set()
-        if not others and not self._has_held:
-            needed = 0
-        while len(copied) < needed and self.kernel.clock.now_s() < give_up_s:
+        while self.kernel.clock.now_s() < give_up_s:
+            voters = idempotency_voters(self.kernel)
+            others = {
+                name: address
+                for name, address in voters
+                if address != own_address
+            }
+            needed = len(voters) - majority(len(voters)) + 1
+            if not others and not self._has_held:
+                needed = 0
             copied |= self._copy_from_all(others, except_names=copied)
-            if len(copied) >= needed:
+            if len(copied & set(others)) >= needed:
                 break
             if not self.kernel.wait_while_running(_COPY_RETRY_S):
                 return
@@ -241,8 +274,10 @@
                 )
             except UnavailableError:
                 return False
-            # One that restarted as well may have forgotten records.
-            if reply.has_held and not reply.is_settled:
+            # One that restarted, or whose disk was wiped, may have forgotten
+            # records; only at the first start of all is there none to forget.
+            is_first_start = not reply.has_held and not self._has_held
+            if not reply.is_settled and not is_first_start:
                 return False
             self._merge(reply.records)
             after = reply.next_after
--- a/oleanderpin/forwarding/idempotency.py
+++ b/oleanderpin/forwarding/idempotency.py
@@ -9,6 +9,7 @@
 
 from thrift.Thrift import TException
 
+from ..control.view import ControlView
 from ..core.errors import Refusal, RefusalDetails, UnavailableError
 from ..core.http_head import bad_request
 from ..core.metrics import EVENTS
@@ -85,6 +86,7 @@
         """Keep the way to the voters."""
         super().__init__(kernel)
         self._network = kernel.plugin(PeerNetwork)
+        self._view = kernel.plugin(ControlView)
         self._fanout = Fanout()
 
     def start(self) -> None:
@@ -126,6 +128,9 @@
             guard.finish(Outcome.unknown())
 
     def _claim(self, record: Record, call: Call) -> Answer | None:
+        if not self._view.is_fresh():
+            # The voters that this instance knows may have been replaced.
+            raise _unavailable('this instance may not know the present voters')
         voters = idempotency_voters(self.kernel)
         tally = _Tally(majority(len(voters)))
         timeout_s = min(_CALL_TIMEOUT_S, max(0.001, call.remaining_s()))
@@ -154,12 +159,9 @@
                     status=409, not_run=False, retry_after_s=1.0
                 ),
             )
-        raise Refusal(
-            'idempotency_unavailable',
+        raise _unavailable(
             f'fewer than {tally.needed} of {len(voters)} control instances '
-            'can keep the record',
-            remedy='try again later',
-            details=RefusalDetails(retry_after_s=1.0),
+            'can keep the record'
         )
 
     def _complete(
@@ -247,3 +249,12 @@
         is_done=False,
         outcome=b'',
     )
+
+
+def _unavailable(problem: str) -> Refusal:
+    return Refusal(
+        'idempotency_unavailable',
+        problem,
+        remedy='try again later',
+        details=RefusalDetails(retry_after_s=1.0),
+    )
--- a/oleanderpin/forwarding/voters.py
+++ b/oleanderpin/forwarding/voters.py
@@ -2,15 +2,22 @@
 
 from typing import Any
 
+from ..control.sources import control_members
+from ..control.view import ControlView
+
 
 def idempotency_voters(kernel: Any) -> tuple[tuple[str, str], ...]:
     """Return name and peer address of the control voters.
 
-    These are the configured first members until the log tells its own.
+    Members change one at a time, so that the majorities before and after a
+    change always have a voter in common.
     """
-    members = kernel.settings.control.initial_members
-    pairs = (member.partition('=') for member in members)
-    return tuple((name, address) for name, _equals, address in pairs)
+    state = kernel.plugin(ControlView).state
+    return tuple(
+        (member.name, member.address)
+        for member in control_members(kernel.settings, state)
+        if member.is_voter
+    )
 
 
 def majority(count: int) -> int:
--- a/oleanderpin/tests/forwarding/harness.py
+++ b/oleanderpin/tests/forwarding/harness.py
@@ -203,12 +203,15 @@
                 extra=self.extra,
             )
         )
+        self.is_fresh = True
         view = SimpleNamespace(
+            is_fresh=lambda: self.is_fresh,
             state=SimpleNamespace(
+                members={},
                 services={'desk': self.service},
                 profiles={'counter': self.profile},
                 keys={hash_key(KEY): 'shop'},
-            )
+            ),
         )
         fakes = {
             ControlView: view,
--- a/oleanderpin/tests/forwarding/test_idempotency.py
+++ b/oleanderpin/tests/forwarding/test_idempotency.py
@@ -1,5 +1,6 @@
 """Idempotency records: once over all instances, or refused."""
 
+import shutil
 import threading
 from pathlib import Path
 from types import SimpleNamespace
@@ -7,6 +8,8 @@
 
 import pytest
 
+from ...control.state import ControlState
+from ...control.view import ControlView
 from ...forwarding.holder import (
     MAX_ACCOUNT_BYTES,
     RECORD_TTL_S,
@@ -44,10 +47,16 @@
         settings = SimpleNamespace(
             instance=SimpleNamespace(name=name, data_dir=self.folder / name),
             control=SimpleNamespace(initial_members=members),
+            listen=SimpleNamespace(peer=peer_address(name)),
         )
         server = SimpleNamespace(register=lambda *_arguments: None)
         kernel = FakeKernel(
-            settings, {PeerNetwork: self.network, PeerServer: server}
+            settings,
+            {
+                PeerNetwork: self.network,
+                PeerServer: server,
+                ControlView: SimpleNamespace(state=ControlState()),
+            },
         )
         kernel.clock = self.clock
         kernel.wait_while_running = lambda _s: False  # type: ignore
@@ -59,7 +68,7 @@
     def settle(self, *names: str) -> None:
         """Let holders try once to copy, in the calling thread."""
         for name in names:
-            self.holders[name]._settle()
+            self.holders[name].copy_records()
 
     def cut(self, *names: str) -> None:
         self.network.cut = {peer_address(name) for name in names}
@@ -291,3 +300,30 @@
         if not after:
             break
     assert names == [f'{number:05}' for number in range(1200)]
+
+
+def test_stale_instance_does_not_claim(
+    entries: list[Instance], counter: Counter
+) -> None:
+    """Guards against claims on voters that were replaced in the meantime."""
+    entries[0].is_fresh = False
+    answer = post(entries[0])
+    assert answer.status == 503
+    assert b'idempotency_unavailable' in answer.body
+    assert not counter.runs
+
+
+def test_copy_from_a_wiped_voter_does_not_count(voters: Voters) -> None:
+    """Guards against a record lost by a wipe and a restart together."""
+    for name in NAMES:
+        record = Record(name='k', account='', claim_id='1', request_digest='d')
+        voters.holders[name].claim(record)
+    shutil.rmtree(voters.folder / 'a')
+    voters.make('a')
+    voters.make('b')
+    voters.cut('c')
+    voters.settle('b', 'a')
+    other = Record(name='k', account='', claim_id='2', request_digest='d')
+    for name in ('a', 'b'):
+        reply = voters.holders[name].claim(other)
+        assert reply.verdict == Verdict.ABSTAIN
