Test tokens for resources given up; ask for waiting requests always

A request that waits with no recent demand was also not asked for.

Change: a test for both guards, and waiting requests always count.

--- a/oleanderpin/limits/bucket.py
+++ b/oleanderpin/limits/bucket.py
@@ -125,7 +125,7 @@
             burst=self.burst,
             returned=self.returned,
             demand_per_s=demand_per_s,
-            wanted_burst=wanted if self.reserve else 0.0,
+            wanted_burst=wanted if self.reserve or self.waiting else 0.0,
             reserve=self.reserve,
         )
 
--- a/oleanderpin/tests/limits/test_ledger.py
+++ b/oleanderpin/tests/limits/test_ledger.py
@@ -344,6 +344,39 @@
     assert pool.target(small).burst >= 1
 
 
+@pytest.mark.parametrize('is_lost', [False, True])
+def test_tokens_for_a_resource_given_up_are_not_received_later(
+    fleet: Fleet, *, is_lost: bool
+) -> None:
+    """Guards against tokens that reappear after the pool filled again."""
+    holder = fleet.holders[0]
+    holder.note_waiting(ACCOUNT, 10)
+    fleet.send(0)
+    fleet.deliver_request(-1)
+    holder.untrack(ACCOUNT)
+    if is_lost:
+        fleet.exchange(0)
+    else:
+        fleet.deliver_reply(-1)
+    holder.track(ACCOUNT)
+    holder.note_waiting(ACCOUNT, -10)
+    fleet.exchange(0)
+    fleet.clock.advance(2)
+    fleet.holders[1].note_waiting(ACCOUNT, 40)
+    fleet.exchange(1)
+    fleet.use_all(1)
+    # Returns empty burst, which gives tokens room in the pool again.
+    fleet.holders[1].note_waiting(ACCOUNT, -40)
+    fleet.exchange(1)
+    fleet.exchange(1)
+    fleet.exchange(0)
+    fleet.use_all(0)
+    fleet.holders[2].note_waiting(ACCOUNT, 20)
+    fleet.exchange(2)
+    fleet.use_all(2)
+    fleet.check_windows()
+
+
 def test_change_of_the_account_reaches_holders(fleet: Fleet) -> None:
     for _step in range(20):
         fleet.clock.advance(0.1)
