--- a/oleanderpin/routing/router.py
+++ b/oleanderpin/routing/router.py
@@ -17,7 +17,7 @@
 from .choice import Choice
 from .outcome import AttemptOutcome, AttemptResult, Observation, Observer
 from .service_router import ServiceRouter, Surroundings
-from .shift import ShiftPool
+from .shift_budget import ShiftPool
 
 __all__ = (
     'AttemptOutcome',
--- a/oleanderpin/routing/service_router.py
+++ b/oleanderpin/routing/service_router.py
@@ -14,7 +14,8 @@
 from .ejection import Ejection
 from .evidence import TargetEvidence
 from .outcome import AttemptOutcome
-from .shift import ShiftGovernor, ShiftPool
+from .shift import ShiftGovernor
+from .shift_budget import ShiftPool
 from .slow_start import SlowStart
 
 # Leaving and draining targets get no new work after this time at the latest;
--- a/oleanderpin/routing/shift.py
+++ b/oleanderpin/routing/shift.py
@@ -15,9 +15,10 @@
 import math
 from collections import deque
 from collections.abc import Collection
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+
+from .shift_budget import ShiftBudget, ShiftPool
 
-_RAISE_STEPS = 20
 # A cell may run ahead of its share by one request and this part of an
 # interval's traffic. A fixed credit of 4 requests let small services, with
 # about 40 requests a second at each instance, shift 26% at a cap of 20%.
@@ -31,41 +32,6 @@
 _DETECTION_S = 4.0
 
 
-class _Parts(NamedTuple):
-    """How the cap is divided; twice the slack and the rest make up 1.
-
-    The slack counts twice: as room above the measured split, and as drift of
-    the measurement within an interval.
-    """
-
-    slack: float
-    own: float
-    pool: float
-
-
-_WITHOUT_POOL = _Parts(slack=0.125, own=0.75, pool=0.0)
-_WITH_POOL = _Parts(slack=0.05, own=0.1, pool=0.8)
-
-
-class ShiftPool(Protocol):
-    """The part of a service's cap that the fleet shares."""
-
-    def take(self, amount_per_s: float) -> bool:
-        """Take the right to shift traffic.
-
-        Parameters
-        ----------
-        amount_per_s : float
-            Traffic to be shifted, in requests per second. The pool grants
-            within any interval at most `POOL_PART` of the cap, in percent of
-            the fleet's traffic of the service.
-        """
-        ...
-
-
-POOL_PART = _WITH_POOL.pool
-
-
 class Cell(NamedTuple):
     """One part of the split of a service's traffic."""
 
@@ -129,13 +95,12 @@
         pool: ShiftPool | None = None,
     ) -> None:
         """Start without an earlier split."""
-        self._pool = pool
-        self._parts = _WITH_POOL if pool else _WITHOUT_POOL
-        self._cap = cap_percent / _WHOLE_PERCENT
-        self._interval_s = interval_s
+        self._budget = ShiftBudget(
+            cap=cap_percent / _WHOLE_PERCENT, interval_s=interval_s, pool=pool
+        )
         self._shares: dict[Cell, _Share] = {}
-        self._raises: deque[tuple[float, float]] = deque()
         self._offered_total = 0.0
+        self._updated_total = 0.0
         self._offered = 0.0
         self._updated_s = now_s
         self._learning_until_s: float | None = None
@@ -155,8 +120,8 @@
 
     def configure(self, *, cap_percent: float, interval_s: float) -> None:
         """Follow a changed profile."""
-        self._cap = cap_percent / _WHOLE_PERCENT
-        self._interval_s = interval_s
+        self._budget.cap = cap_percent / _WHOLE_PERCENT
+        self._budget.interval_s = interval_s
 
     def offer(self, now_s: float) -> bool:
         """Count a request that asks for a place in the split.
@@ -168,9 +133,9 @@
             that the cap allows.
         """
         if self._learning_until_s is None:
-            self._learning_until_s = now_s + self._interval_s
+            self._learning_until_s = now_s + self._budget.interval_s
         if now_s < self._restricted_until_s and not self._take_token(now_s):
-            self._restricted_until_s = now_s + self._interval_s
+            self._restricted_until_s = now_s + self._budget.interval_s
             return False
         self._offered += 1
         self._offered_total += 1
@@ -202,7 +167,7 @@
         bool
             False if the interval's budget is spent.
         """
-        step = self._spend(now_s)
+        step = self._budget.spend(now_s, offered=self._offered)
         if not step:
             return False
         share = self._share(cell)
@@ -243,8 +208,12 @@
             Monotonic time.
         """
         elapsed_s = now_s - self._updated_s
-        decay = math.exp(-elapsed_s / self._interval_s)
+        decay = math.exp(-elapsed_s / self._budget.interval_s)
         self._updated_s = now_s
+        if elapsed_s > 0:
+            offers = self._offered_total - self._updated_total
+            self._budget.update(offers / elapsed_s)
+            self._updated_total = self._offered_total
         self._offered *= decay
         if self._offered < _MIN_REQUESTS:
             self._learning_until_s = None
@@ -265,18 +234,15 @@
         if self.is_learning:
             return
         if now_s >= self._restricted_until_s:
-            least_per_s = _MIN_BURST / self._interval_s
+            least_per_s = _MIN_BURST / self._budget.interval_s
             self._rate_per_s = max(least_per_s, self._rates[0][1])
             self._tokens = self._burst()
             self._tokens_s = now_s
-        self._restricted_until_s = now_s + self._interval_s
+        self._restricted_until_s = now_s + self._budget.interval_s
 
     def retry_after_s(self, now_s: float) -> float:
         """Return the time until the cap allows a further shift."""
-        if not self._raises:
-            return self._interval_s
-        oldest_s = self._raises[0][0]
-        return max(0.1, oldest_s + self._interval_s - now_s)
+        return self._budget.retry_after_s(now_s)
 
     def ceilings(self) -> dict[Cell, float]:
         """Return the share that each cell may carry at present."""
@@ -287,12 +253,12 @@
         return share.settle(self._offered_total, max_credit=max_credit)
 
     def _note_rate(self, now_s: float) -> None:
-        self._rates.append((now_s, self._offered / self._interval_s))
+        self._rates.append((now_s, self._offered / self._budget.interval_s))
         while self._rates[0][0] < now_s - _DETECTION_S:
             self._rates.popleft()
 
     def _set_ceilings(self) -> None:
-        slack = self._cap * self._parts.slack / max(1, len(self._shares))
+        slack = self._budget.slack / max(1, len(self._shares))
         offered = max(self._offered, 1e-9)
         for share in self._shares.values():
             measured = min(1.0, share.admitted / offered)
@@ -305,29 +271,12 @@
             self._shares[cell] = share
         return share
 
-    def _spend(self, now_s: float) -> float:
-        """Return a step of the budget, 0 when the budget is spent."""
-        budget = self._cap * self._parts.own
-        while self._raises and self._raises[0][0] <= now_s - self._interval_s:
-            self._raises.popleft()
-        left = budget - sum(amount for _raised_s, amount in self._raises)
-        # One request is worth 1/offered of the traffic of an interval.
-        step = max(self._cap / _RAISE_STEPS, 1 / max(1.0, self._offered))
-        step = min(step, budget)
-        if left >= step - 1e-9:
-            self._raises.append((now_s, step))
-            return step
-        amount_per_s = step * self._offered / self._interval_s
-        if self._pool is not None and self._pool.take(amount_per_s):
-            return step
-        return 0.0
-
     def _take_token(self, now_s: float) -> bool:
         gained = (now_s - self._tokens_s) * self._rate_per_s
         self._tokens = min(self._burst(), self._tokens + gained)
         self._tokens_s = now_s
         if self._tokens < 1:
-            step = self._spend(now_s)
+            step = self._budget.spend(now_s, offered=self._offered)
             if not step:
                 return False
             self._rate_per_s *= 1 + step
