Charge the shift pool for all requests that ask

Cause: requests that wait for a busy target are withdrawn from the split, so an instance whose region is full paid for the split of fewer requests than it shifted once the pool allowed it.

Change: the pool is charged at the rate of all requests that ask. A test covers the pool with four instances.

--- a/oleanderpin/routing/shift.py
+++ b/oleanderpin/routing/shift.py
@@ -100,7 +100,8 @@
         )
         self._shares: dict[Cell, _Share] = {}
         self._offered_total = 0.0
-        self._updated_total = 0.0
+        # Withdrawn offers included: they become traffic once a raise allows it.
+        self._asked = 0
         self._offered = 0.0
         self._updated_s = now_s
         self._learning_until_s: float | None = None
@@ -137,6 +138,7 @@
         if now_s < self._restricted_until_s and not self._take_token(now_s):
             self._restricted_until_s = now_s + self._budget.interval_s
             return False
+        self._asked += 1
         self._offered += 1
         self._offered_total += 1
         return True
@@ -211,9 +213,8 @@
         decay = math.exp(-elapsed_s / self._budget.interval_s)
         self._updated_s = now_s
         if elapsed_s > 0:
-            offers = self._offered_total - self._updated_total
-            self._budget.update(offers / elapsed_s)
-            self._updated_total = self._offered_total
+            self._budget.update(self._asked / elapsed_s)
+            self._asked = 0
         self._offered *= decay
         if self._offered < _MIN_REQUESTS:
             self._learning_until_s = None
--- a/oleanderpin/tests/routing/test_router.py
+++ b/oleanderpin/tests/routing/test_router.py
@@ -8,6 +8,7 @@
 from ...core.errors import Refusal
 from ...routing.outcome import AttemptOutcome
 from ...routing.router import Router
+from ...routing.shift_budget import POOL_PART
 from ...testing import ManualClock
 from ...testing.routing import RoutingWorld, make_target
 
@@ -105,6 +106,42 @@
     assert set(fleet.refusals) == {'shift_cap'}
 
 
+class Pool:
+    """Grants at most its part of the cap in any interval."""
+
+    def __init__(self, clock: ManualClock, fleet_rate_per_s: float) -> None:
+        self.clock = clock
+        self.allowed_per_s = fleet_rate_per_s * 0.2 * POOL_PART
+        self.taken: list[tuple[float, float]] = []
+
+    def take(self, amount_per_s: float) -> bool:
+        since_s = self.clock.now_s() - 10
+        self.taken = [each for each in self.taken if each[0] > since_s]
+        taken_per_s = sum(each[1] for each in self.taken)
+        if taken_per_s + amount_per_s > self.allowed_per_s:
+            return False
+        self.taken.append((self.clock.now_s(), amount_per_s))
+        return True
+
+
+def test_shared_pool_moves_more_and_keeps_the_fleets_cap() -> None:
+    """Guards against instances that overdraw the cap by sharing it."""
+    gained = {}
+    for has_pool in (False, True):
+        fleet = Fleet(shift_cap_percent=20, slow_start_s=0)
+        if has_pool:
+            pool = Pool(fleet.clock, RATE * len(DOMAINS))
+            for router in fleet.routers.values():
+                router.use_shift_pools(lambda _service, pool=pool: pool)
+        fleet.run(20)
+        before = fleet.run(10)
+        fail_over(fleet)
+        gained[has_pool] = (fleet.run(10) - before).total()
+    offered = 10 * RATE * len(DOMAINS)
+    assert gained[True] > gained[False]
+    assert gained[True] <= 0.2 * offered + AHEAD * 4 * len(DOMAINS)
+
+
 def test_return_is_a_shift_too() -> None:
     """Guards against a place that gets all its traffic back at once."""
     fleet = Fleet(shift_cap_percent=20, shift_interval_s=10, slow_start_s=0)
