--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -6,7 +6,6 @@
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
-from ..membership.peers import Peers
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.generated.control import Control
 from ..wire.generated.control.ttypes import (
@@ -15,7 +14,6 @@
     WatchReply,
     WatchRequest,
 )
-from ..wire.network import PeerCallError, PeerNetwork
 from ..wire.server import PeerServer
 from .change import Change, Outcome
 from .confirmations import Confirmations, WatcherId
@@ -30,7 +28,6 @@
 _PROPOSE_PATIENCE_S = 8.0
 _RETRY_PAUSE_S = 0.2
 _MAX_HOPS = 2
-_MAX_FORWARDERS = 3
 _IN_FORCE_HOLD_S = 1.0
 _NOT_FRESH_MS = -1
 
@@ -63,8 +60,6 @@
         """Register the Thrift service."""
         super().__init__(kernel)
         self._view = kernel.plugin(ControlView)
-        self._network = kernel.plugin(PeerNetwork)
-        self._peers = kernel.plugin(Peers)
         self._leader = kernel.plugin(LeaderClient)
         self.confirmations = Confirmations(
             kernel.clock,
@@ -167,13 +162,22 @@
         return False
 
     def in_force_here(self, revision: int, hold_s: float) -> bool:
-        """Answer as the leader whether ``revision`` is in force.
+        """Answer whether ``revision`` is in force, or ask the leader.
 
         Raises
         ------
         NotLeader
-            If this instance does not lead.
+            If this control instance does not lead.
+        Unavailable
+            If no leader could be reached from here.
         """
+        if not self.kernel.has(ControlLog):
+            try:
+                return self._ask_leader_in_force(revision, hold_s)
+            except UnavailableError as error:
+                raise Unavailable(
+                    problem=error.problem, maybe_applied=False
+                ) from error
         if not self.follower.leads():
             raise NotLeader(leader_address=self._leader_elsewhere() or '')
         is_in_force = self.confirmations.wait(
@@ -249,25 +253,13 @@
             maybe_applied = error.maybe_applied
         # Another instance may still reach the leader.
         request = ProposeRequest(payload=request.payload, hops=1)
-        _own, *others = self._peers.alive()
-        for peer in others[:_MAX_FORWARDERS]:
-            try:
-                return self._network.call(
-                    peer.peer_address,
-                    'Control',
-                    'propose',
-                    request,
-                    timeout_s=_PROPOSE_TIMEOUT_S,
-                )
-            except (PeerCallError, Unavailable):
-                maybe_applied = True
-            except NotLeader:
-                EVENTS.labels('control', 'forward_refused').inc()
-        raise UnavailableError(
-            'no control leader could be reached from here or through others',
-            remedy='send it again with the same request id',
-            maybe_applied=maybe_applied,
-        )
+        try:
+            return self._leader.call_through_peers(
+                'Control', 'propose', request, timeout_s=_PROPOSE_TIMEOUT_S
+            )
+        except UnavailableError as error:
+            error.maybe_applied = error.maybe_applied or maybe_applied
+            raise
 
     def _ask_leader(self, request: ProposeRequest) -> ProposeReply:
         return self._leader.call(
@@ -275,6 +267,21 @@
         )
 
     def _ask_in_force(self, revision: int, hold_s: float) -> bool:
+        try:
+            return self._ask_leader_in_force(revision, hold_s)
+        except UnavailableError:
+            EVENTS.labels('control', 'in_force_forwarded').inc()
+        request = (revision, int(hold_s * 1000))
+        return bool(
+            self._leader.call_through_peers(
+                'Control',
+                'in_force',
+                *request,
+                timeout_s=hold_s + _IN_FORCE_HOLD_S,
+            )
+        )
+
+    def _ask_leader_in_force(self, revision: int, hold_s: float) -> bool:
         answer: bool = self._leader.call(
             'Control',
             'in_force',
--- a/oleanderpin/control/leader.py
+++ b/oleanderpin/control/leader.py
@@ -11,6 +11,7 @@
 from ..wire.network import PeerCallError, PeerNetwork
 
 _MAX_REDIRECTS = 3
+_MAX_FORWARDERS = 3
 
 
 @dataclass(slots=True)
@@ -97,6 +98,55 @@
             maybe_applied=search.maybe_applied,
         )
 
+    def call_through_peers(
+        self,
+        service_name: str,
+        method: str,
+        *arguments: Any,
+        timeout_s: float,
+    ) -> Any:
+        """Call a method of a few live peers, which pass it on to the leader.
+
+        Parameters
+        ----------
+        service_name, method : str
+            Thrift service and method; the peers must be able to pass it on.
+        *arguments : Any
+            Thrift arguments.
+        timeout_s : float
+            Time for each call, in seconds.
+
+        Returns
+        -------
+        Any
+            The first Thrift result.
+
+        Raises
+        ------
+        UnavailableError
+            If none of them reached the leader.
+        """
+        maybe_applied = False
+        _own, *others = self._peers.alive()
+        for peer in others[:_MAX_FORWARDERS]:
+            try:
+                return self._network.call(
+                    peer.peer_address,
+                    service_name,
+                    method,
+                    *arguments,
+                    timeout_s=timeout_s,
+                )
+            except (PeerCallError, Unavailable):
+                maybe_applied = True
+            except NotLeader:
+                EVENTS.labels('control', 'forward_refused').inc()
+        raise UnavailableError(
+            'no control leader could be reached from here or through others',
+            remedy='send it again with the same request id',
+            maybe_applied=maybe_applied,
+        )
+
     def _candidates(self) -> list[str]:
         settings = self.kernel.settings
         configured = [
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -63,6 +63,13 @@
         )
         return self.distribution(0).propose(change).revision
 
+    def introduce(self) -> None:
+        """Let all instances know each other."""
+        for kernel in self.kernels:
+            for other in self.kernels:
+                own = other.plugin(Peers).table.own
+                kernel.plugin(Peers).table.merge(as_alive(own))
+
     def stop(self) -> None:
         for kernel in self.kernels:
             kernel.stopping.set()
@@ -221,10 +228,7 @@
 
 def test_fallback_when_no_relay_responds(chain: Chain) -> None:
     """Guards against an instance that loses authority with its relays."""
-    for kernel in chain.kernels:
-        for other in chain.kernels:
-            own = other.plugin(Peers).table.own
-            kernel.plugin(Peers).table.merge(as_alive(own))
+    chain.introduce()
     alive = chain.kernels[0].plugin(Peers).alive()
     chosen = {each.name for each in relays('north-a', alive)}
     leaf = next(
@@ -247,6 +251,22 @@
     assert leaf.plugin(ControlView).is_fresh()
 
 
+def test_proposal_reaches_the_leader_through_others(chain: Chain) -> None:
+    """Guards against changes refused because one link is cut."""
+    chain.introduce()
+    LinkFaults(chain.kernels[1]).cut(chain.kernels[0])
+    change = Change(
+        request_id='request-1',
+        command='profile.put',
+        arguments={'name': 'counter'},
+    )
+    distribution = chain.distribution(1)
+    chain.distribution(0).confirmations.begin_leadership(is_first=True)
+    outcome = distribution.propose(change)
+    assert outcome.kind == 'ok'
+    assert distribution.wait_in_force(outcome.revision, timeout_s=5)
+
+
 def peer(name: str, domain: str, **changes: Any) -> Peer:
     return Peer(name, 'r', domain, 's', '', '', f'at-{name}', 1, **changes)
 
