Back region permits by the share ledger

Cause: work from other regions ran on the reserve of one request alone; the router's lender had no leases behind it. Change: the control leader defines for each service and region what may be lent, at most half of the slots and what its reported load leaves, less the reserves; instances hold it under leases and ask for more when they refuse.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -19,7 +19,7 @@
 from .moves import controller, drains, reporting, split, stats  # noqa: F401
 from .operators import admin, members  # noqa: F401
 from .operators import drains as drain_routes  # noqa: F401
-from .routing import links, router  # noqa: F401
+from .routing import lending, links, router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
 from .wire import datagrams, network, server  # noqa: F401
 
--- a/oleanderpin/limits/allocator.py
+++ b/oleanderpin/limits/allocator.py
@@ -73,6 +73,13 @@
             if self._ledger is not None:
                 self._ledger.set_whole(resource, whole)
 
+    def lent_burst(self, resource: str) -> float:
+        """Return the most units of a resource that holders may hold."""
+        with self._lock:
+            if self._ledger is None or resource not in self._wholes:
+                return 0.0
+            return self._ledger.lent(resource).burst
+
     def remove(self, resource: str) -> None:
         """Take back a resource defined by `set_whole`."""
         with self._lock:
