Show a drain and a version move in the demo

Cause: the demo ended after the revoked key. Change: six callers send requests while a target is drained and the service moves to version v2; the outcome lines come from what they saw.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -7,7 +7,9 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -117,17 +119,19 @@
     )
 
 
-def wait_until(what: str, condition: Callable[[], bool]) -> float:
+def wait_until(
+    what: str, condition: Callable[[], bool], *, limit_s: float = 15
+) -> float:
     """Wait until ``condition`` holds; return the seconds it took."""
     started = time.monotonic()
-    while time.monotonic() < started + 20:
+    while time.monotonic() < started + limit_s:
         try:
             if condition():
                 return time.monotonic() - started
         except urllib3.exceptions.HTTPError:
             pass
         time.sleep(0.05)
-    raise DemoFailureError(f'{what}: did not happen within 20 s')
+    raise DemoFailureError(f'{what}: did not happen within {limit_s:g} s')
 
 
 def expect(what: str, condition: bool, seen: Any) -> None:
@@ -137,6 +141,79 @@
     print(f'ok  {what} ({seen})')
 
 
+class Traffic:
+    """A caller that sends requests one after the other to each instance."""
+
+    def __init__(self, ports: list[int], key: str) -> None:
+        """Prepare one thread for each instance."""
+        self.statuses: Counter[int] = Counter()
+        self._key = key
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send, args=(port,), daemon=True)
+            for port in ports * 2
+        ]
+
+    def __enter__(self) -> 'Traffic':
+        """Start sending."""
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_exc_info: object) -> None:
+        """Stop sending."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, port: int) -> None:
+        while not self._stopped.wait(0.005):
+            self.statuses[ask(port, 'desk', self._key).status] += 1
+
+
+def show_drain(admin_port: int, traffic: Traffic, target: FakeTarget) -> None:
+    """Drain a target while requests run."""
+    before = traffic.statuses.copy()
+    change(admin_port, 'drain.start', name=target.target_id, kind='target')
+    time.sleep(3)
+    seen = len(target.seen)
+    time.sleep(1.5)
+    expect(
+        'a drained target gets no new work after 3 s',
+        len(target.seen) == seen,
+        f'{len(target.seen) - seen} requests',
+    )
+    during = traffic.statuses - before
+    expect('no request failed in the drain', set(during) == {200}, during)
+
+
+def show_move(admin_port: int, traffic: Traffic) -> None:
+    """Move the service to a new version with a deadline."""
+    before = traffic.statuses.copy()
+    change(
+        admin_port,
+        'move.start',
+        service='desk',
+        to_version='v2',
+        deadline_s=22,
+    )
+
+    def has_ended() -> bool:
+        return (
+            admin(admin_port, 'GET', '/v1/moves')[1][0]['status'] != 'running'
+        )
+
+    took_s = wait_until('end of the move', has_ended, limit_s=25)
+    [move] = admin(admin_port, 'GET', '/v1/moves')[1]
+    expect(
+        'the move is reported done before its deadline',
+        move['status'] == 'done',
+        f'{took_s:.1f} s; {move["reason"]}; {move["evidence"]}',
+    )
+    during = traffic.statuses - before
+    expect('no request failed in the move', set(during) == {200}, during)
+
+
 def run(fleet: Fleet, targets: list[FakeTarget]) -> None:
     """Show the main job step by step."""
     admin_ports = [each[1] for each in fleet.ports]
@@ -150,15 +227,30 @@
     expect('three instances are ready', True, f'{took_s:.1f} s')
     key = secrets.token_urlsafe(24)
     key_hash = hashlib.sha256(key.encode()).hexdigest()
-    change(admin_ports[1], 'profile.put', name='counter')
     change(
-        admin_ports[1], 'account.put', name='shop', rate_per_s=200, burst=400
+        admin_ports[1],
+        'profile.put',
+        name='counter',
+        shift_cap_percent=50,
+        shift_interval_s=1,
+        slow_start_s=1,
+        move_watch_s=2,
+    )
+    change(
+        admin_ports[1], 'account.put', name='shop', rate_per_s=2000, burst=2000
+    )
+    change(
+        admin_ports[1],
+        'service.put',
+        name='desk',
+        profile='counter',
+        version='v1',
     )
-    change(admin_ports[1], 'service.put', name='desk', profile='counter')
     change(admin_ports[2], 'key.add', key_hash=key_hash, account='shop')
     for target in targets:
         target.start()
-    wait_until('targets', lambda: ask(callers[2], 'desk', key).status == 200)
+    for port in callers:
+        wait_until('targets', lambda: ask(port, 'desk', key).status == 200)  # noqa: B023
 
     answer = _HTTP.request('GET', f'http://127.0.0.1:{callers[0]}/lookup/desk')
     names = [each['name'] for each in json.loads(answer.data)['instances']]
@@ -180,6 +272,13 @@
     statuses = [ask(port, 'desk', key).status for port in callers]
     expect('the revoked key is refused', statuses == [401] * 3, statuses)
 
+    key = secrets.token_urlsafe(24)
+    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    change(admin_ports[0], 'key.add', key_hash=key_hash, account='shop')
+    with Traffic(callers, key) as traffic:
+        show_drain(admin_ports[0], traffic, targets[0])
+        show_move(admin_ports[2], traffic)
+
 
 def main() -> int:
     """Run the demo; return its exit status."""
@@ -189,12 +288,15 @@
         targets = [
             FakeTarget(
                 'desk',
-                f'desk-{domain}',
+                f'desk-{version}-{domain}-{number}',
                 admin_ports=admin_ports,
                 region=region,
                 failure_domain=domain,
+                version=version,
             )
+            for version, count in (('v1', 2), ('v2', 1))
             for _name, region, domain in _PLACES
+            for number in range(count)
         ]
         fleet.start()
         try:
