--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,10 @@
 
 .PHONY: demo test lint format modelcheck bench measure capacity thrift
 
+BENCHES := forwarding lookup distribution log_restart
+MEASURES := limits routing moves
+CAPACITIES := lookup membership distribution targets limits
+
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt -r requirements-dev.txt
@@ -27,6 +31,18 @@
 modelcheck: $(STAMP)
 	$(BIN)/python -m specs --full
 
+# Speed of one instance and of the control group.
+bench: $(STAMP)
+	for name in $(BENCHES); do $(BIN)/python -m bench.$$name || exit 1; done
+
+# Decisions against the baselines, with fixed seeds.
+measure: $(STAMP)
+	for name in $(MEASURES); do $(BIN)/python -m bench.$$name || exit 1; done
+
+# Slopes for docs/CAPACITY.md.
+capacity: $(STAMP)
+	for name in $(CAPACITIES); do $(BIN)/python -m bench.$$name || exit 1; done
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -39,7 +39,7 @@
         """Write one settings file for each instance."""
         ports = free_ports(len(_PLACES) * 3)
         self.ports = [ports[i * 3 : i * 3 + 3] for i in range(len(_PLACES))]
-        self._processes: list[subprocess.Popen[bytes]] = []
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._folder = folder
         seeds = [each[2] for each in self.ports]
         names = [place[0] for place in _PLACES]
@@ -63,20 +63,34 @@
     def start(self) -> None:
         """Start all daemons."""
         for name, _region, _domain in _PLACES:
-            log_file = (self._folder / f'{name}.log').open('wb')
-            settings = str(self._folder / f'{name}.ini')
-            command = [sys.executable, '-m', 'oleanderpin.daemon']
-            self._processes.append(
-                subprocess.Popen(
-                    [*command, '--settings', settings], stderr=log_file
-                )
+            self.start_one(name)
+
+    def start_one(self, name: str) -> None:
+        """Start the daemon of one instance."""
+        settings = str(self._folder / f'{name}.ini')
+        command = [sys.executable, '-m', 'oleanderpin.daemon']
+        with (self._folder / f'{name}.log').open('ab') as log_file:
+            self._processes[name] = subprocess.Popen(
+                [*command, '--settings', settings], stderr=log_file
             )
 
+    def kill(self, name: str) -> None:
+        """End one daemon without warning."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def admin_ports(self) -> list[tuple[str, int]]:
+        """Return name and admin port of each instance."""
+        names = [place[0] for place in _PLACES]
+        ports = [each[1] for each in self.ports]
+        return list(zip(names, ports, strict=True))
+
     def stop(self) -> list[int]:
         """Stop all daemons; return their exit codes."""
-        for process in self._processes:
+        processes = list(self._processes.values())
+        for process in processes:
             process.send_signal(signal.SIGTERM)
-        return [process.wait(timeout=15) for process in self._processes]
+        return [process.wait(timeout=15) for process in processes]
 
 
 def admin(
