Order look-ups by the client block of the caller

Cause: look-ups ordered instances by their distance from the answering instance, whoever asked, and encoded all instances for each answer.

Change: lookup/blocks.py keeps the blocks as disjoint ranges in sorted arrays. A thread builds them again when the table of blocks was replaced, at most every 2 s, with a pause of 1 ms after each 500 blocks. lookup/order.py orders by the site of the block, then failure domain, region and others. Callers fall into 1,024 slots by xxhash; within an equal distance a slot orders instances by rendezvous hash. Orders are kept by site and slot for each set of live peers and drains. An answer holds at most 16 instances, two places reserved for each greater distance that exists.

When callers of all 180 sites use one instance, the kept orders are of little use.

--- a/oleanderpin/lookup/answer.py
+++ b/oleanderpin/lookup/answer.py
@@ -2,10 +2,12 @@
 
 import ipaddress
 import json
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
+from ..control.state import Drain
 from ..control.view import ControlView
 from ..core.errors import Refusal, RefusalDetails
 from ..core.http import HttpAnswer, HttpRequest
@@ -13,19 +15,19 @@
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peer, Peers
 from ..moves.drains import Drains
+from .blocks import ClientBlocks
+from .order import LookupEntry, Order, Orders, Place, places_of
 
 PATH_PREFIX = '/lookup/'
 
 
 @dataclass(frozen=True, slots=True)
-class LookupEntry:
-    """One instance in the order in which a caller should use it."""
+class _Cached:
+    """Orders and the tables from which they were made."""
 
-    name: str
-    address: str
-    failure_domain: str
-    region: str
-    weight: int
+    peers: tuple[Peer, ...]
+    drains: Mapping[str, Drain]
+    orders: Orders
 
 
 @plugins.register('lookup')
@@ -38,6 +40,11 @@
         self._view = kernel.plugin(ControlView)
         self._peers = kernel.plugin(Peers)
         self._drains = kernel.plugin(Drains)
+        self._blocks = kernel.plugin(ClientBlocks)
+        # Places stay known while no instance of a site is live, so that its
+        # callers still get the nearest of the others.
+        self._places: dict[str, Place] = {}
+        self._cached: _Cached | None = None
 
     def answer(self, request: HttpRequest) -> HttpAnswer:
         """Return the instances to use, nearest first.
@@ -57,42 +64,42 @@
             )
         client_ip = _client_ip(request)
         ttl_s = self.kernel.settings.forwarding.lookup_ttl_s
-        entries = [asdict(entry) for entry in self.entries(client_ip)]
+        encoded = b', '.join(self._order(client_ip).encoded)
         LOOKUPS.labels(name).inc()
-        document = {'service': name, 'ttl_s': ttl_s, 'instances': entries}
+        head = json.dumps({'service': name, 'ttl_s': ttl_s})[:-1].encode()
         return HttpAnswer(
             200,
-            json.dumps(document).encode(),
+            b''.join((head, b', "instances": [', encoded, b']}')),
             headers=[('Cache-Control', f'max-age={int(ttl_s)}')],
         )
 
     def entries(self, client_ip: str) -> list[LookupEntry]:
         """Return the instances for a client address, nearest first."""
-        own = self._peers.own()
-        candidates = [
-            peer
-            for peer in self._peers.alive()
-            if 'entry' in peer.roles and not self._drains.is_draining_peer(peer)
-        ]
-        candidates.sort(key=lambda peer: (_distance(own, peer), peer.name))
-        return [
-            LookupEntry(
-                name=peer.name,
-                address=peer.caller_address,
-                failure_domain=peer.failure_domain,
-                region=peer.region,
-                weight=100,
-            )
-            for peer in candidates
-        ]
-
-
-def _distance(own: Peer, peer: Peer) -> int:
-    if peer.site == own.site:
-        return 0
-    if peer.failure_domain == own.failure_domain:
-        return 1
-    return 2 if peer.region == own.region else 3
+        return list(self._order(client_ip).entries)
+
+    def _order(self, client_ip: str) -> Order:
+        site = self._blocks.site_of(client_ip)
+        return self._current_orders().find(site, client_ip)
+
+    def _current_orders(self) -> Orders:
+        # Both tables are replaced as a whole when they change.
+        drains = self._view.state.drains
+        peers = self._peers.alive()
+        cached = self._cached
+        if (
+            cached is None
+            or cached.peers is not peers
+            or cached.drains is not drains
+        ):
+            self._places = {**self._places, **places_of(peers)}
+            usable = [peer for peer in peers if self._is_usable(peer)]
+            orders = Orders(peers[0], usable, self._places)
+            cached = _Cached(peers, drains, orders)
+            self._cached = cached
+        return cached.orders
+
+    def _is_usable(self, peer: Peer) -> bool:
+        return 'entry' in peer.roles and not self._drains.is_draining_peer(peer)
 
 
 def _client_ip(request: HttpRequest) -> str:
--- /dev/null
+++ b/oleanderpin/tests/lookup/test_answer.py
@@ -0,0 +1,176 @@
+"""Order of the instances in answers to look-ups."""
+
+import json
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from ...control.state import Block, ControlState, Drain, Service
+from ...control.view import ControlView
+from ...lookup.answer import Lookup
+from ...lookup.blocks import BlockIndex, ClientBlocks
+from ...lookup.order import MAX_INSTANCES
+from ...membership.peers import Peer, Peers
+from ...moves.drains import Drains
+
+
+def make_peer(name: str, **changes: Any) -> Peer:
+    """Name is ``region-domain-site-number``."""
+    region, domain, site, _number = name.split('-')
+    fields = {
+        'region': region,
+        'failure_domain': f'{region}-{domain}',
+        'site': f'{region}-{domain}-{site}',
+        'roles': ('entry',),
+        'incarnation': 1,
+    }
+    address = f'{name}:80'
+    return Peer(
+        name=name,
+        caller_address=address,
+        admin_address=address,
+        peer_address=address,
+        **{**fields, **changes},
+    )
+
+
+PEERS = (
+    make_peer('a-1-x-0'),
+    make_peer('a-1-x-1'),
+    make_peer('a-1-y-0'),
+    make_peer('a-2-x-0'),
+    make_peer('b-1-x-0'),
+    make_peer('b-1-y-0'),
+    make_peer('b-2-x-0'),
+)
+SITES = {'10.0.0.0/8': 'b-1-x', '11.0.0.0/8': 'nowhere'}
+
+
+class World:
+    """A look-up plug-in over tables that the test sets."""
+
+    def __init__(self) -> None:
+        self.peers: tuple[Peer, ...] = PEERS
+        blocks = {cidr: Block(cidr, site) for cidr, site in SITES.items()}
+        self.state = ControlState(
+            services={'desk': Service('desk', 'p')}, blocks=blocks
+        )
+        settings = SimpleNamespace(forwarding=SimpleNamespace(lookup_ttl_s=5.0))
+        found: dict[type, Any] = {
+            ControlView: self,
+            Peers: SimpleNamespace(alive=lambda: self.peers),
+            ClientBlocks: BlockIndex(blocks),
+        }
+        kernel: Any = SimpleNamespace(
+            plugin=lambda plugin_class: found[plugin_class], settings=settings
+        )
+        found[Drains] = Drains(kernel)
+        self.lookup = Lookup(kernel)
+
+    def names(self, client_ip: str) -> list[str]:
+        return [entry.name for entry in self.lookup.entries(client_ip)]
+
+    def distances(self, client_ip: str, site: str) -> list[int]:
+        region, domain, _site = site.split('-')
+        parts = (f'{site}-', f'{region}-{domain}-', f'{region}-')
+        return [
+            sum(not name.startswith(part) for part in parts)
+            for name in self.names(client_ip)
+        ]
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+def test_block_of_caller_determines_the_order(world: World) -> None:
+    """Guards against ordering by the place of the answering instance."""
+    assert world.distances('10.0.0.1', 'b-1-x') == [0, 1, 2, 3, 3, 3, 3]
+    assert sorted(world.names('10.0.0.1')) == sorted(
+        peer.name for peer in PEERS
+    )
+
+
+@pytest.mark.parametrize('client_ip', ['192.0.2.1', '11.0.0.1'])
+def test_unknown_place_uses_the_answering_instance(
+    world: World, client_ip: str
+) -> None:
+    """Guards against refusing callers without a block or a live site."""
+    assert world.distances(client_ip, 'a-1-x') == [0, 0, 1, 2, 3, 3, 3]
+
+
+def test_callers_are_spread_over_equal_distances(world: World) -> None:
+    """Guards against sending all callers to one instance of a site."""
+    world.peers = (*PEERS, *(make_peer(f'b-1-x-{n}') for n in range(1, 4)))
+    addresses = [f'10.0.{n >> 8}.{n & 255}' for n in range(4000)]
+    firsts = Counter(world.names(address)[0] for address in addresses)
+    assert set(firsts) == {f'b-1-x-{n}' for n in range(4)}
+    assert min(firsts.values()) > 700
+    assert max(firsts.values()) < 1300
+
+
+def test_loss_moves_only_callers_of_the_lost_instance(world: World) -> None:
+    """Guards against reshuffling all callers when one instance is lost."""
+    world.peers = (*PEERS, *(make_peer(f'b-1-x-{n}') for n in range(1, 4)))
+    addresses = [f'10.0.0.{n}' for n in range(256)]
+    before = {address: world.names(address)[0] for address in addresses}
+    world.peers = world.peers[:-1]
+    for address, first in before.items():
+        if first != 'b-1-x-3':
+            assert world.names(address)[0] == first
+
+
+def test_draining_and_lost_instances_are_left_out(world: World) -> None:
+    """Guards against kept orders that outlive a drain or a suspicion."""
+    assert 'b-1-x-0' in world.names('10.0.0.1')
+    world.state = world.state.with_record(
+        'drains', 'b-1', Drain('b-1', 'failure_domain')
+    )
+    assert world.distances('10.0.0.1', 'b-1-x') == [2, 3, 3, 3, 3]
+    world.peers = tuple(peer for peer in PEERS if peer.failure_domain != 'a-2')
+    assert 'a-2-x-0' not in world.names('10.0.0.1')
+    world.peers = (make_peer('a-1-x-0', draining=True), *PEERS[1:])
+    assert 'a-1-x-0' not in world.names('10.0.0.1')
+    world.peers = (*PEERS[:-1], make_peer('b-2-x-0', roles=('control',)))
+    assert 'b-2-x-0' not in world.names('10.0.0.1')
+
+
+def test_place_of_a_site_is_kept_after_its_loss(world: World) -> None:
+    """Guards against sending callers far away when their site fails."""
+    world.names('10.0.0.1')
+    world.peers = tuple(peer for peer in PEERS if peer.site != 'b-1-x')
+    assert world.names('10.0.0.1')[:2] == ['b-1-y-0', 'b-2-x-0']
+
+
+def test_long_answers_keep_instances_of_each_distance(world: World) -> None:
+    """Guards against answers that all fail with one failure domain."""
+    near = (make_peer(f'b-1-x-{n}') for n in range(1, 40))
+    world.peers = (*PEERS, *near)
+    distances = world.distances('10.0.0.1', 'b-1-x')
+    assert len(distances) <= MAX_INSTANCES
+    assert distances == sorted(distances)
+    assert set(distances) == {0, 1, 2, 3}
+
+
+def test_answer_is_the_documented_json(world: World) -> None:
+    """Guards against a malformed document assembled from parts."""
+    request: Any = SimpleNamespace(
+        path='/lookup/desk', query='client=10.0.0.1', client_ip='192.0.2.1'
+    )
+    answer = world.lookup.answer(request)
+    document = json.loads(answer.body)
+    assert document['service'] == 'desk'
+    assert document['ttl_s'] == 5.0
+    assert document['instances'][0] == {
+        'name': 'b-1-x-0',
+        'address': 'b-1-x-0:80',
+        'failure_domain': 'b-1',
+        'region': 'b',
+        'weight': 100,
+    }
+    assert len(document['instances']) == len(PEERS)
+    world.peers = (make_peer('a-1-x-0', draining=True),)
+    assert json.loads(world.lookup.answer(request).body)['instances'] == []
