Hold transfers to the budget of links between regions

Cause: the link budget had no caller. Change: parts of requests and answers to and from another region wait for the budget of their class; after the progress time-out they go on and are counted.

--- a/oleanderpin/forwarding/answer.py
+++ b/oleanderpin/forwarding/answer.py
@@ -25,6 +25,10 @@
     """The target's answer broke off."""
 
 
+def _ignore_part(_byte_count: int) -> None:
+    """Let the body go on at any rate."""
+
+
 class Answer:
     """An answer whose body is in memory or still with the target.
 
@@ -37,6 +41,9 @@
     on_end : callable
         Called once: with True when the body was read to its end, with False
         when it broke off, with None when the caller went away.
+    on_part : callable
+        Called with the number of bytes of each part of the body that was
+        read; may block to hold the target back.
     """
 
     def __init__(
@@ -45,8 +52,10 @@
         body: Body,
         *,
         on_end: Callable[[bool | None], None],
+        on_part: Callable[[int], None] = _ignore_part,
     ) -> None:
         """Start before the body."""
+        self._on_part = on_part
         self.status = head.status
         self.head = head
         self.length = body.length
@@ -84,6 +93,7 @@
             return
         try:
             self.whole = self._body.read_up_to(limit_bytes)
+            self._on_part(len(self.whole))
         except (StreamError, OSError) as error:
             self.end(is_complete=False)
             raise BrokenAnswerError(str(error)) from error
@@ -98,9 +108,11 @@
             If the body breaks off or makes no progress.
         """
         try:
-            return self._body.read_some(_PART_BYTES)
+            part = self._body.read_some(_PART_BYTES)
         except (StreamError, OSError) as error:
             raise BrokenAnswerError(str(error)) from error
+        self._on_part(len(part))
+        return part
 
     def end(self, *, is_complete: bool | None) -> None:
         """Give the target's connection and permits back."""
--- a/oleanderpin/forwarding/attempt.py
+++ b/oleanderpin/forwarding/attempt.py
@@ -5,6 +5,8 @@
 from ..core.errors import Refusal
 from ..core.http_head import AnswerHead, parse_answer_head
 from ..core.http_stream import StreamError
+from ..core.metrics import EVENTS
+from ..routing.links import LinkBudget
 from ..routing.router import AttemptOutcome, AttemptResult, Selection
 from .answer import Answer, answer_body
 from .attempt_error import AttemptError
@@ -45,6 +47,7 @@
         self._first_byte_ms = 0.0
         self._bytes_before = 0
         self._is_released = False
+        self._links = connections.kernel.plugin(LinkBudget)
         self._selection.__enter__()
 
     @property
@@ -120,7 +123,12 @@
         )
         if body.length is None and not head.is_chunked:
             self._is_reusable = False
-        return Answer(head, body, on_end=lambda done: self._end(head, done))
+        return Answer(
+            head,
+            body,
+            on_end=lambda done: self._end(head, done),
+            on_part=self._wait_for_link,
+        )
 
     def failed(self, error: Exception) -> AttemptError:
         """Give up after a lost connection; return the reason."""
@@ -279,6 +287,7 @@
         """Send a part; return False when the target reads no more."""
         connection = self._open_connection()
         timeout_s = self._call.profile.progress_timeout_s
+        self._wait_for_link(len(part))
         try:
             connection.send(part, timeout_s=timeout_s)
         except ConnectionError:
@@ -289,6 +298,22 @@
             raise self.failed(error) from error
         return True
 
+    def _wait_for_link(self, byte_count: int) -> None:
+        """Wait for the budget of the link to the target's region.
+
+        A transfer that has waited for its progress time-out goes on, because
+        breaking it off would cost the link more than the bytes that are left.
+        """
+        profile = self._call.profile
+        is_within = self._links.acquire(
+            self.target.region,
+            byte_count,
+            traffic_class=profile.traffic_class,
+            deadline_s=self._call.clock.now_s() + profile.progress_timeout_s,
+        )
+        if not is_within:
+            EVENTS.labels('links', 'over_budget').inc()
+
     def _answers_early(self, connection: TargetConnection) -> bool:
         if not wait_readable([connection.sock], None, timeout_s=0):
             return False
