Stop the leader from spinning on confirmations

Cause: the leader has no source, so a confirmation that it could pass on to nobody stayed news; the reporting thread looped without a pause and took 91% of a core. Ruled out: the watches themselves (one a second, held as asked). Change: without a source there is no news.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -222,12 +222,18 @@
         changed = self._confirmations.changed
         while not self._kernel.stopping.is_set():
             with changed:
-                if not self._has_news():
+                if not self.has_news():
                     changed.wait(self._kernel.settings.control.watch_hold_s)
-            if self.source and self._has_news():
+            if self.has_news():
                 self._confirm(self.source)
 
-    def _has_news(self) -> bool:
+    def has_news(self) -> bool:
+        """Return whether the source lacks a confirmation.
+
+        A leader has no source and nothing to pass on.
+        """
+        if not self.source:
+            return False
         confirmed = self._confirmations.lowest(self._view.revision)
         return confirmed > self._reported_revision
 
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -249,6 +249,13 @@
     assert restarted.plugin(ControlView).is_fresh()
 
 
+def test_leader_has_no_confirmations_to_pass_on(chain: Chain) -> None:
+    """Guards against a leader that spins on confirmations without a source."""
+    chain.change('profile.put', name='counter')
+    chain.watch(1)
+    assert not chain.distribution(0).follower.has_news()
+
+
 def test_fallback_when_no_relay_responds(chain: Chain) -> None:
     """Guards against an instance that loses authority with its relays."""
     chain.introduce()
