--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -207,7 +207,7 @@
         port = fleet.ports[1][0]
         measure_latency(port, target_port)
         headers = {'Host': 'desk', 'Authorization': f'Bearer {_KEY}'}
-        pid = fleet._processes[1].pid
+        pid = fleet.pid('central-1')
         measure_rate('forwarded', port, '/panel', headers, seconds, pid)
         measure_rate('look-ups', port, '/lookup/desk', {}, seconds, pid)
         measure_rate(
--- a/bench/record_trace.py
+++ b/bench/record_trace.py
@@ -117,13 +117,16 @@
 
 def watch(recorder: Recorder, ports: list[int], stop: threading.Event) -> None:
     """Record the revisions on which fresh instances act."""
+    last: dict[int, int] = {}
     while not stop.wait(0.25):
         for port in ports:
             try:
                 _status, document = admin(port, 'GET', '/v1/status')
             except urllib3.exceptions.HTTPError:
                 continue
-            if document['is_fresh']:
+            revision = document['revision']
+            if document['is_fresh'] and last.get(port) != revision:
+                last[port] = revision
                 recorder.write(
                     'revision',
                     instance=str(port),
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -79,6 +79,10 @@
         self._processes[name].kill()
         self._processes[name].wait()
 
+    def pid(self, name: str) -> int:
+        """Return the process id of one daemon."""
+        return self._processes[name].pid
+
     def admin_ports(self) -> list[tuple[str, int]]:
         """Return name and admin port of each instance."""
         names = [place[0] for place in _PLACES]
--- a/oleanderpin/cli/groups.py
+++ b/oleanderpin/cli/groups.py
@@ -1,6 +1,7 @@
 """The command groups of ``oleanderpin``, one class for each object."""
 
 import ipaddress
+import re
 import secrets
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from .output import render
 
 _KEY_BYTES = 24
+_HASH_PREFIX = re.compile('^[0-9a-f]{8,64}$')
 _BLOCKS_PER_CHANGE = 5000
 
 
@@ -192,7 +194,7 @@
 
     def revoke(self, key_hash: str) -> str:
         """Revoke a key by its hash or by the start of its hash."""
-        prefix = str(key_hash)
+        prefix = _hash_prefix(key_hash)
         hashes = [
             record['key_hash']
             for record in self._session.records(self.table)
@@ -307,6 +309,19 @@
         return self._session.show({'loaded': len(blocks)})
 
 
+def _hash_prefix(value: Any) -> str:
+    # An unquoted 12e4 arrives as a number and would match another key.
+    if not isinstance(value, str) or not _HASH_PREFIX.match(value):
+        raise ValidationError(
+            f'{value!r} is not the start of a key hash',
+            remedy=(
+                'give 8 to 64 hexadecimal digits; quote digits that look '
+                'like a number, as in \'"12e45678"\''
+            ),
+        )
+    return value
+
+
 def _names(value: Any) -> tuple[str, ...]:
     parts = value if isinstance(value, list | tuple) else str(value).split(',')
     return tuple(str(part).strip() for part in parts if str(part).strip())
--- a/oleanderpin/cli/main.py
+++ b/oleanderpin/cli/main.py
@@ -7,7 +7,12 @@
 
 import fire
 
-from ..core.errors import OleanderpinError, UnavailableError, ValidationError
+from ..core.errors import (
+    ConflictError,
+    OleanderpinError,
+    UnavailableError,
+    ValidationError,
+)
 from .client import AdminClient
 from .groups import (
     Accounts,
@@ -90,6 +95,8 @@
         0 done, 1 refused, 2 wrong usage, 3 no instance answered.
     """
     command = list(sys.argv[1:] if arguments is None else arguments)
+    # fire would take the word after a bare flag for its value.
+    command = ['--json=True' if word == '--json' else word for word in command]
     try:
         fire.Fire(Cli, command=command, name='oleanderpin')
     except UnavailableError as error:
@@ -103,6 +110,11 @@
 
 def _fail(error: OleanderpinError, status: int) -> int:
     sys.stderr.write(f'{error.kind}: {error}\n')
+    if isinstance(error, ConflictError) and error.winner_operator:
+        sys.stderr.write(
+            f'winner: {error.winner_operator}, '
+            f'request {error.winner_request_id}\n'
+        )
     return status
 
 
--- a/oleanderpin/cli/output.py
+++ b/oleanderpin/cli/output.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from typing import Any
 
 _GAP = '  '
@@ -33,7 +34,7 @@
         if isinstance(value, list) and value and isinstance(value[0], Mapping):
             tables.append(f'\n{name}:\n{_render_table(value)}')
         else:
-            lines.append(f'{name}: {_cell(value)}')
+            lines.append(f'{name}: {_cell(value, column=name)}')
     return '\n'.join([*lines, *tables])
 
 
@@ -43,7 +44,9 @@
     columns = list(rows[0])
     cells = [columns]
     for row in rows:
-        cells.append([_cell(row.get(column)) for column in columns])
+        cells.append(
+            [_cell(row.get(column), column=column) for column in columns]
+        )
     widths = [
         max(len(line[position]) for line in cells)
         for position in range(len(columns))
@@ -56,7 +59,10 @@
     )
 
 
-def _cell(value: Any) -> str:
+def _cell(value: Any, *, column: str = '') -> str:
+    if column.endswith('unix_s') and value:
+        moment = datetime.fromtimestamp(value, tz=UTC)
+        return moment.isoformat(timespec='seconds')
     if isinstance(value, list):
         return ','.join(_cell(item) for item in value) or '-'
     if isinstance(value, float):
--- /dev/null
+++ b/oleanderpin/tests/cli/test_main.py
@@ -0,0 +1,119 @@
+"""The command line against a recorded admin port."""
+
+import json
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+import pytest
+
+from ...cli.main import main
+from ...cli.output import render
+
+KEYS = [
+    {'key_hash': 'ab' * 32, 'account': 'shop', 'revision': 4},
+    {'key_hash': 'cd' * 32, 'account': 'shop', 'revision': 5},
+]
+
+
+class AdminStandIn:
+    """Answers as an admin port and keeps the changes sent to it."""
+
+    def __init__(self) -> None:
+        self.changes: list[dict[str, Any]] = []
+        self.answer: tuple[int, Any] = (200, {'kind': 'ok', 'revision': 9})
+        stand_in = self
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self) -> None:  # noqa: N802
+                self.reply(200, KEYS if self.path == '/v1/keys' else [])
+
+            def do_POST(self) -> None:  # noqa: N802
+                length = int(self.headers['Content-Length'])
+                stand_in.changes.append(json.loads(self.rfile.read(length)))
+                self.reply(*stand_in.answer)
+
+            def reply(self, status: int, document: Any) -> None:
+                body = json.dumps(document).encode()
+                self.send_response(status)
+                self.send_header('Content-Length', str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *_arguments: Any) -> None:
+                """Write no access log."""
+
+        self.server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def run(self, *words: str) -> int:
+        address = f'127.0.0.1:{self.server.server_port}'
+        return main([f'--instances={address}', *words])
+
+
+@pytest.fixture
+def admin() -> Iterator[AdminStandIn]:
+    stand_in = AdminStandIn()
+    yield stand_in
+    stand_in.server.shutdown()
+    stand_in.server.server_close()
+
+
+def test_key_is_revoked_by_the_start_of_its_hash(admin: AdminStandIn) -> None:
+    assert admin.run('key', 'revoke', 'abababab') == 0
+    [change] = admin.changes
+    assert change['arguments'] == {'key_hash': 'ab' * 32}
+    assert change['expected_revision'] == 4
+
+
+@pytest.mark.parametrize('prefix', ['', '""', '12e45678', 'ab', 'xyzxyzxy'])
+def test_ambiguous_hash_revokes_nothing(
+    admin: AdminStandIn, prefix: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a key revoked by an empty or misread hash."""
+    assert admin.run('key', 'revoke', prefix) != 0
+    assert not admin.changes
+
+
+def test_bare_json_flag_takes_no_value(
+    admin: AdminStandIn, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a flag that swallows the next word."""
+    assert admin.run('--json', 'key', 'list') == 0
+    assert json.loads(capsys.readouterr().out) == KEYS
+
+
+def test_conflict_names_the_winner_without_a_traceback(
+    admin: AdminStandIn, capsys: pytest.CaptureFixture[str]
+) -> None:
+    admin.answer = (
+        409,
+        {
+            'kind': 'conflict',
+            'problem': "'shop' is at revision 7",
+            'remedy': 'read it again',
+            'winner_operator': 'anna',
+            'winner_request_id': 'request-7',
+            'revision': '7',
+        },
+    )
+    words = ('account', 'put', 'shop', '--rate_per_s=5', '--burst=5')
+    assert admin.run(*words) == 1
+    error = capsys.readouterr().err
+    assert 'conflict' in error
+    assert 'read it again' in error
+    assert 'anna' in error
+    assert 'Traceback' not in error
+
+
+def test_unreachable_instance_has_its_own_exit_status(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert main(['--instances=127.0.0.1:1', 'status']) == 3
+
+
+def test_times_are_readable_in_tables() -> None:
+    """Guards against deadlines rounded to days by the number format."""
+    rows = [{'service': 'desk', 'deadline_unix_s': 1796380000.0}]
+    assert '2026-12-04T' in render(rows, as_json=False)
--- /dev/null
+++ b/oleanderpin/tests/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
