--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -1,18 +1,51 @@
 """Builders of test data."""
 
+import itertools
+import os
 import socket
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+
+_FIRST_PORT = 10000
+_LAST_PORT = 32000
+_PORTS_PER_PROCESS = 97
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ``count`` distinct free loopback TCP ports."""
-    sockets = [socket.create_server(('127.0.0.1', 0)) for _each in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ``count`` distinct free loopback TCP and UDP ports.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections, so that none of these can take one of them before
+    it is bound. No port is returned twice by one process.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_CANDIDATES)
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _candidates() -> Iterator[int]:
+    # Processes that test at the same time start at different places.
+    span = _LAST_PORT - _FIRST_PORT
+    start = os.getpid() * _PORTS_PER_PROCESS
+    for offset in itertools.count(start):
+        yield _FIRST_PORT + offset % span
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
+
+
+_CANDIDATES = _candidates()
+
+
 def settings_text(
     *,
     name: str,
