--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format modelcheck bench measure capacity thrift
+.PHONY: demo test lint format modelcheck bench measure capacity trace thrift
 
 BENCHES := forwarding lookup distribution log_restart
 MEASURES := limits routing moves
@@ -43,6 +43,10 @@
 capacity: $(STAMP)
 	for name in $(CAPACITIES); do $(BIN)/python -m bench.$$name || exit 1; done
 
+# Records a run with faults and checks its outcomes.
+trace: $(STAMP)
+	mkdir -p build && $(BIN)/python -m bench.record_trace build/trace.jsonl
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -187,7 +187,7 @@
         return is_in_force and self.follower.leads()
 
     def watch_here(self, request: WatchRequest) -> WatchReply:
-        """Answer a long poll with news or, after the hold time, without."""
+        """Answer a long poll with changes or, after the hold time, without."""
         arrived_s = self.kernel.clock.now_s()
         self.confirm_here(request)
         self._view.wait_for(
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -78,7 +78,7 @@
         address : str
             Peer address of the source.
         hold_s : float
-            How long the source holds the request without news.
+            How long the source holds the request without changes.
 
         Raises
         ------
@@ -222,12 +222,12 @@
         changed = self._confirmations.changed
         while not self._kernel.stopping.is_set():
             with changed:
-                if not self.has_news():
+                if not self.has_unreported_revision():
                     changed.wait(self._kernel.settings.control.watch_hold_s)
-            if self.has_news():
+            if self.has_unreported_revision():
                 self._confirm(self.source)
 
-    def has_news(self) -> bool:
+    def has_unreported_revision(self) -> bool:
         """Return whether the source lacks a confirmation.
 
         A leader has no source and nothing to pass on.
--- a/oleanderpin/control/raft.py
+++ b/oleanderpin/control/raft.py
@@ -115,11 +115,13 @@
     def known_leader(self) -> str:
         """Return the leader's address, empty when there is no recent one.
 
-        A removed member never hears of the next leader.
+        A removed member gets no messages from the next leader.
         """
         with self.lock:
             state = self.state
-            limit_s = state.heard_s + self.settings.election_timeout_max_s
+            limit_s = (
+                state.leader_contact_s + self.settings.election_timeout_max_s
+            )
             if state.role is Role.LEADER or self.now_s() < limit_s:
                 return state.leader_address
             return ''
--- a/oleanderpin/control/raft_state.py
+++ b/oleanderpin/control/raft_state.py
@@ -23,7 +23,7 @@
 class RaftState:
     """Everything that the lock of the node protects.
 
-    ``heard_s`` is when a leader was last heard from, ``led_s`` when this
+    ``leader_contact_s`` is when a leader last sent a message, ``led_s`` when this
     member last became leader, ``deadline_s`` when the next election may begin.
     """
 
@@ -35,7 +35,7 @@
     durable_index: int
     started_s: float
     deadline_s: float
-    heard_s: float = _NEVER_S
+    leader_contact_s: float = _NEVER_S
     led_s: float = _NEVER_S
     role: Role = Role.FOLLOWER
     leader_address: str = ''
--- a/oleanderpin/control/receiver.py
+++ b/oleanderpin/control/receiver.py
@@ -106,7 +106,7 @@
         if is_new or node.state.role is not Role.FOLLOWER:
             node.become_follower(envelope.term)
         node.state.leader_address = leader_address
-        node.state.heard_s = node.now_s()
+        node.state.leader_contact_s = node.now_s()
         node.postpone_election()
         return True
 
--- a/oleanderpin/control/replication.py
+++ b/oleanderpin/control/replication.py
@@ -60,7 +60,7 @@
                 self._running.discard((term, member.member_id))
 
     def _is_needed(self, term: int, member: Member) -> bool:
-        """Return whether to go on; a removed member hears of its removal."""
+        """Return whether to go on; a removed member still gets its removal."""
         node = self._node
         with node.lock:
             if node.kernel.stopping.is_set() or not node.is_leading(term):
--- a/oleanderpin/control/voting.py
+++ b/oleanderpin/control/voting.py
@@ -95,11 +95,11 @@
     def _has_leader(self) -> bool:
         """Return whether a leader may still rely on this member.
 
-        After a start the member cannot know whom it heard from before.
+        After a start the member does not know of earlier leader contact.
         """
         node = self._node
         state = node.state
-        known_s = max(state.heard_s, state.started_s)
+        known_s = max(state.leader_contact_s, state.started_s)
         if state.role is Role.LEADER:
             known_s = max(known_s, node.quorum_acked_s())
         return node.now_s() < known_s + node.settings.election_timeout_min_s
--- a/oleanderpin/limits/messages.py
+++ b/oleanderpin/limits/messages.py
@@ -1,4 +1,4 @@
-"""What holders and the ledger tell each other."""
+"""Messages between holders and the ledger."""
 
 from dataclasses import dataclass
 
--- a/oleanderpin/membership/members.py
+++ b/oleanderpin/membership/members.py
@@ -106,7 +106,7 @@
             self._spread(self.own_update())
 
     def leave(self) -> None:
-        """Stop refuting: the news that this instance leaves comes back."""
+        """Stop refuting, so that the leave of this instance is not contradicted."""
         with self._lock:
             self._is_leaving = True
 
--- a/oleanderpin/targets/announcement.py
+++ b/oleanderpin/targets/announcement.py
@@ -1,4 +1,4 @@
-"""What targets tell about themselves, and the target as it is kept."""
+"""Announcements of targets, and the record of a target."""
 
 from dataclasses import dataclass
 from typing import Annotated
@@ -12,7 +12,7 @@
 
 
 class Announcement(BaseModel):
-    """What a target tells about itself; renewed every second.
+    """Announcement of a target; renewed every second.
 
     ``generation`` increases with each start of the target, so that one that
     has left can return and a late announcement of its last run cannot.
--- a/oleanderpin/targets/rows.py
+++ b/oleanderpin/targets/rows.py
@@ -45,7 +45,7 @@
 class Row:
     """A target with its lease.
 
-    ``heard_s`` is when the target last announced itself to this instance;
+    ``announced_s`` is when the target last announced itself to this instance;
     ``is_own`` tells that this process publishes the row.
     """
 
@@ -53,7 +53,7 @@
     order: Order
     expires_s: float
     first_seen_s: float
-    heard_s: float = float('-inf')
+    announced_s: float = float('-inf')
     is_own: bool = False
 
     @property
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -27,7 +27,7 @@
 class TargetTable(Plugin):
     """Targets by service, each under a lease.
 
-    The instance that hears a target owns its record and tells the others of
+    The instance that a target announces to owns its record and notifies the others of
     noticeable changes only; it withdraws the record when the target stops
     renewing.
     """
@@ -132,15 +132,15 @@
 
     def _renew(self, row: Row, target: Target) -> Target:
         now_s = self.kernel.clock.now_s()
-        previously_heard_s = row.heard_s
-        row.heard_s = now_s
+        previously_announced_s = row.announced_s
+        row.announced_s = now_s
         if row.order.is_live and not row.differs_noticeably(target):
             if row.is_own:
                 row.expires_s = now_s + TARGET_LEASE_S
                 return row.target
             # The owner is replaced when it is gone, or when the target turns
             # to this instance for good.
-            is_repeated = now_s - previously_heard_s < TARGET_LEASE_S
+            is_repeated = now_s - previously_announced_s < TARGET_LEASE_S
             if not is_repeated and self._is_alive(row.order.origin):
                 return row.target
         self._store_own(target, row.order.next_version(self._own_name))
@@ -196,11 +196,11 @@
 
     def _reclaim(self, row: Row, known: Row) -> None:
         """Take over a withdrawn target that announces itself here."""
-        row.heard_s = known.heard_s
+        row.announced_s = known.announced_s
         now_s = self.kernel.clock.now_s()
-        is_heard = now_s - known.heard_s < TARGET_LEASE_S
+        is_announced = now_s - known.announced_s < TARGET_LEASE_S
         is_withdrawn = not row.order.is_live and not row.order.leaving
-        if is_heard and is_withdrawn:
+        if is_announced and is_withdrawn:
             order = row.order.next_version(self._own_name)
             self._store_own(row.target, order)
 
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -109,14 +109,14 @@
 def test_freshness_is_not_passed_on_as_younger_than_it_is(
     chain: Chain,
 ) -> None:
-    """Guards against authority that outlives the leader's word for it."""
+    """Guards against authority that outlives the leader's lease."""
     confirmed_s = chain.clock.now_s()
     for number in (1, 2, 3):
         chain.watch(number)
         age_s = chain.view(number).freshness_age_s()
         assert age_s >= chain.clock.now_s() - confirmed_s
         chain.clock.advance(1.5)
-    # A relay that hears nothing new cannot renew the freshness of others.
+    # A relay without new answers cannot renew the freshness of others.
     chain.watch(3)
     assert chain.view(3).freshness_age_s() >= 4.5
     chain.clock.advance(LIMIT_S - 4.5)
@@ -253,7 +253,7 @@
     """Guards against a leader that spins on confirmations without a source."""
     chain.change('profile.put', name='counter')
     chain.watch(1)
-    assert not chain.distribution(0).follower.has_news()
+    assert not chain.distribution(0).follower.has_unreported_revision()
 
 
 def test_fallback_when_no_relay_responds(chain: Chain) -> None:
--- a/oleanderpin/tests/membership/test_members.py
+++ b/oleanderpin/tests/membership/test_members.py
@@ -78,7 +78,7 @@
 
 
 def test_restart_replaces_the_old_incarnation() -> None:
-    """Guards against news of the old process removing the new one."""
+    """Guards against updates about the old process removing the new one."""
     clock = ManualClock()
     anna = table('a', clock)
     anna.merge(as_alive(info('b', incarnation=5, port=7)))
