--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 BENCHES := forwarding lookup distribution log_restart
 MEASURES := limits routing moves
-CAPACITIES := lookup membership distribution targets limits
+CAPACITIES := idle lookup membership distribution targets limits
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -54,8 +54,8 @@
         'service': 'desk',
         'target_id': 'bench',
         'address': f'127.0.0.1:{target_port}',
-        'region': 'north',
-        'failure_domain': 'north-a',
+        'region': 'central',
+        'failure_domain': 'central-a',
         'version': '',
         'slots': 1000,
         'connections': 1000,
@@ -203,7 +203,7 @@
             target=announce, args=(admin_ports[0], target_port, stop)
         ).start()
         time.sleep(2)
-        # The second instance runs no control role.
+        # The target is in the region of the second instance.
         port = fleet.ports[1][0]
         measure_latency(port, target_port)
         headers = {'Host': 'desk', 'Authorization': f'Bearer {_KEY}'}
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -27,9 +27,9 @@
 class TargetTable(Plugin):
     """Targets by service, each under a lease.
 
-    The instance that a target announces to owns its record and notifies the others of
-    noticeable changes only; it withdraws the record when the target stops
-    renewing.
+    The instance that a target announces to owns its record and notifies the
+    others of noticeable changes only; it withdraws the record when the target
+    stops renewing.
     """
 
     def __init__(self, kernel: Any) -> None:
