Search further for seeded faults at full size

Cause: with two units the fault "renewal revives an expired share" needs more than 40,000 states; make modelcheck reported it as not found. Change: 500,000 states for each fault at full size.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -16,6 +16,7 @@
 _MAX_STATES = 3_000_000
 # A fault shows within a few steps; the search need not be complete.
 _MAX_STATES_WITH_FAULT = 40_000
+_MAX_STATES_WITH_FAULT_FULL = 500_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,9 +41,15 @@
 def check_all(*, is_full: bool) -> Iterator[Verdict]:
     """Check each specification without and with each seeded fault."""
     whole = 2 if is_full else 1
-    yield from _check('freshness', freshness.build, freshness.FAULTS)
+    limit = _MAX_STATES_WITH_FAULT
+    if is_full:
+        limit = _MAX_STATES_WITH_FAULT_FULL
+    yield from _check('freshness', freshness.build, freshness.FAULTS, limit)
     yield from _check(
-        'shares', lambda fault: shares.build(fault, whole=whole), shares.FAULTS
+        'shares',
+        lambda fault: shares.build(fault, whole=whole),
+        shares.FAULTS,
+        limit,
     )
     scopes = ('terms', 'failures', 'full') if is_full else ('terms', 'failures')
     for scope_name in scopes:
@@ -50,15 +57,19 @@
             f'log {scope_name}',
             lambda fault: log.build(fault, scope_name=scope_name),
             log.FAULTS[scope_name],
+            limit,
         )
 
 
 def _check(
-    name: str, build: Callable[[str], Protocol], faults: tuple[str, ...]
+    name: str,
+    build: Callable[[str], Protocol],
+    faults: tuple[str, ...],
+    fault_limit: int,
 ) -> Iterator[Verdict]:
     for fault in ('', *faults):
         started_s = time.monotonic()
-        limit = _MAX_STATES_WITH_FAULT if fault else _MAX_STATES
+        limit = fault_limit if fault else _MAX_STATES
         checked = check_safety(build(fault), max_states=limit)
         violated = tuple(
             invariant
