Take version and move from the same control state

Cause: a request that had read its service before a move ended, and asked for the weights afterwards, got the old version with the whole weight; the router's split then turned back until its next refresh, against the cap. Change: the weights use the service of the state that holds the move.

--- a/oleanderpin/moves/split.py
+++ b/oleanderpin/moves/split.py
@@ -33,7 +33,11 @@
         control state is not fresh the new version gets nothing, since a
         decision to take it back may not have arrived.
         """
-        move = self._view.state.moves.get(service.name)
+        state = self._view.state
+        # The caller may have read the service before a move ended; version
+        # and move must come from the same state.
+        service = state.services.get(service.name, service)
+        move = state.moves.get(service.name)
         if move is None or move.status != 'running':
             return {service.version: 1.0}
         share = move.share_percent / _WHOLE_PERCENT
