Read configured members and region targets in one place each

Cause: four modules took `initial_members` apart on their own; the region update read the target table again for each region. Change: configured_members() serves all four; targets are grouped once for each service. Behaviour is unchanged.

--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -14,6 +14,7 @@
 from .convert import members_to_wire
 from .raft import RaftNode
 from .records import Member, Members
+from .sources import configured_members
 
 _LOG = logging.getLogger(__name__)
 _RETRY_S = 0.2
@@ -42,8 +43,8 @@
         """Wait for the others in a thread, if this member is empty."""
         if self._node.state.identity.cluster_id:
             return
-        configured = self._node.settings.initial_members
-        addresses = [each.partition('=')[2] for each in configured]
+        configured = configured_members(self._node.settings)
+        addresses = [member.address for member in configured]
         own_address = self._node.kernel.settings.listen.peer
         if addresses[:1] == [own_address]:
             threading.Thread(
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -12,7 +12,7 @@
 from ..wire.network import PeerNetwork
 from .confirmations import Confirmations
 from .log import ControlLog
-from .sources import sources
+from .sources import configured_members, sources
 from .view import ControlView
 
 _LOG = logging.getLogger(__name__)
@@ -211,11 +211,11 @@
                 peer.name,
             )
         )
-        configured = [
-            member.partition('=')[2]
-            for member in self._kernel.settings.control.initial_members
+        configured = configured_members(self._kernel.settings.control)
+        return [
+            *(peer.peer_address for peer in announced),
+            *(member.address for member in configured),
         ]
-        return [*(peer.peer_address for peer in announced), *configured]
 
     def _report(self) -> None:
         """Pass on at once what watchers confirm while a watch is held."""
--- a/oleanderpin/control/leader.py
+++ b/oleanderpin/control/leader.py
@@ -9,6 +9,7 @@
 from ..membership.peers import Peers
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.network import PeerCallError, PeerNetwork
+from .sources import configured_members
 
 _MAX_REDIRECTS = 3
 _MAX_FORWARDERS = 3
@@ -148,18 +149,14 @@
         )
 
     def _candidates(self) -> list[str]:
-        settings = self.kernel.settings
-        configured = [
-            member.partition('=')[2]
-            for member in settings.control.initial_members
+        peers = self._peers.alive()
+        configured = configured_members(self.kernel.settings.control)
+        known = [
+            self._leader_address,
+            *(peer.peer_address for peer in peers if 'control' in peer.roles),
+            *(member.address for member in configured),
         ]
-        announced = [
-            peer.peer_address
-            for peer in self._peers.alive()
-            if 'control' in peer.roles
-        ]
-        known = [self._leader_address, *announced, *configured]
-        alive = {peer.peer_address for peer in self._peers.alive()}
+        alive = {peer.peer_address for peer in peers}
         # An address that does not respond costs a time-out, so it comes last.
         return sorted(
             (address for address in dict.fromkeys(known) if address),
--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from ..core.settings import Settings
+from ..core.settings import ControlSettings, Settings
 from ..membership.peers import Peer
 from .state import ControlMember, ControlState
 
@@ -28,12 +28,15 @@
     """
     if state.members:
         return list(state.members.values())
-    configured = [
-        member.partition('=') for member in settings.control.initial_members
-    ]
+    return configured_members(settings.control)
+
+
+def configured_members(settings: ControlSettings) -> list[ControlMember]:
+    """Return the first members that the settings name, without ids."""
+    pairs = [member.partition('=') for member in settings.initial_members]
     return [
         ControlMember('', name, address, is_voter=True)
-        for name, _equals, address in configured
+        for name, _equals, address in pairs
     ]
 
 
--- a/oleanderpin/routing/lending.py
+++ b/oleanderpin/routing/lending.py
@@ -12,6 +12,7 @@
 from ..limits.messages import Whole
 from ..limits.shares import ShareHolder
 from ..membership.peers import Peers
+from ..targets.announcement import Target
 from ..targets.table import TargetTable
 from .capacity import Permit, spare_slots
 from .router import Router
@@ -151,27 +152,24 @@
         """Define what may be lent, from the announced targets."""
         defined = set()
         for service in self._view.state.services:
-            for region in self._regions(service):
+            by_region = defaultdict(list)
+            for target in self._table.targets(service):
+                by_region[target.region].append(target)
+            for region, targets in by_region.items():
                 resource = region_resource(service, region)
                 defined.add(resource)
-                permits = self._permits(service, region)
+                permits = self._permits(resource, region, targets)
                 self._allocator.set_whole(resource, Whole(0, permits))
         for resource in self._known - defined:
             self._allocator.remove(resource)
         self._known = defined
 
-    def _regions(self, service: str) -> set[str]:
-        return {target.region for target in self._table.targets(service)}
-
-    def _permits(self, service: str, region: str) -> int:
-        targets = [
-            target
-            for target in self._table.targets(service)
-            if target.region == region
-        ]
+    def _permits(
+        self, resource: str, region: str, targets: list[Target]
+    ) -> int:
         slots = sum(target.slots for target in targets)
         in_use = sum(min(target.load, target.slots) for target in targets)
-        lent = self._allocator.lent_burst(region_resource(service, region))
+        lent = self._allocator.lent_burst(resource)
         # The reported load holds the work of other regions as well.
         used_inside = max(0, round(in_use - lent))
         outside = [
