--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -1,17 +1,25 @@
-"""Forms the first group while all of its members are empty."""
+"""Forms the first group, or has an empty instance added to the group."""
 
 import logging
 import secrets
 import threading
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..membership.peers import Peers
 from ..wire.generated.common.ttypes import Unavailable
-from ..wire.generated.raft.ttypes import AdoptRequest, Envelope, IdentityReply
+from ..wire.generated.raft.ttypes import (
+    AdoptRequest,
+    Envelope,
+    IdentityReply,
+    MemberAdd,
+    MemberProblem,
+)
 from ..wire.network import PeerNetwork
 from .convert import members_to_wire
+from .leader import LeaderClient
 from .raft import RaftNode
 from .records import Member, Members
 from .sources import configured_members
@@ -20,6 +28,9 @@
 _RETRY_S = 0.2
 _CALL_TIMEOUT_S = 1.0
 _ID_BYTES = 8
+# Members are added one at a time, so those that wait ask again soon.
+_JOIN_RETRY_S = 0.3
+_JOIN_TIMEOUT_S = 3.0
 
 
 class Bootstrap:
@@ -43,21 +54,44 @@
         """Wait for the others in a thread, if this member is empty."""
         if self._node.state.identity.cluster_id:
             return
-        configured = configured_members(self._node.settings)
-        addresses = [member.address for member in configured]
-        own_address = self._node.kernel.settings.listen.peer
-        if addresses[:1] == [own_address]:
-            threading.Thread(
-                target=self._run,
-                args=(addresses,),
-                name='log-bootstrap',
-                daemon=True,
-            ).start()
-        else:
-            _LOG.info(
-                'member %s has an empty disk and waits to be added',
-                self._node.own_id,
-            )
+        settings = self._node.kernel.settings
+        addresses = self._first_addresses()
+        if addresses[:1] == [settings.listen.peer]:
+            _start_thread(lambda: self._run(addresses))
+            return
+        _LOG.info(
+            'member %s has an empty disk and waits to be added',
+            self._node.own_id,
+        )
+        if settings.control.join_automatically:
+            _start_thread(self._join)
+
+    def _first_addresses(self) -> list[str]:
+        settings = self._node.kernel.settings
+        control = settings.control
+        if control.join_automatically and not control.form_from_seeds:
+            # Seeds are known, but the group was formed before.
+            return []
+        return [member.address for member in configured_members(settings)]
+
+    def _join(self) -> None:
+        """Ask the leader to add this instance, until it belongs to a group."""
+        node = self._node
+        leader = node.kernel.plugin(LeaderClient)
+        own_address = node.kernel.settings.listen.peer
+        while node.kernel.wait_while_running(_JOIN_RETRY_S):
+            if node.state.identity.cluster_id:
+                return
+            try:
+                leader.call(
+                    'Raft',
+                    'add_member',
+                    MemberAdd(address=own_address),
+                    timeout_s=_JOIN_TIMEOUT_S,
+                )
+            except (UnavailableError, MemberProblem) as error:
+                EVENTS.labels('control', 'join_waits').inc()
+                _LOG.info('not added to the control group yet: %s', error)
 
     def _run(self, addresses: list[str]) -> None:
         node = self._node
@@ -94,7 +128,7 @@
             for peer in kernel.plugin(Peers).alive()
             if 'control' in peer.roles
         ]
-        for address in {*kernel.settings.peers.seeds, *announced}:
+        for address in {*kernel.settings.peers.seed_addresses(), *announced}:
             identity = self._identity_at(address)
             if identity is not None and identity.cluster_id:
                 EVENTS.labels('control', 'bootstrap_waits').inc()
@@ -151,3 +185,7 @@
             )
         except (UnavailableError, Unavailable) as error:
             _LOG.warning('invitation of %s failed: %s', member.name, error)
+
+
+def _start_thread(target: Callable[[], None]) -> None:
+    threading.Thread(target=target, name='log-bootstrap', daemon=True).start()
--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -98,6 +98,11 @@
     shift_interval_s: Annotated[float, Field(gt=0, le=3600)] = 10.0
     slow_start_s: Annotated[float, Field(ge=0, le=600)] = 10.0
     move_watch_s: Annotated[float, Field(ge=0, le=86400)] = 30.0
+    is_repeatable: bool = False
+    latency_objective_s: Annotated[float, Field(gt=0, le=3600)] = 1.0
+    rank: Annotated[int, Field(ge=0, le=1000)] = 0
+    is_sticky: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @command('profile.put', ProfilePut, table='profiles', key_field='name')
@@ -119,13 +124,13 @@
     state: ControlState, arguments: Named, _unix_s: float
 ) -> ControlState:
     users = [
-        service.name
-        for service in state.services.values()
-        if service.profile == arguments.name
+        user.name
+        for user in (*state.services.values(), *state.routes.values())
+        if user.profile == arguments.name
     ]
     if users:
         raise ValidationError(
-            f'profile {arguments.name!r} is used by services {users}',
+            f'profile {arguments.name!r} is used by {users}',
             remedy='assign another profile to them first',
         )
     return state.without_record('profiles', arguments.name)
@@ -139,6 +144,11 @@
     is_open: bool = False
     accounts: tuple[Name, ...] = ()
     version: str = ''
+    cold_rate_per_s: Annotated[float, Field(ge=0, le=1e6)] = 0.0
+    cold_start_s: Annotated[float, Field(ge=0, le=3600)] = 0.0
+    max_connections: Annotated[int, Field(ge=0, le=1000000)] = 0
+    health_path: str = ''
+    annotation: str = ''
 
 
 @command('service.put', ServicePut, table='services', key_field='name')
@@ -169,6 +179,16 @@
             f'service {arguments.name!r} has a running move',
             remedy='cancel the move first',
         )
+    users = [
+        route.name
+        for route in state.routes.values()
+        if arguments.name in route.services
+    ]
+    if users:
+        raise ValidationError(
+            f'service {arguments.name!r} is used by routes {users}',
+            remedy='remove or change these routes first',
+        )
     return state.without_record('services', arguments.name)
 
 
@@ -178,6 +198,9 @@
     name: Name
     rate_per_s: Annotated[float, Field(gt=0, le=1e7)]
     burst: Annotated[float, Field(ge=1, le=1e7)]
+    rank: Annotated[int, Field(ge=0, le=1000)] | None = None
+    allowed_regions: tuple[str, ...] = ()
+    annotation: str = ''
 
 
 @command('account.put', AccountPut, table='accounts', key_field='name')
--- /dev/null
+++ b/oleanderpin/control/configuration.py
@@ -0,0 +1,298 @@
+"""The whole configuration as one document, changed by compare-and-set."""
+
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import replace
+from types import MappingProxyType
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..core.errors import ConflictError, ValidationError
+from .commands import command
+from .state import (
+    CURRENT,
+    Account,
+    ControlState,
+    Key,
+    Profile,
+    Route,
+    Service,
+)
+
+REPLACE = 'configuration.replace'
+EDIT = 'configuration.edit'
+# Documents that are recognized when they are sent again: about half a day
+# of changes at the size the design is made for.
+_MAX_ACCEPTED = 300
+_TABLES = ('profiles', 'services', 'routes', 'accounts')
+
+ObjectName = Annotated[str, Field(min_length=1, max_length=256)]
+Amount = Annotated[float, Field(ge=0, le=1e9)]
+Seconds = Annotated[float, Field(gt=0, le=86400)]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class ProfileDocument(_Model):
+    """Needs of a kind of traffic, as `Profile` holds them."""
+
+    request_timeout_s: Seconds = 10.0
+    max_attempts: Annotated[int, Field(ge=1, le=100)] = 3
+    is_repeatable: bool = False
+    latency_objective_s: Seconds = 1.0
+    rank: int = 0
+    is_sticky: bool = False
+    allowed_regions: tuple[str, ...] = ()
+    shift_cap_percent: Annotated[float, Field(gt=0, le=100)] = 20.0
+    shift_interval_s: Seconds = 10.0
+    move_watch_s: Amount = 30.0
+
+
+class ServiceDocument(_Model):
+    """A service; its version is set by moves only."""
+
+    profile: ObjectName
+    cold_rate_per_s: Amount = 0.0
+    cold_start_s: Amount = 0.0
+    max_connections: Annotated[int, Field(ge=0)] = 0
+    health_path: str = ''
+    annotation: str = ''
+
+
+class RouteDocument(_Model):
+    """A route; ``weights`` holds one weight for each of ``services``."""
+
+    host: Annotated[str, Field(min_length=1, max_length=253)]
+    path_prefix: Annotated[str, Field(pattern='^/', max_length=4096)]
+    profile: ObjectName
+    services: Annotated[tuple[ObjectName, ...], Field(min_length=1)]
+    weights: tuple[Amount, ...]
+    is_open: bool = False
+    annotation: str = ''
+
+
+class AccountDocument(_Model):
+    """A client account with the hashes of its keys."""
+
+    key_hashes: tuple[Annotated[str, Field(pattern='^[0-9a-f]{64}$')], ...] = ()
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
+    rank: int | None = None
+    allowed_regions: tuple[str, ...] = ()
+    annotation: str = ''
+
+
+class LimitsDocument(_Model):
+    """Bounds on what callers send."""
+
+    max_header_bytes: Annotated[int, Field(ge=256)] = 16384
+    max_body_bytes: Annotated[int, Field(ge=0)] = 64 * 1024 * 1024
+    header_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 60.0
+    annotation: str = ''
+
+
+class Objects(_Model):
+    """Objects by table and name."""
+
+    profiles: dict[ObjectName, ProfileDocument] = {}
+    services: dict[ObjectName, ServiceDocument] = {}
+    routes: dict[ObjectName, RouteDocument] = {}
+    accounts: dict[ObjectName, AccountDocument] = {}
+
+
+class _Numbered(_Model):
+    """Number of the new configuration and of the one that it builds on."""
+
+    number: Annotated[int, Field(ge=0)]
+    based_on: Annotated[int, Field(ge=0)]
+    limits: LimitsDocument | None = None
+
+    def digest(self) -> str:
+        """Return a digest that equals only that of the same change."""
+        document = [type(self).__name__, self.model_dump(mode='json')]
+        encoded = json.dumps(document, sort_keys=True).encode()
+        return hashlib.sha256(encoded).hexdigest()[:32]
+
+
+class ConfigurationReplace(_Numbered):
+    """Arguments of ``configuration.replace``."""
+
+    objects: Objects
+
+
+class ConfigurationEdit(_Numbered):
+    """Arguments of ``configuration.edit``: objects to set and to remove."""
+
+    upsert: Objects = Objects()
+    remove: dict[str, tuple[str, ...]] = {}
+
+
+@command(REPLACE, ConfigurationReplace)
+def _replace(
+    state: ControlState, arguments: ConfigurationReplace, _unix_s: float
+) -> ControlState:
+    if _is_accepted(state, arguments):
+        return state
+    _check_number(state, arguments)
+    empty = replace(
+        state,
+        **dict.fromkeys((*_TABLES, 'keys'), MappingProxyType({})),
+    )
+    changed = _with_objects(empty, arguments.objects, known=state)
+    return _finish(state, changed, arguments)
+
+
+@command(EDIT, ConfigurationEdit)
+def _edit(
+    state: ControlState, arguments: ConfigurationEdit, _unix_s: float
+) -> ControlState:
+    if _is_accepted(state, arguments):
+        return state
+    _check_number(state, arguments)
+    changed = state
+    for table, names in arguments.remove.items():
+        if table not in _TABLES:
+            raise ValidationError(
+                f'remove names the unknown table {table!r}',
+                remedy=f'use one of {list(_TABLES)}',
+            )
+        for name in names:
+            changed = changed.without_record(table, name)
+    changed = _with_objects(changed, arguments.upsert, known=state)
+    gone = [
+        key_hash
+        for key_hash, key in changed.keys.items()
+        if key.account not in changed.accounts
+    ]
+    for key_hash in gone:
+        changed = changed.without_record('keys', key_hash)
+    return _finish(state, changed, arguments)
+
+
+def _is_accepted(state: ControlState, arguments: _Numbered) -> bool:
+    return arguments.digest() in state.configuration.accepted
+
+
+def _check_number(state: ControlState, arguments: _Numbered) -> None:
+    current = state.configuration.number
+    if arguments.based_on != current:
+        raise ConflictError(
+            f'configuration {arguments.number} builds on '
+            f'{arguments.based_on}, but {current} is in force',
+            winner_request_id='',
+            winner_operator='',
+            revision=current,
+            remedy='read the configuration and repeat the change against it',
+        )
+    if arguments.number <= current:
+        raise ValidationError(
+            f'number {arguments.number} is not above the number {current} '
+            'in force',
+            remedy='give a higher number',
+        )
+
+
+def _with_objects(
+    state: ControlState, objects: Objects, *, known: ControlState
+) -> ControlState:
+    profiles = {
+        name: Profile(name=name, **each.model_dump())
+        for name, each in objects.profiles.items()
+    }
+    services = {
+        name: Service(
+            name=name, version=_version(known, name), **each.model_dump()
+        )
+        for name, each in objects.services.items()
+    }
+    routes = {
+        name: Route(name=name, **each.model_dump())
+        for name, each in objects.routes.items()
+    }
+    accounts = {
+        name: Account(name=name, **each.model_dump(exclude={'key_hashes'}))
+        for name, each in objects.accounts.items()
+    }
+    state = state.with_records('profiles', profiles)
+    state = state.with_records('services', services)
+    state = state.with_records('routes', routes)
+    state = state.with_records('accounts', accounts)
+    return _with_keys(state, objects.accounts)
+
+
+def _with_keys(
+    state: ControlState, accounts: Mapping[str, AccountDocument]
+) -> ControlState:
+    """Replace the keys of the given accounts by those that they name."""
+    keys = {
+        key_hash: key
+        for key_hash, key in state.keys.items()
+        if key.account not in accounts
+    }
+    for name, account in accounts.items():
+        for key_hash in account.key_hashes:
+            holder = keys.get(key_hash)
+            if holder is not None and holder.account != name:
+                raise ValidationError(
+                    f'accounts {holder.account!r} and {name!r} share a key',
+                    remedy='give each account keys of its own',
+                )
+            keys[key_hash] = Key(key_hash, name)
+    return replace(state, keys=MappingProxyType(keys))
+
+
+def _version(known: ControlState, service: str) -> str:
+    current = known.services.get(service)
+    return current.version if current is not None else ''
+
+
+def _finish(
+    state: ControlState, changed: ControlState, arguments: _Numbered
+) -> ControlState:
+    _check_references(changed)
+    current = state.configuration
+    accepted = (*current.accepted, arguments.digest())[-_MAX_ACCEPTED:]
+    limits: dict[str, Any] = {}
+    if arguments.limits is not None:
+        limits = arguments.limits.model_dump()
+    record = replace(
+        current, number=arguments.number, accepted=accepted, **limits
+    )
+    return changed.with_record('configurations', CURRENT, record)
+
+
+def _check_references(state: ControlState) -> None:
+    places: dict[tuple[str, str], str] = {}
+    for route in state.routes.values():
+        for service in route.services:
+            if service not in state.services:
+                raise ValidationError(
+                    f'route {route.name!r} names the unknown service '
+                    f'{service!r}',
+                    remedy=f'use one of {sorted(state.services)}',
+                )
+        if len(route.weights) != len(route.services) or not sum(route.weights):
+            raise ValidationError(
+                f'route {route.name!r} has the weights {list(route.weights)}',
+                remedy='give one weight a service, with a sum above 0',
+            )
+        if route.profile not in state.profiles:
+            raise ValidationError(
+                f'route {route.name!r} names the unknown profile '
+                f'{route.profile!r}',
+                remedy=f'use one of {sorted(state.profiles)}',
+            )
+        place = (route.host, route.path_prefix)
+        if place in places:
+            raise ValidationError(
+                f'routes {places[place]!r} and {route.name!r} share '
+                f'host and path {place}',
+                remedy='give each route a host and path of its own',
+            )
+        places[place] = route.name
+
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -211,7 +211,7 @@
                 peer.name,
             )
         )
-        configured = configured_members(self._kernel.settings.control)
+        configured = configured_members(self._kernel.settings)
         return [
             *(peer.peer_address for peer in announced),
             *(member.address for member in configured),
--- a/oleanderpin/control/leader.py
+++ b/oleanderpin/control/leader.py
@@ -150,7 +150,7 @@
 
     def _candidates(self) -> list[str]:
         peers = self._peers.alive()
-        configured = configured_members(self.kernel.settings.control)
+        configured = configured_members(self.kernel.settings)
         known = [
             self._leader_address,
             *(peer.peer_address for peer in peers if 'control' in peer.roles),
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -190,6 +190,13 @@
                 problem=error.problem,
                 remedy=error.remedy,
             )
+        if change.command == MEMBERS_SET:
+            return Outcome(
+                'invalid_input',
+                self._view.revision,
+                problem=f'{MEMBERS_SET!r} is written by the log itself',
+                remedy='use the commands of members to add or remove one',
+            )
         node = self._require_node()
         with node.lock:
             node.require_lease()
--- a/oleanderpin/control/machine.py
+++ b/oleanderpin/control/machine.py
@@ -10,7 +10,12 @@
 
 import pydantic
 
-from ..core.errors import NotFoundError, OleanderpinError, ValidationError
+from ..core.errors import (
+    ConflictError,
+    NotFoundError,
+    OleanderpinError,
+    ValidationError,
+)
 from .change import Change, Outcome, OutcomeKind, describe_validation
 from .commands import Command, commands
 from .state import RECORD_TYPES, ControlState, HistoryRecord, ObjectMeta
@@ -19,6 +24,13 @@
 _MAX_ANSWERS = 10000
 _MAX_HISTORY = 1000
 _RECORDS_PER_PART = 1000
+_KIND_OF_ERROR: Mapping[type[OleanderpinError], OutcomeKind] = MappingProxyType(
+    {
+        ConflictError: 'conflict',
+        NotFoundError: 'not_found',
+        ValidationError: 'invalid_input',
+    }
+)
 
 
 class StateMachine:
@@ -113,7 +125,9 @@
         try:
             document = json.loads(snapshot)
             tables = {
-                table: _decode_table(record_type, document['tables'][table])
+                table: _decode_table(
+                    record_type, document['tables'].get(table, {})
+                )
                 for table, record_type in RECORD_TYPES.items()
             }
             machine.state = ControlState(**tables)
@@ -150,10 +164,8 @@
             return conflict
         try:
             state = found.apply(self.state, arguments, change.proposed_unix_s)
-        except NotFoundError as error:
-            return self._failure('not_found', error)
-        except ValidationError as error:
-            return self._failure('invalid_input', error)
+        except (ConflictError, NotFoundError, ValidationError) as error:
+            return self._failure(_KIND_OF_ERROR[type(error)], error)
         self._commit(change, found, name, state)
         return Outcome('ok', self.revision, object_revision=self.revision)
 
--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from ..core.settings import ControlSettings, Settings
+from ..core.settings import Settings
 from ..membership.peers import Peer
 from .state import ControlMember, ControlState
 
@@ -28,12 +28,22 @@
     """
     if state.members:
         return list(state.members.values())
-    return configured_members(settings.control)
+    return configured_members(settings)
 
 
-def configured_members(settings: ControlSettings) -> list[ControlMember]:
-    """Return the first members that the settings name, without ids."""
-    pairs = [member.partition('=') for member in settings.initial_members]
+def configured_members(settings: Settings) -> list[ControlMember]:
+    """Return the first members that the settings name, without ids.
+
+    Seeds are given by address only, which then stands for their names.
+    """
+    if settings.control.form_from_seeds or settings.control.join_automatically:
+        return [
+            ControlMember('', address, address, is_voter=True)
+            for address in sorted(settings.peers.seed_addresses())
+        ]
+    pairs = [
+        member.partition('=') for member in settings.control.initial_members
+    ]
     return [
         ControlMember('', name, address, is_voter=True)
         for name, _equals, address in pairs
--- a/oleanderpin/control/state.py
+++ b/oleanderpin/control/state.py
@@ -30,26 +30,82 @@
     shift_interval_s: float = 10.0
     slow_start_s: float = 10.0
     move_watch_s: float = 30.0
+    is_repeatable: bool = False
+    latency_objective_s: float = 1.0
+    rank: int = 0
+    is_sticky: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``accounts`` empty means any client account."""
+    """A service; ``accounts`` empty means any client account.
+
+    ``cold_rate_per_s`` bounds what a target gets from all instances together
+    while it is cold; 0 means no bound. ``annotation`` is text that an operator
+    keeps with the object.
+    """
 
     name: str
     profile: str
     is_open: bool = False
     accounts: tuple[str, ...] = ()
     version: str = ''
+    cold_rate_per_s: float = 0.0
+    cold_start_s: float = 0.0
+    max_connections: int = 0
+    health_path: str = ''
+    annotation: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests to a host below a path, with the services that take them.
+
+    ``weights`` holds one weight for each of ``services``.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    profile: str
+    services: tuple[str, ...]
+    weights: tuple[float, ...]
+    is_open: bool = False
+    annotation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class Account:
-    """A client account with its fleet-wide rate and burst."""
+    """A client account with its fleet-wide rate and burst.
+
+    A rate of 0 means that the account has no limit. ``rank`` goes before the
+    rank of a route's profile.
+    """
 
     name: str
     rate_per_s: float
     burst: float
+    rank: int | None = None
+    allowed_regions: tuple[str, ...] = ()
+    annotation: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Number and limits of the configuration in force.
+
+    ``accepted`` holds digests of the last documents that were accepted, so
+    that one that is sent again is recognized.
+    """
+
+    number: int
+    accepted: tuple[str, ...] = ()
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+    annotation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +182,10 @@
     unix_s: float
 
 
+# Name of the only record in the table of configurations.
+CURRENT = 'current'
+
+
 def _empty() -> Mapping[str, Any]:
     return MappingProxyType({})
 
@@ -136,6 +196,7 @@
 
     profiles: Mapping[str, Profile] = field(default_factory=_empty)
     services: Mapping[str, Service] = field(default_factory=_empty)
+    routes: Mapping[str, Route] = field(default_factory=_empty)
     accounts: Mapping[str, Account] = field(default_factory=_empty)
     keys: Mapping[str, Key] = field(default_factory=_empty)
     drains: Mapping[str, Drain] = field(default_factory=_empty)
@@ -143,6 +204,12 @@
     blocks: Mapping[str, Block] = field(default_factory=_empty)
     members: Mapping[str, ControlMember] = field(default_factory=_empty)
     metas: Mapping[str, ObjectMeta] = field(default_factory=_empty)
+    configurations: Mapping[str, Configuration] = field(default_factory=_empty)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force; number 0 before the first one."""
+        return self.configurations.get(CURRENT, Configuration(0))
 
     def with_record(self, table: str, name: str, record: Any) -> 'ControlState':
         """Return a state whose ``table`` holds ``record`` under ``name``."""
@@ -166,6 +233,7 @@
     {
         'profiles': Profile,
         'services': Service,
+        'routes': Route,
         'accounts': Account,
         'keys': Key,
         'drains': Drain,
@@ -173,5 +241,6 @@
         'blocks': Block,
         'members': ControlMember,
         'metas': ObjectMeta,
+        'configurations': Configuration,
     }
 )
--- /dev/null
+++ b/oleanderpin/core/event_loop.py
@@ -0,0 +1,57 @@
+"""The event loop of an instance, in a thread of its own."""
+
+import asyncio
+import logging
+import threading
+from collections.abc import Coroutine
+from concurrent.futures import Future
+from typing import Any
+
+import uvloop
+
+from .plugin import Plugin, plugins
+
+_LOG = logging.getLogger(__name__)
+_STOP_TIMEOUT_S = 2.0
+
+
+@plugins.register('event-loop')
+class EventLoop(Plugin):
+    """Runs the coroutines of other plug-ins."""
+
+    roles = frozenset(('gateway', 'control'))
+
+    def __init__(self, kernel: Any) -> None:
+        """Create the loop; it runs from the start of the plug-in."""
+        super().__init__(kernel)
+        self.loop = uvloop.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._run, name='event-loop', daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the loop; what still runs is cancelled."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(_STOP_TIMEOUT_S)
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine on the loop and return its result."""
+        return self.submit(coroutine).result()
+
+    def submit(self, coroutine: Coroutine[Any, Any, Any]) -> Future[Any]:
+        """Start a coroutine on the loop."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.loop.set_exception_handler(_log_exception)
+        self.loop.run_forever()
+
+
+def _log_exception(_loop: Any, context: dict[str, Any]) -> None:
+    error = context.get('exception')
+    _LOG.error('event loop: %s', context['message'], exc_info=error)
--- a/oleanderpin/core/logs.py
+++ b/oleanderpin/core/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 import logging
 import sys
@@ -8,8 +8,10 @@
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
-def configure_logs(*, instance: str, level: str) -> None:
-    """Write all log records as JSON lines to standard error.
+def configure_logs(
+    *, instance: str, level: str, stream: str = 'stderr'
+) -> None:
+    """Write all log records as JSON lines.
 
     Parameters
     ----------
@@ -17,8 +19,10 @@
         Instance name added to each line.
     level : str
         Name of the lowest level that is written.
+    stream : str
+        ``stdout`` or ``stderr``.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(getattr(sys, stream))
     formatter = JsonFormatter(
         _FORMAT,
         rename_fields={'asctime': 'time', 'levelname': 'level'},
--- a/oleanderpin/core/plugin.py
+++ b/oleanderpin/core/plugin.py
@@ -22,7 +22,7 @@
     order of registration and stop in reverse order.
     """
 
-    roles: frozenset[str] = frozenset(('entry', 'control'))
+    roles: frozenset[str] = frozenset(('entry', 'control', 'gateway'))
 
     def __init__(self, kernel: 'Kernel') -> None:
         """Keep the kernel; other plug-ins are looked up in ``start``."""
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -8,10 +8,12 @@
 import pydantic
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
-from .errors import SettingsError
+from .errors import SettingsError, ValidationError
 
 _ADDRESS = re.compile(r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
-_ROLES = ('entry', 'control')
+_DURATION = re.compile(r'^(?P<number>\d+(\.\d+)?) ?(?P<unit>ms|s)?$')
+_UNIT_S = {'ms': 0.001, 's': 1.0}
+_ROLES = ('entry', 'control', 'gateway')
 _MAX_PORT = 65535
 
 
@@ -38,6 +40,17 @@
     return value
 
 
+def _seconds(value: object) -> object:
+    """Read a duration with a unit, as in ``250ms``; numbers are seconds."""
+    if isinstance(value, str):
+        found = _DURATION.match(value.strip())
+        if found:
+            scale = _UNIT_S[found['unit'] or 's']
+            return float(found['number']) * scale
+    return value
+
+
+Seconds = Annotated[float, BeforeValidator(_seconds)]
 Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9.-]{0,62}$')]
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 Role = Annotated[str, pydantic.AfterValidator(_check_role)]
@@ -67,22 +80,39 @@
 
 
 class PeersSettings(_Section):
-    """Peer addresses through which the instance finds the others."""
+    """Peer addresses through which the instance finds the others.
+
+    ``seed_port`` replaces the ports of the seeds, where the peer listeners of
+    all instances share a port that is not the one listed.
+    """
 
     seeds: Annotated[tuple[Address, ...], BeforeValidator(_split)] = ()
+    seed_port: Annotated[int, Field(ge=1, le=_MAX_PORT)] | None = None
     probe_interval_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
     probe_timeout_s: Annotated[float, Field(ge=0.01, le=10)] = 0.4
     suspect_timeout_s: Annotated[float, Field(ge=0.1, le=120)] = 3.0
 
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Return the peer addresses of the seeds."""
+        if self.seed_port is None:
+            return self.seeds
+        hosts = [seed.partition(':')[0] for seed in self.seeds]
+        return tuple(f'{host}:{self.seed_port}' for host in hosts)
+
 
 class ControlSettings(_Section):
     """Replicated log and distribution of the control state.
 
     ``initial_members`` lists ``name=peer address`` of the instances that
-    form the first group; it is used only while all of them are empty.
+    form the first group; it is used only while all of them are empty. With
+    ``form_from_seeds`` the seeds form it instead, and with
+    ``join_automatically`` an instance with an empty disk asks the group to be
+    added.
     """
 
     initial_members: Annotated[tuple[str, ...], BeforeValidator(_split)] = ()
+    form_from_seeds: bool = False
+    join_automatically: bool = False
     heartbeat_interval_s: Annotated[float, Field(ge=0.02, le=5)] = 0.3
     election_timeout_min_s: Annotated[float, Field(ge=0.05, le=30)] = 1.0
     election_timeout_max_s: Annotated[float, Field(ge=0.1, le=60)] = 2.0
@@ -108,13 +138,42 @@
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 1.0
     idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 15.0
     link_mbit_per_s: Annotated[float, Field(ge=1, le=1000000)] = 300.0
-    drain_timeout_s: Annotated[float, Field(ge=0, le=3600)] = 60.0
+    drain_timeout_s: Annotated[Seconds, Field(ge=0, le=3600)] = 60.0
     lookup_ttl_s: Annotated[float, Field(ge=0, le=300)] = 5.0
 
 
+class TargetsSettings(_Section):
+    """Leases of announced targets."""
+
+    # Three announcements, one a second.
+    lease_s: Annotated[Seconds, Field(ge=0.5, le=600)] = 3.0
+
+
+class GatewaySettings(_Section):
+    """The listener of routes, served by an event loop.
+
+    It listens on the address for callers and tells on ``ready`` whether it
+    takes requests. The header names are those of the dialect that callers and
+    targets speak.
+    """
+
+    ready: Address | None = None
+    dialect: str = 'bearer'
+    max_targets_per_object: Annotated[int, Field(ge=1, le=1000)] = 4
+    retry_budget_percent: Annotated[float, Field(ge=0, le=100)] = 10.0
+    max_buffered_bytes: Annotated[int, Field(ge=65536)] = 100 * 1024 * 1024
+    connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
+    idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 4.0
+    grace_s: Annotated[Seconds, Field(ge=0, le=3600)] = 6.0
+    # How long callers go on with the answer of an earlier look-up.
+    lookup_ttl_s: Annotated[float, Field(ge=0, le=300)] = 2.0
+    serves_when_cut_off: bool = False
+
+
 class LogSettings(_Section):
     """Log output."""
 
+    stream: Annotated[str, Field(pattern='^(stdout|stderr)$')] = 'stderr'
     level: Annotated[str, Field(pattern='^(DEBUG|INFO|WARNING|ERROR)$')] = (
         'INFO'
     )
@@ -129,7 +188,28 @@
     control: ControlSettings = ControlSettings()
     limits: LimitsSettings = LimitsSettings()
     forwarding: ForwardingSettings = ForwardingSettings()
+    targets: TargetsSettings = TargetsSettings()
+    gateway: GatewaySettings = GatewaySettings()
     log: LogSettings = LogSettings()
+    regions: dict[Name, Name] = {}
+
+    def region_of(self, failure_domain: str) -> str:
+        """Return the region of a failure domain.
+
+        Raises
+        ------
+        ValidationError
+            If section ``[regions]`` does not name it.
+        """
+        if failure_domain == self.instance.failure_domain:
+            return self.instance.region
+        try:
+            return self.regions[failure_domain]
+        except KeyError:
+            raise ValidationError(
+                f'unknown failure domain {failure_domain!r}',
+                remedy=f'use one of {sorted(self.regions)}',
+            ) from None
 
     @pydantic.model_validator(mode='after')
     def _check_together(self) -> 'Settings':
@@ -150,6 +230,11 @@
             raise ValueError(
                 'control: leader_lease_s must be below election_timeout_min_s'
             )
+        if {'entry', 'gateway'} <= set(self.instance.roles):
+            raise ValueError(
+                'instance: entry and gateway share the address for callers; '
+                'choose one of these roles'
+            )
         if 'control' in self.instance.roles and not self.instance.data_dir:
             raise ValueError(
                 'instance: the control role needs a disk; set data_dir'
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -7,17 +7,26 @@
 import threading
 from pathlib import Path
 
-from .control import authority, distribution, leader, log, view  # noqa: F401
+from .control import (  # noqa: F401
+    authority,
+    configuration,
+    distribution,
+    leader,
+    log,
+    view,
+)
+from .core import event_loop  # noqa: F401
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs
 from .core.settings import load_settings
 from .forwarding import attempts, holder, pipeline  # noqa: F401
+from .gateway import plugin as gateway  # noqa: F401
 from .limits import allocator, fair_queue, limiter, shares  # noqa: F401
-from .lookup import answer  # noqa: F401
+from .lookup import answer, gateways  # noqa: F401
 from .membership import peers  # noqa: F401
 from .moves import controller, drains, reporting, split, stats  # noqa: F401
-from .operators import admin, members  # noqa: F401
+from .operators import actions, admin, members  # noqa: F401
 from .operators import drains as drain_routes  # noqa: F401
 from .routing import lending, links, router  # noqa: F401
 from .targets import exchange, table  # noqa: F401
@@ -54,7 +63,11 @@
     if parsed.command == 'check':
         sys.stdout.write(f'{path}: valid\n')
         return 0
-    configure_logs(instance=settings.instance.name, level=settings.log.level)
+    configure_logs(
+        instance=settings.instance.name,
+        level=settings.log.level,
+        stream=settings.log.stream,
+    )
     return _run(Kernel(settings))
 
 
--- /dev/null
+++ b/oleanderpin/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The listener of routes: one event loop, many requests a connection."""
--- /dev/null
+++ b/oleanderpin/gateway/attempts.py
@@ -0,0 +1,334 @@
+"""Sends a request to targets until one answers or trying has no use."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from ..control.state import Account, Service
+from ..core.errors import Refusal
+from ..core.metrics import RETRIES
+from ..moves.split import VersionSplit
+from ..routing.outcome import AttemptOutcome, AttemptResult, Observation
+from ..routing.router import Router
+from .bounded_log import BoundedLog
+from .connection_pool import ConnectionPool
+from .dialect import Dialect
+from .forwarded import encode_request, to_caller
+from .messages import Answer, CallerRequest, TargetAnswer, TargetFailure, cookie
+from .placement import Candidate, Needs, Placement, note_placed, place
+from .refusals import maybe_run, not_run
+from .retry_budget import RetryBudget
+from .routes import WeightedRoute
+from .service_targets import ServiceTargets, TargetDirectory
+
+# A target stops work at the deadline that it is given and says so; its answer
+# is then on its way for at most this long.
+_DEADLINE_MARGIN_S = 0.1
+# An attempt with less time left than this cannot be answered.
+_LEAST_TIME_S = 0.02
+# Callers that are turned away for lack of room return spread over this time.
+_RETRY_AFTER_S = (0.15, 0.45)
+_WRONG_TARGET_EJECTION_S = 5.0
+_SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class Job:
+    """A request on its way through the attempts.
+
+    ``deadline_s`` is the monotonic time at which its answer is due.
+    """
+
+    request: CallerRequest
+    request_id: bytes
+    route: WeightedRoute
+    service: Service
+    account: Account | None
+    regions: tuple[str, ...]
+    deadline_s: float
+    rank: int
+    attempts: int = 0
+    has_maybe_run: bool = False
+    tried: set[str] = field(default_factory=set)
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.profile.is_repeatable
+
+    def left_s(self) -> float:
+        """Return the time until the answer is due."""
+        return self.deadline_s - time.monotonic()
+
+
+class Attempts:
+    """Chooses targets, sends requests and learns from the answers.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives the plug-ins.
+    dialect : Dialect
+        Names of the headers.
+    log : BoundedLog
+        Takes a line for each decision.
+    """
+
+    def __init__(self, kernel: Any, dialect: Dialect, log: BoundedLog) -> None:
+        """Start without connections."""
+        settings = kernel.settings.gateway
+        self.pool = ConnectionPool(settings, dialect.request_id)
+        self._dialect = dialect
+        self._log = log
+        self._directory = TargetDirectory(kernel)
+        self._split = kernel.plugin(VersionSplit)
+        self._router = kernel.plugin(Router)
+        self._budget = RetryBudget(settings.retry_budget_percent)
+        self._replicas = settings.max_targets_per_object
+        self._random = random.Random()
+
+    async def answer(self, job: Job) -> Answer:
+        """Return a target's answer.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+
+        Raises
+        ------
+        Refusal
+            If no target gave a final answer.
+        """
+        self._budget.note_request()
+        while True:
+            candidate = self._choose(job)
+            answer = await self._attempt(job, candidate)
+            if answer is not None:
+                return answer
+
+    def _choose(self, job: Job) -> Candidate:
+        if job.left_s() < _LEAST_TIME_S:
+            raise self._given_up(job, 'deadline')
+        targets = self._directory.of(job.service.name)
+        placement = self._place(job, targets)
+        if placement.candidate is None:
+            raise self._given_up(job, placement.obstacle)
+        return placement.candidate
+
+    def _place(self, job: Job, targets: ServiceTargets) -> Placement:
+        now_s = time.monotonic()
+        version = self._version(job.service, targets)
+        key = self._object_key(job)
+        ordered = targets.ordered(key, version, job.regions)
+        if job.tried:
+            ordered = [
+                each
+                for each in ordered
+                if each.target.target_id not in job.tried
+            ]
+        needs = Needs(
+            cold_interval_s=self._directory.cold_interval_s(job.service),
+            usual_s=targets.usual_s,
+            queue_limit=self._queue_limit(job, targets.usual_s),
+            is_repeatable=job.is_repeatable,
+        )
+        placement = place(
+            ordered, needs, replicas=self._replicas, now_s=now_s
+        )
+        if placement.candidate is not None:
+            note_placed(placement.candidate, now_s)
+        return placement
+
+    def _queue_limit(self, job: Job, usual_s: float) -> float:
+        """Return how long a queue may be, in requests for each slot."""
+        if usual_s <= 0:
+            return 1.0
+        spare_s = job.left_s() / 2 - usual_s
+        return min(1.0, max(0.0, spare_s / usual_s))
+
+    def _object_key(self, job: Job) -> str:
+        name = cookie(job.request.header(b'cookie'), self._dialect.object_cookie)
+        if not name:
+            return job.request_id.decode('latin-1')
+        return f'{job.route.route.path_prefix}{name.decode("latin-1")}'
+
+    def _version(self, service: Service, targets: ServiceTargets) -> str:
+        weights = self._split.weights(service)
+        versions = [
+            version for version, weight in weights.items() if weight > 0
+        ]
+        if len(versions) == 1:
+            return versions[0]
+        present = targets.versions()
+        usable = [
+            version
+            for version in versions
+            if not version or version in present
+        ] or versions
+        return self._random.choices(
+            usable, [weights[version] for version in usable]
+        )[0]
+
+    async def _attempt(self, job: Job, candidate: Candidate) -> Answer | None:
+        """Return the final answer, or None to try another target."""
+        job.attempts += 1
+        target = candidate.target
+        job.tried.add(target.target_id)
+        job.request.must_finish = not job.is_repeatable
+        started_s = time.monotonic()
+        try:
+            async with asyncio.timeout(job.left_s() + _DEADLINE_MARGIN_S):
+                answer = await self.pool.send(
+                    target.address,
+                    job.request_id,
+                    lambda: encode_request(
+                        job.request,
+                        target,
+                        job.account,
+                        dialect=self._dialect,
+                        deadline_s=job.deadline_s,
+                    ),
+                    is_head=job.request.method == b'HEAD',
+                    is_repeatable=job.is_repeatable,
+                )
+        except TimeoutError:
+            self._note_failure(job, candidate, 'timeout')
+            job.has_maybe_run = True
+            raise self._given_up(job, 'deadline') from None
+        except TargetFailure as failure:
+            self._note_failure(job, candidate, failure.result)
+            job.has_maybe_run = job.has_maybe_run or failure.may_have_run
+            self._require_retry(job, failure.result)
+            return None
+        finally:
+            candidate.health.in_flight -= 1
+            job.request.must_finish = False
+        return self._judge(job, candidate, answer, started_s)
+
+    def _judge(
+        self,
+        job: Job,
+        candidate: Candidate,
+        answer: TargetAnswer,
+        started_s: float,
+    ) -> Answer | None:
+        now_s = time.monotonic()
+        health = candidate.health
+        self._note_load(candidate, answer, now_s)
+        if self._is_not_run(answer):
+            if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+                health.ejected_until_s = now_s + _WRONG_TARGET_EJECTION_S
+                self.pool.forget(candidate.target.address)
+            else:
+                health.note_shed(now_s)
+                self._observe(job, candidate, 'shed', now_s - started_s, answer)
+            self._require_retry(job, 'shed')
+            return None
+        is_failure = answer.status >= _SERVER_ERROR or (
+            answer.header(b'content-encoding') is not None
+        )
+        health.note_answer(now_s - started_s, is_failure=is_failure)
+        result: AttemptResult = 'target_error' if is_failure else 'ok'
+        self._observe(job, candidate, result, now_s - started_s, answer)
+        if not is_failure:
+            targets = self._directory.of(job.service.name)
+            targets.note_duration(now_s - started_s)
+            return to_caller(answer)
+        job.has_maybe_run = True
+        if self._may_retry(job, 'target_error'):
+            return None
+        if answer.header(b'content-encoding') is not None:
+            raise self._given_up(job, 'bad_answer')
+        return to_caller(answer)
+
+    def _is_not_run(self, answer: TargetAnswer) -> bool:
+        return (
+            answer.status == HTTPStatus.MISDIRECTED_REQUEST
+            or answer.header(self._dialect.not_executed) is not None
+        )
+
+    def _note_load(
+        self, candidate: Candidate, answer: TargetAnswer, now_s: float
+    ) -> None:
+        load = answer.header(self._dialect.load)
+        parts = load.split(b',') if load else []
+        if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
+            candidate.health.note_load(int(parts[0]), int(parts[1]), now_s)
+
+    def _note_failure(
+        self, job: Job, candidate: Candidate, result: str
+    ) -> None:
+        now_s = time.monotonic()
+        if result != 'timeout':
+            candidate.health.note_broken(result, now_s)
+        else:
+            candidate.health.note_answer(0.0, is_failure=True)
+        outcome = 'reset' if result == 'bad_answer' else result
+        self._observe(job, candidate, outcome, 0.0, None)  # type: ignore[arg-type]
+        self._log.write(
+            'attempt failed',
+            request_id=job.request_id.decode('latin-1'),
+            target=candidate.target.target_id,
+            address=candidate.target.address,
+            result=result,
+            attempt=job.attempts,
+            left_ms=int(job.left_s() * 1000),
+        )
+
+    def _observe(
+        self,
+        job: Job,
+        candidate: Candidate,
+        result: AttemptResult,
+        duration_s: float,
+        answer: TargetAnswer | None,
+    ) -> None:
+        outcome = AttemptOutcome(
+            result,
+            first_byte_ms=duration_s * 1000,
+            status=answer.status if answer else 0,
+        )
+        self._router.observe(
+            Observation(
+                job.service.name,
+                job.route.route.name,
+                candidate.target,
+                outcome,
+            )
+        )
+
+    def _require_retry(self, job: Job, reason: str) -> None:
+        if not self._may_retry(job, reason):
+            raise self._given_up(job, reason)
+
+    def _may_retry(self, job: Job, reason: str) -> bool:
+        """Return whether another target may be tried, and spend budget."""
+        is_allowed = job.is_repeatable or not job.has_maybe_run
+        if (
+            not is_allowed
+            or job.request.is_gone
+            or job.attempts >= job.route.profile.max_attempts
+            or job.left_s() < _LEAST_TIME_S
+            or not self._budget.take()
+        ):
+            return False
+        RETRIES.labels(reason).inc()
+        return True
+
+    def _given_up(self, job: Job, reason: str) -> Refusal:
+        if job.has_maybe_run:
+            status = 504 if reason == 'deadline' else 502
+            return maybe_run(
+                f'attempt_{reason}',
+                f'attempt {job.attempts} ended with {reason}',
+                status=status,
+            )
+        return not_run(
+            f'service_{reason}',
+            f'no target of {job.service.name!r} can take the request: {reason}',
+            retry_after_s=self._random.uniform(*_RETRY_AFTER_S),
+        )
--- /dev/null
+++ b/oleanderpin/gateway/connection_pool.py
@@ -0,0 +1,163 @@
+"""Connections to targets, reused while they are surely alive."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+
+from ..core.metrics import EVENTS
+from ..core.settings import GatewaySettings
+from .messages import TargetAnswer, TargetFailure
+from .target_connection import TargetConnection
+
+# Part of a target's idle time-out for which a connection is used again, and
+# the margin for what is on its way.
+_IDLE_PART = 0.6
+# A connection that has been idle for longer is not used for requests that
+# must not run twice: a close or a silent path may not have shown yet.
+_FRESH_S = 1.0
+# Bytes that the peer does not acknowledge for so long end a connection.
+_USER_TIMEOUT_MS = 1500
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+
+
+class ConnectionPool:
+    """Idle connections by target address; the last used one goes first.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Time-outs.
+    request_id_header : bytes
+        Header by which targets echo the id of a request.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, request_id_header: bytes
+    ) -> None:
+        """Start without connections."""
+        self._settings = settings
+        self._id_header = request_id_header
+        self._idle: dict[str, list[TargetConnection]] = {}
+
+    async def send(
+        self,
+        address: str,
+        request_id: bytes,
+        encoded: Callable[[], bytes],
+        *,
+        is_head: bool,
+        is_repeatable: bool,
+    ) -> TargetAnswer:
+        """Send a request to a target and wait for its whole answer.
+
+        Parameters
+        ----------
+        address : str
+            Address of the target.
+        request_id : bytes
+            Id that the answer must echo.
+        encoded : callable
+            Returns the request; it is called once there is a connection.
+        is_head : bool
+            Whether the answer has no body.
+        is_repeatable : bool
+            Whether the request may run again when its fate is unknown.
+
+        Raises
+        ------
+        TargetFailure
+            If there is no complete answer.
+        """
+        connection = self._take(address, is_repeatable=is_repeatable)
+        if connection is None:
+            connection = await self._connect(address)
+        try:
+            answer = await connection.start(
+                request_id, encoded(), is_head=is_head
+            )
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(address, connection)
+        return answer
+
+    def close_idle(self) -> None:
+        """Close connections that are too old to be used again."""
+        now_s = time.monotonic()
+        for address, idle in list(self._idle.items()):
+            kept = [each for each in idle if self._is_fresh(each, now_s)]
+            for connection in idle:
+                if connection not in kept:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                self._idle.pop(address)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address that has changed hands."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+    def _take(
+        self, address: str, *, is_repeatable: bool
+    ) -> TargetConnection | None:
+        idle = self._idle.get(address)
+        now_s = time.monotonic()
+        while idle:
+            connection = idle.pop()
+            if not connection.is_usable:
+                connection.close()
+                continue
+            age_s = now_s - connection.idle_since_s
+            if not self._is_fresh(connection, now_s):
+                connection.close()
+            elif is_repeatable or age_s < _FRESH_S:
+                return connection
+            else:
+                idle.append(connection)
+                return None
+        return None
+
+    def _is_fresh(self, connection: TargetConnection, now_s: float) -> bool:
+        limit_s = min(
+            self._settings.idle_connection_s,
+            connection.idle_limit_s * _IDLE_PART,
+        )
+        age_s = now_s - connection.idle_since_s
+        return connection.is_usable and age_s < limit_s
+
+    def _give_back(self, address: str, connection: TargetConnection) -> None:
+        if connection.is_usable:
+            self._idle.setdefault(address, []).append(connection)
+
+    async def _connect(self, address: str) -> TargetConnection:
+        host, _colon, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        EVENTS.labels('gateway', 'target_connections').inc()
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                transport, connection = await loop.create_connection(
+                    lambda: TargetConnection(self._id_header), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            raise TargetFailure('no_connection', may_have_run=False) from error
+        set_timeouts(transport.get_extra_info('socket'))
+        return connection
+
+
+def set_timeouts(connected: socket.socket) -> None:
+    """Have the kernel end a connection whose path has gone silent."""
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    )
+    for level, option, value in options:
+        connected.setsockopt(level, option, value)
--- /dev/null
+++ b/oleanderpin/gateway/listener.py
@@ -0,0 +1,67 @@
+"""A listening address whose requests an event loop serves."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from .caller_connection import CallerConnection
+from .messages import Answer, CallerRequest
+
+_BACKLOG = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class StaticLimits:
+    """Bounds on what clients of an interface may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+Serve = Callable[[CallerRequest], Awaitable[Answer]]
+
+
+class HttpListener:
+    """Accepts connections on one address.
+
+    Parameters
+    ----------
+    serve : callable
+        Answers a request.
+    limits : callable, optional
+        Returns the bounds in force.
+    """
+
+    def __init__(
+        self, serve: Serve, *, limits: Callable[[], Any] = StaticLimits
+    ) -> None:
+        """Listen on no address yet."""
+        self.connections: set[CallerConnection] = set()
+        self.is_draining = False
+        self.serve = serve
+        self.limits = limits
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Start to accept connections."""
+        host, _colon, port = address.rpartition(':')
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self), host, int(port), backlog=_BACKLOG
+        )
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether a body of that size may be held in memory."""
+        return True
+
+    def stop_accepting(self) -> None:
+        """Close the address; open connections go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no answer is owed."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
--- /dev/null
+++ b/oleanderpin/gateway/plugin.py
@@ -0,0 +1,237 @@
+"""The gateway: routes requests of callers to targets."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+from ..control.authority import hash_key
+from ..control.state import Account, Configuration
+from ..control.view import ControlView
+from ..core.errors import Refusal, RefusalDetails
+from ..core.event_loop import EventLoop
+from ..core.metrics import REQUEST_DURATION_S, REQUESTS
+from ..core.plugin import Plugin, plugins
+from .attempts import Attempts, Job
+from .bounded_log import BoundedLog
+from .dialect import dialects
+from .forwarded import request_id
+from .listener import HttpListener
+from .messages import Answer, CallerRequest
+from .rates import RateGate
+from .refusals import not_run, refusal_answer
+from .routes import RouteTable, WeightedRoute
+
+_LOG = logging.getLogger(__name__)
+_UPKEEP_S = 0.5
+# Longest wait for a share of the rate, in parts of the time that is left.
+_RATE_WAIT_PART = 0.2
+_NO_CONFIGURATION_RETRY_S = 0.5
+_DRAIN_POLL_S = 0.05
+# Kept for the last answers of a stop.
+_GRACE_MARGIN_S = 0.5
+_READY_PATH = '/ready'
+
+
+@plugins.register('gateway')
+class Gateway(Plugin):
+    """Listens for callers and answers whether it is ready."""
+
+    roles = frozenset(('gateway',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Build the parts; nothing listens yet."""
+        super().__init__(kernel)
+        self._settings = kernel.settings.gateway
+        self._loop = kernel.plugin(EventLoop)
+        self._view = kernel.plugin(ControlView)
+        self._dialect = dialects.get(self._settings.dialect)
+        self._log = BoundedLog(_LOG)
+        self._attempts = Attempts(kernel, self._dialect, self._log)
+        self._rates = RateGate(kernel)
+        self._routes = RouteTable(self._view.state)
+        self._routes_of = (0, 0)
+        self.listener = HttpListener(self.serve, limits=self._limits)
+        self._ready = HttpListener(self._serve_ready)
+
+    def start(self) -> None:
+        """Listen on both addresses."""
+        self._loop.run(self._start())
+
+    def drain(self, *, deadline_s: float) -> None:
+        """Finish requests, at most until the grace period is nearly over."""
+        self.listener.is_draining = True
+        end_s = self.kernel.clock.now_s() + self._settings.grace_s
+        limit_s = min(deadline_s, end_s - _GRACE_MARGIN_S)
+        accept_s = self.kernel.clock.now_s() + self._settings.lookup_ttl_s
+        while self.kernel.clock.now_s() < min(accept_s, limit_s):
+            self.kernel.clock.sleep(_DRAIN_POLL_S)
+        self._loop.run(self._stop_accepting())
+        while self.kernel.clock.now_s() < limit_s and self.listener.connections:
+            self._loop.run(self._close_idle())
+            self.kernel.clock.sleep(_DRAIN_POLL_S)
+
+    async def serve(self, request: CallerRequest) -> Answer:
+        """Answer a caller's request."""
+        request_key = request_id(request, self._dialect)
+        service = ''
+        try:
+            job = await self._admit(request, request_key)
+            service = job.service.name
+            answer = await self._attempts.answer(job)
+        except Refusal as refusal:
+            self._log_refusal(request, request_key, refusal)
+            answer = refusal_answer(refusal, request_key, self._dialect)
+        except Exception:
+            _LOG.exception(
+                'request failed', extra={'request_id': request_key.decode()}
+            )
+            answer = Answer(502)
+        status_class = f'{answer.status // 100}xx'
+        REQUESTS.labels(service, status_class).inc()
+        REQUEST_DURATION_S.labels(service).observe(
+            time.monotonic() - request.received_s
+        )
+        return answer
+
+    async def _start(self) -> None:
+        await self.listener.listen(self.kernel.settings.listen.caller)
+        if self._settings.ready:
+            await self._ready.listen(self._settings.ready)
+        asyncio.get_running_loop().create_task(self._upkeep())
+
+    async def _stop_accepting(self) -> None:
+        self.listener.stop_accepting()
+
+    async def _close_idle(self) -> None:
+        self.listener.close_idle()
+
+    async def _upkeep(self) -> None:
+        while not self.kernel.stopping.is_set():
+            self._attempts.pool.close_idle()
+            await asyncio.sleep(_UPKEEP_S)
+
+    async def _serve_ready(self, request: CallerRequest) -> Answer:
+        is_ready = (
+            request.path() == _READY_PATH
+            and self._configuration().number > 0
+            and not self.kernel.draining.is_set()
+        )
+        return Answer(200 if is_ready else 503)
+
+    def _configuration(self) -> Configuration:
+        return self._view.state.configuration
+
+    def _limits(self) -> Configuration:
+        return self._configuration()
+
+    async def _admit(
+        self, request: CallerRequest, request_key: bytes
+    ) -> Job:
+        state = self._view.state
+        tables = (id(state.routes), id(state.profiles))
+        if tables != self._routes_of:
+            self._routes = RouteTable(state)
+            self._routes_of = tables
+        route = self._find_route(request)
+        account = self._authorize(request, route)
+        profile = route.profile
+        deadline_s = request.received_s + min(
+            profile.request_timeout_s, self._asked_s(request)
+        )
+        if account is not None:
+            left_s = deadline_s - time.monotonic()
+            await self._rates.admit(
+                account, deadline_s=deadline_s - left_s * (1 - _RATE_WAIT_PART)
+            )
+        service = state.services[route.next_service()]
+        rank = profile.rank
+        if account is not None and account.rank is not None:
+            rank = account.rank
+        return Job(
+            request=request,
+            request_id=request_key,
+            route=route,
+            service=service,
+            account=account,
+            regions=_allowed_regions(profile.allowed_regions, account),
+            deadline_s=deadline_s,
+            rank=rank,
+        )
+
+    def _find_route(self, request: CallerRequest) -> WeightedRoute:
+        if not self._configuration().number:
+            raise not_run(
+                'no_configuration',
+                'this instance has no configuration yet',
+                retry_after_s=_NO_CONFIGURATION_RETRY_S,
+            )
+        route = self._routes.find(request.host(), request.path())
+        if route is None:
+            raise Refusal(
+                'no_route',
+                f'no route for {request.host()!r} {request.path()!r}',
+                remedy='check host and path',
+                details=RefusalDetails(status=404),
+            )
+        return route
+
+    def _authorize(
+        self, request: CallerRequest, route: WeightedRoute
+    ) -> Account | None:
+        state = self._view.state
+        value = request.header(self._dialect.key) or b''
+        key = value.removeprefix(self._dialect.key_prefix).strip()
+        found = state.keys.get(hash_key(key.decode('latin-1'))) if key else None
+        account = state.accounts.get(found.account) if found else None
+        if route.route.is_open or not state.accounts:
+            return account
+        if account is None:
+            raise Refusal(
+                'unknown_key' if key else 'missing_key',
+                'the key is unknown or revoked' if key else 'a key is needed',
+                remedy='ask the operator for a valid key',
+                details=RefusalDetails(status=401),
+            )
+        is_trusted = self._settings.serves_when_cut_off
+        if not is_trusted and not self._view.is_fresh():
+            raise not_run(
+                'no_fresh_authority',
+                'this instance cannot confirm that the key is still valid',
+                retry_after_s=1.0,
+            )
+        return account
+
+    def _asked_s(self, request: CallerRequest) -> float:
+        value = request.header(self._dialect.deadline_ms)
+        if value is not None and value.isdigit():
+            return int(value) / 1000
+        return float('inf')
+
+    def _log_refusal(
+        self, request: CallerRequest, request_key: bytes, refusal: Refusal
+    ) -> None:
+        details = refusal.details
+        self._log.write(
+            f'refused: {refusal.reason}',
+            request_id=request_key.decode('latin-1'),
+            host=request.host(),
+            path=request.path(),
+            problem=refusal.problem,
+            status=details.status,
+            not_run=details.not_run,
+            retry_after_s=details.retry_after_s,
+            waited_ms=int((time.monotonic() - request.received_s) * 1000),
+            configuration=self._configuration().number,
+        )
+
+
+def _allowed_regions(
+    route_regions: tuple[str, ...], account: Account | None
+) -> tuple[str, ...]:
+    """Return the regions that route and account both allow; empty for all."""
+    account_regions = account.allowed_regions if account else ()
+    if not route_regions or not account_regions:
+        return route_regions or account_regions
+    both = tuple(each for each in route_regions if each in account_regions)
+    return both or ('',)
--- a/oleanderpin/limits/allocator.py
+++ b/oleanderpin/limits/allocator.py
@@ -131,7 +131,7 @@
             return
         known = self._accounts or {}
         for name, account in accounts.items():
-            if known.get(name) != account:
+            if account.rate_per_s > 0 and known.get(name) != account:
                 ledger.set_whole(
                     account_resource(name),
                     Whole(account.rate_per_s, account.burst),
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -153,6 +153,21 @@
             return 'exhausted'
         return result
 
+    def take_now(self, resource: str) -> Literal['ok', 'exhausted', 'short']:
+        """Take one unit without waiting, for callers on an event loop.
+
+        Call `note_arrival` of the holder once for each request. While the
+        result is ``short``, the leader is asked for more; try again soon.
+        """
+        if self._holder.take(resource):
+            if self._holder.is_low(resource):
+                self._renew_if_old()
+            return 'ok'
+        if self._is_exhausted(resource):
+            return 'exhausted'
+        self._is_due.set()
+        return 'short'
+
     @contextmanager
     def permit(self, resource: str, *, deadline_s: float) -> Iterator[None]:
         """Hold one concurrency permit of ``resource``.
@@ -258,8 +273,17 @@
         accounts = self._view.state.accounts
         if accounts is self._accounts:
             return
-        for name in accounts.keys() - self._accounts.keys():
+        limited = _limited(accounts)
+        known = _limited(self._accounts)
+        for name in limited - known:
             self._holder.track(account_resource(name))
-        for name in self._accounts.keys() - accounts.keys():
+        for name in known - limited:
             self._holder.untrack(account_resource(name))
         self._accounts = accounts
+
+
+def _limited(accounts: Mapping[str, Account]) -> set[str]:
+    """Return the names of the accounts that have a rate."""
+    return {
+        name for name, account in accounts.items() if account.rate_per_s > 0
+    }
--- a/oleanderpin/membership/probing.py
+++ b/oleanderpin/membership/probing.py
@@ -162,7 +162,7 @@
             for each in members
             if each.status is Status.dead
         ]
-        seeds = self._kernel.settings.peers.seeds
+        seeds = self._kernel.settings.peers.seed_addresses()
         silent = [each for each in {*known, *seeds} if each not in running]
         self._gossip.forget(self._reconnected)
         self._reconnected.clear()
@@ -193,7 +193,7 @@
         own_address = self._table.own.peer_address
         seeds = [
             seed
-            for seed in self._kernel.settings.peers.seeds
+            for seed in self._kernel.settings.peers.seed_addresses()
             if seed != own_address
         ]
         if addresses or seeds:
--- a/oleanderpin/moves/reporting.py
+++ b/oleanderpin/moves/reporting.py
@@ -33,7 +33,7 @@
 class MoveReporter(Plugin):
     """Halts bad versions locally and reports what this instance sees."""
 
-    roles = frozenset(('entry',))
+    roles = frozenset(('entry', 'gateway'))
 
     def __init__(self, kernel: Any) -> None:
         """Find the collaborators."""
--- a/oleanderpin/targets/announcement.py
+++ b/oleanderpin/targets/announcement.py
@@ -16,6 +16,8 @@
 
     ``generation`` increases with each start of the target, so that one that
     has left can return and a late announcement of its last run cannot.
+    ``sequence`` increases with each announcement of a run. ``cold_s`` tells
+    how much longer the target is slow after its start.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
@@ -30,6 +32,8 @@
     connections: Annotated[int, Field(ge=1, le=1000000)] = 100
     load: Annotated[float, Field(ge=0, le=1e6)] = 0.0
     generation: _Generation | None = None
+    sequence: Annotated[int, Field(ge=0, le=2**62)] | None = None
+    cold_s: Annotated[float, Field(ge=0, le=3600)] = 0.0
 
 
 class Departure(BaseModel):
@@ -47,7 +51,8 @@
     """A target as last announced.
 
     ``load`` was reported at ``load_seen_s``, in monotonic seconds of this
-    instance; it is a hint that gets less certain with its age.
+    instance; it is a hint that gets less certain with its age. The target is
+    cold until ``cold_until_s``, by the same clock.
     """
 
     service: str
@@ -61,3 +66,9 @@
     load: float
     leaving: bool = False
     load_seen_s: float = float('-inf')
+    sequence: int = 0
+    cold_until_s: float = float('-inf')
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the target has not warmed up yet."""
+        return now_s < self.cold_until_s
--- a/oleanderpin/targets/rows.py
+++ b/oleanderpin/targets/rows.py
@@ -1,6 +1,7 @@
 """Rows of the target table and the order of their versions."""
 
 import json
+import math
 import time
 from dataclasses import asdict, dataclass, replace
 from typing import NamedTuple
@@ -11,6 +12,8 @@
 # ends whichever run of it the receivers know.
 ANY_GENERATION = -1
 _NOTICEABLE_LOAD_CHANGE = 0.2
+# Announcements on their way take less than this.
+_NOTICEABLE_COLD_S = 0.5
 
 
 class Order(NamedTuple):
@@ -69,7 +72,9 @@
     def encode(self) -> bytes:
         """Return the row as JSON."""
         fields = asdict(self.target)
-        fields.pop('load_seen_s')
+        seen_s = fields.pop('load_seen_s')
+        cold_s = max(0.0, fields.pop('cold_until_s') - seen_s)
+        fields['cold_s'] = cold_s if math.isfinite(cold_s) else 0.0
         return json.dumps(
             {'target': fields, 'order': self.order}, separators=(',', ':')
         ).encode()
@@ -86,7 +91,11 @@
             When the load was reported.
         """
         document = json.loads(payload)
-        target = Target(**document['target'], load_seen_s=load_seen_s)
+        fields = document['target']
+        cold_until_s = load_seen_s + fields.pop('cold_s')
+        target = Target(
+            **fields, load_seen_s=load_seen_s, cold_until_s=cold_until_s
+        )
         return cls(target, Order(*document['order']), 0.0, 0.0)
 
     def differs_noticeably(self, target: Target) -> bool:
@@ -95,5 +104,15 @@
         limit = _NOTICEABLE_LOAD_CHANGE * max(old_load, new_load)
         if abs(new_load - old_load) > limit:
             return True
-        seen_s = self.target.load_seen_s
-        return replace(target, load=old_load, load_seen_s=seen_s) != self.target
+        known = self.target
+        later_s = target.cold_until_s - known.cold_until_s
+        if later_s > _NOTICEABLE_COLD_S and target.is_cold(target.load_seen_s):
+            return True
+        same = replace(
+            target,
+            load=old_load,
+            load_seen_s=known.load_seen_s,
+            sequence=known.sequence,
+            cold_until_s=known.cold_until_s,
+        )
+        return same != known
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -11,6 +11,7 @@
 from .exchange import Exchange
 from .rows import ANY_GENERATION, Order, Row
 
+# The default lease, in settings ``[targets] lease_s``.
 TARGET_LEASE_S = 3.0
 # A target that has left stays so for this long after its last announcement,
 # unless it starts again.
@@ -38,6 +39,8 @@
         self._lock = threading.RLock()
         self._rows: dict[_Key, Row] = {}
         self._own_name = kernel.settings.instance.name
+        self._lease_s = kernel.settings.targets.lease_s
+        self.version = 0
         self._peers = kernel.plugin(Peers)
         self._exchange = kernel.plugin(Exchange)
         self._exchange.on_record(_KIND, self._merge)
@@ -62,8 +65,15 @@
             The target as kept; ``leaving`` while a leave is in force.
         """
         now_s = self.kernel.clock.now_s()
-        fields = announcement.model_dump(exclude={'generation'})
-        target = Target(**fields, load_seen_s=now_s)
+        fields = announcement.model_dump(
+            exclude={'generation', 'sequence', 'cold_s'}
+        )
+        target = Target(
+            **fields,
+            load_seen_s=now_s,
+            sequence=announcement.sequence or 0,
+            cold_until_s=now_s + announcement.cold_s,
+        )
         order = Order(generation=announcement.generation or 0)
         with self._lock:
             row = self._current(target.service, target.target_id)
@@ -74,6 +84,8 @@
                 return target
             if order.generation < row.order.generation:
                 return row.target
+            if _is_overtaken(announcement, row):
+                return row.target
             if row.order.leaving:
                 return self._announce_after_leave(row, target)
             return self._renew(row, target)
@@ -107,6 +119,24 @@
                 and row.takes_work
             )
 
+    def every_target(self) -> tuple[Target, ...]:
+        """Return the live targets of all services that take new work."""
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            return tuple(
+                row.target
+                for row in self._rows.values()
+                if row.expires_s > now_s and row.takes_work
+            )
+
+    def service_of(self, target_id: str) -> str:
+        """Return the service of a known target, empty if it is unknown."""
+        with self._lock:
+            for service, known_id in self._rows:
+                if known_id == target_id:
+                    return service
+        return ''
+
     def expire(self) -> None:
         """Withdraw own targets that stopped renewing; forget ended leases."""
         now_s = self.kernel.clock.now_s()
@@ -118,6 +148,7 @@
             ]
             for key, row in ended:
                 self._rows.pop(key)
+                self.version += 1
                 if row.is_own and row.takes_work:
                     order = row.order.next_version(
                         self._own_name, is_live=False
@@ -136,11 +167,12 @@
         row.announced_s = now_s
         if row.order.is_live and not row.differs_noticeably(target):
             if row.is_own:
-                row.expires_s = now_s + TARGET_LEASE_S
+                row.expires_s = now_s + self._lease_s
+                row.target = replace(row.target, sequence=target.sequence)
                 return row.target
             # The owner is replaced when it is gone, or when the target turns
             # to this instance for good.
-            is_repeated = now_s - previously_announced_s < TARGET_LEASE_S
+            is_repeated = now_s - previously_announced_s < self._lease_s
             if not is_repeated and self._is_alive(row.order.origin):
                 return row.target
         self._store_own(target, row.order.next_version(self._own_name))
@@ -162,7 +194,7 @@
     def _store_own(self, target: Target, order: Order) -> None:
         now_s = self.kernel.clock.now_s()
         is_lasting = order.leaving or not order.is_live
-        lease_s = LEAVE_LEASE_S if is_lasting else TARGET_LEASE_S
+        lease_s = LEAVE_LEASE_S if is_lasting else self._lease_s
         row = Row(target, order, now_s + lease_s, now_s, now_s, is_own=True)
         self._store(row)
         self._exchange.publish(
@@ -198,7 +230,7 @@
         """Take over a withdrawn target that announces itself here."""
         row.announced_s = known.announced_s
         now_s = self.kernel.clock.now_s()
-        is_announced = now_s - known.announced_s < TARGET_LEASE_S
+        is_announced = now_s - known.announced_s < self._lease_s
         is_withdrawn = not row.order.is_live and not row.order.leaving
         if is_announced and is_withdrawn:
             order = row.order.next_version(self._own_name)
@@ -212,6 +244,7 @@
         if known is not None and known.takes_work:
             row.first_seen_s = known.first_seen_s
         self._rows[key] = row
+        self.version += 1
 
     def _is_alive(self, name: str) -> bool:
         return any(peer.name == name for peer in self._peers.alive())
@@ -234,6 +267,12 @@
         )
 
 
+def _is_overtaken(announcement: Announcement, row: Row) -> bool:
+    """Return whether a later announcement of the same run came before."""
+    sequence = announcement.sequence
+    return sequence is not None and sequence < row.target.sequence
+
+
 def _unknown(departure: Departure) -> Target:
     return Target(
         service=departure.service,
