Place objects by expected time of the answer; tests of the gateway

Cause: requests moved to targets that did not know their object as soon as the first one had no free slot, and waits counted as slowness.

Change: expected wait, work and distance decide; part of the objects of a region that is too small has its home elsewhere and follows the load slowly; SIGHUP no longer ends the process.

--- a/oleanderpin/control/configuration.py
+++ b/oleanderpin/control/configuration.py
@@ -295,4 +295,3 @@
                 remedy='give each route a host and path of its own',
             )
         places[place] = route.name
-
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -87,8 +87,13 @@
     def stop(*_ignored: object) -> None:
         stopped.set()
 
+    def note_reload(*_ignored: object) -> None:
+        # Settings hold addresses and identity only; they are read at start.
+        _LOG.info('settings are read again at the next start')
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, stop)
+    signal.signal(signal.SIGHUP, note_reload)
     try:
         kernel.start()
     except Exception:
--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -17,7 +17,7 @@
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
 from .forwarded import encode_request, to_caller
-from .messages import Answer, CallerRequest, TargetAnswer, TargetFailure, cookie
+from .messages import Answer, CallerRequest, TargetAnswer, TargetFailure
 from .placement import Candidate, Needs, Placement, note_placed, place
 from .refusals import maybe_run, not_run
 from .retry_budget import RetryBudget
@@ -50,8 +50,10 @@
     regions: tuple[str, ...]
     deadline_s: float
     rank: int
+    object_key: str
     attempts: int = 0
     has_maybe_run: bool = False
+    has_waited: bool = False
     tried: set[str] = field(default_factory=set)
 
     @property
@@ -90,6 +92,11 @@
         self._replicas = settings.max_targets_per_object
         self._random = random.Random()
 
+    def upkeep(self) -> None:
+        """Close old connections and follow the load of the targets."""
+        self.pool.close_idle()
+        self._directory.update_splits()
+
     async def answer(self, job: Job) -> Answer:
         """Return a target's answer.
 
@@ -122,40 +129,28 @@
     def _place(self, job: Job, targets: ServiceTargets) -> Placement:
         now_s = time.monotonic()
         version = self._version(job.service, targets)
-        key = self._object_key(job)
-        ordered = targets.ordered(key, version, job.regions)
+        groups = targets.ordered(job.object_key, version, job.regions)
         if job.tried:
-            ordered = [
-                each
-                for each in ordered
-                if each.target.target_id not in job.tried
-            ]
+            groups = _without(groups, job.tried)
+        home = groups[0][0].is_near if groups else True
+        if not targets.split.may_leave(now_s):
+            groups = [each for each in groups if each[0].is_near == home]
         needs = Needs(
-            cold_interval_s=self._directory.cold_interval_s(job.service),
+            key=job.object_key,
+            left_s=job.left_s(),
             usual_s=targets.usual_s,
-            queue_limit=self._queue_limit(job, targets.usual_s),
+            cold_interval_s=self._directory.cold_interval_s(job.service),
             is_repeatable=job.is_repeatable,
         )
-        placement = place(
-            ordered, needs, replicas=self._replicas, now_s=now_s
-        )
-        if placement.candidate is not None:
-            note_placed(placement.candidate, now_s)
+        placement = place(groups, needs, replicas=self._replicas, now_s=now_s)
+        candidate = placement.candidate
+        if candidate is not None:
+            health = candidate.health
+            job.has_waited = health.busy(now_s) >= health.slots
+            note_placed(candidate, job.object_key, now_s)
+            targets.split.note_placed(now_s, leaves=candidate.is_near != home)
         return placement
 
-    def _queue_limit(self, job: Job, usual_s: float) -> float:
-        """Return how long a queue may be, in requests for each slot."""
-        if usual_s <= 0:
-            return 1.0
-        spare_s = job.left_s() / 2 - usual_s
-        return min(1.0, max(0.0, spare_s / usual_s))
-
-    def _object_key(self, job: Job) -> str:
-        name = cookie(job.request.header(b'cookie'), self._dialect.object_cookie)
-        if not name:
-            return job.request_id.decode('latin-1')
-        return f'{job.route.route.path_prefix}{name.decode("latin-1")}'
-
     def _version(self, service: Service, targets: ServiceTargets) -> str:
         weights = self._split.weights(service)
         versions = [
@@ -165,9 +160,7 @@
             return versions[0]
         present = targets.versions()
         usable = [
-            version
-            for version in versions
-            if not version or version in present
+            version for version in versions if not version or version in present
         ] or versions
         return self._random.choices(
             usable, [weights[version] for version in usable]
@@ -183,7 +176,7 @@
         try:
             async with asyncio.timeout(job.left_s() + _DEADLINE_MARGIN_S):
                 answer = await self.pool.send(
-                    target.address,
+                    candidate,
                     job.request_id,
                     lambda: encode_request(
                         job.request,
@@ -231,13 +224,12 @@
         is_failure = answer.status >= _SERVER_ERROR or (
             answer.header(b'content-encoding') is not None
         )
-        health.note_answer(now_s - started_s, is_failure=is_failure)
         result: AttemptResult = 'target_error' if is_failure else 'ok'
         self._observe(job, candidate, result, now_s - started_s, answer)
         if not is_failure:
-            targets = self._directory.of(job.service.name)
-            targets.note_duration(now_s - started_s)
+            self._note_success(job, candidate, now_s - started_s)
             return to_caller(answer)
+        health.note_failure()
         job.has_maybe_run = True
         if self._may_retry(job, 'target_error'):
             return None
@@ -245,6 +237,20 @@
             raise self._given_up(job, 'bad_answer')
         return to_caller(answer)
 
+    def _note_success(
+        self, job: Job, candidate: Candidate, duration_s: float
+    ) -> None:
+        health = candidate.health
+        is_usual = health.note_success(
+            job.object_key,
+            duration_s,
+            time.monotonic(),
+            has_waited=job.has_waited,
+        )
+        if is_usual:
+            targets = self._directory.of(job.service.name)
+            targets.note_duration(duration_s - health.round_trip_s)
+
     def _is_not_run(self, answer: TargetAnswer) -> bool:
         return (
             answer.status == HTTPStatus.MISDIRECTED_REQUEST
@@ -266,7 +272,7 @@
         if result != 'timeout':
             candidate.health.note_broken(result, now_s)
         else:
-            candidate.health.note_answer(0.0, is_failure=True)
+            candidate.health.note_failure()
         outcome = 'reset' if result == 'bad_answer' else result
         self._observe(job, candidate, outcome, 0.0, None)  # type: ignore[arg-type]
         self._log.write(
@@ -332,3 +338,14 @@
             f'no target of {job.service.name!r} can take the request: {reason}',
             retry_after_s=self._random.uniform(*_RETRY_AFTER_S),
         )
+
+
+def _without(
+    groups: list[list[Candidate]], tried: set[str]
+) -> list[list[Candidate]]:
+    """Return the groups without targets that were tried before."""
+    left = [
+        [each for each in group if each.target.target_id not in tried]
+        for group in groups
+    ]
+    return [group for group in left if group]
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -8,6 +8,7 @@
 from ..core.metrics import EVENTS
 from ..core.settings import GatewaySettings
 from .messages import TargetAnswer, TargetFailure
+from .placement import Candidate
 from .target_connection import TargetConnection
 
 # Part of a target's idle time-out for which a connection is used again, and
@@ -44,7 +45,7 @@
 
     async def send(
         self,
-        address: str,
+        candidate: Candidate,
         request_id: bytes,
         encoded: Callable[[], bytes],
         *,
@@ -55,8 +56,8 @@
 
         Parameters
         ----------
-        address : str
-            Address of the target.
+        candidate : Candidate
+            The target; the time of connecting is noted in its health.
         request_id : bytes
             Id that the answer must echo.
         encoded : callable
@@ -71,9 +72,12 @@
         TargetFailure
             If there is no complete answer.
         """
+        address = candidate.target.address
         connection = self._take(address, is_repeatable=is_repeatable)
         if connection is None:
+            started_s = time.monotonic()
             connection = await self._connect(address)
+            candidate.health.note_connected(time.monotonic() - started_s)
         try:
             answer = await connection.start(
                 request_id, encoded(), is_head=is_head
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -2,8 +2,10 @@
 
 Load pattern: callers ask again and again for a limited number of objects, and
 a target that has lately handled an object needs a third of the time. So each
-object has its own order of targets, the same on all instances, and moves down
-that order only when the ones before have no room.
+object has its own order of targets, the same on all instances. A request goes
+to another target than the first only when the answer is expected earlier
+there, although that target has to load the object: waiting for one of many
+slots is usually shorter.
 """
 
 from collections.abc import Sequence
@@ -15,11 +17,21 @@
 from ..targets.announcement import Target
 from .target_health import TargetHealth
 
+# Work on an object that a target has not handled lately, in usual durations.
+_COLD_WORK = 3.3
+# A target that needs this much longer than usual is only tried now and then.
 _SLOW_FACTOR = 2.5
-# How often a target that looks bad is tried again.
 _TRIAL_INTERVAL_S = 1.0
-# Requests a cold target may get from one instance beyond its steady share.
-_COLD_BURST = 1.0
+# Duration that is assumed before the first answer of a service.
+_UNKNOWN_WORK_S = 0.2
+
+# Distances of a target from this instance.
+OWN_FAILURE_DOMAIN = 0
+OWN_REGION = 1
+OTHER_REGION = 2
+# How much earlier an answer has to be expected for a request to go further:
+# bytes between failure domains and between regions have a price.
+_DISTANCE_BIAS_S = (0.0, 0.03, 0.06)
 
 Obstacle = Literal['no_target', 'ejected', 'busy', 'cold']
 
@@ -30,7 +42,12 @@
 
     target: Target
     health: TargetHealth
-    is_near: bool
+    distance: int
+
+    @property
+    def is_near(self) -> bool:
+        """Whether the target is in the region of this instance."""
+        return self.distance < OTHER_REGION
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,20 +56,23 @@
 
     Parameters
     ----------
+    key : str
+        Names the object.
+    left_s : float
+        Time until the answer is due.
+    usual_s : float
+        Usual time of an answer about an object that the target knows.
     cold_interval_s : float
         Least time between two requests of this instance to a cold target;
         0 without a bound.
-    usual_s : float
-        Usual time of an answer of the service.
-    queue_limit : float
-        Requests that may wait at a target for each of its slots.
     is_repeatable : bool
         Whether the request may be used to try a target that looks bad.
     """
 
-    cold_interval_s: float = 0.0
+    key: str
+    left_s: float
     usual_s: float = 0.0
-    queue_limit: float = 0.0
+    cold_interval_s: float = 0.0
     is_repeatable: bool = False
 
 
@@ -62,10 +82,13 @@
 
     candidate: Candidate | None
     obstacle: Obstacle = 'no_target'
+    expected_s: float = 0.0
 
 
-def order_for(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
-    """Return the candidates in the order of an object, near ones first.
+def order_for(
+    key: str, candidates: Sequence[Candidate], *, at_home: bool
+) -> list[list[Candidate]]:
+    """Return the candidates by distance, each group in the object's order.
 
     Parameters
     ----------
@@ -73,54 +96,94 @@
         Names the object.
     candidates : sequence of Candidate
         Targets of the service.
+    at_home : bool
+        Whether the object's home is the own region; its group comes first.
     """
-    return sorted(
+    ordered = sorted(
         candidates,
-        key=lambda each: (
-            not each.is_near,
-            xxhash.xxh3_64_intdigest(
-                f'{key}/{each.target.target_id}'.encode()
-            ),
+        key=lambda each: xxhash.xxh3_64_intdigest(
+            f'{key}/{each.target.target_id}'.encode()
         ),
     )
+    distances = [OWN_FAILURE_DOMAIN, OWN_REGION, OTHER_REGION]
+    if not at_home:
+        distances = [OTHER_REGION, OWN_FAILURE_DOMAIN, OWN_REGION]
+    groups = [
+        [each for each in ordered if each.distance == distance]
+        for distance in distances
+    ]
+    return [group for group in groups if group]
 
 
 def place(
-    ordered: Sequence[Candidate], needs: Needs, *, replicas: int, now_s: float
+    groups: Sequence[Sequence[Candidate]],
+    needs: Needs,
+    *,
+    replicas: int,
+    now_s: float,
 ) -> Placement:
-    """Choose a candidate.
+    """Choose the candidate that is expected to answer first.
 
     Parameters
     ----------
-    ordered : sequence of Candidate
-        Candidates in the order of the object.
+    groups : sequence of sequence of Candidate
+        Candidates by distance in the order of the object. The first usable
+        one of the first group is expected to know the object, and so is that
+        of the own region's other failure domains.
     needs : Needs
         What the request needs.
     replicas : int
-        Targets of a region that an object uses before others are asked.
+        How many usable candidates of each group are compared.
     now_s : float
         Monotonic time.
     """
-    usable: list[Candidate] = []
+    best: Candidate | None = None
+    best_s = float('inf')
     obstacle: Obstacle = 'no_target'
-    for candidate in ordered:
-        found = _obstacle(candidate, needs, now_s)
-        if found is None:
-            usable.append(candidate)
-        else:
-            obstacle = found
-    if not usable:
-        return Placement(None, obstacle)
-    near = [each for each in usable if each.is_near][:replicas]
-    far = [each for each in usable if not each.is_near][:replicas]
-    for group in (near, far, usable):
+    for number, group in enumerate(groups):
+        compared = 0
         for candidate in group:
-            if candidate.health.room(now_s) >= 1:
-                return Placement(candidate)
-    shortest = min(near or usable, key=lambda each: _queue(each, now_s))
-    if _queue(shortest, now_s) < needs.queue_limit:
-        return Placement(shortest)
-    return Placement(None, 'busy')
+            found = _obstacle(candidate, needs, now_s)
+            if found is not None:
+                obstacle = found
+                continue
+            is_first = not compared and (
+                not number or candidate.distance == OWN_REGION
+            )
+            cost_s = _DISTANCE_BIAS_S[candidate.distance] + _expected_s(
+                candidate, needs, is_first=is_first, now_s=now_s
+            )
+            if cost_s < best_s:
+                best, best_s = candidate, cost_s
+            compared += 1
+            if compared >= replicas:
+                break
+    if best is None:
+        return Placement(None, obstacle)
+    if best_s > needs.left_s:
+        return Placement(None, 'busy', best_s)
+    return Placement(best, expected_s=best_s)
+
+
+def note_placed(candidate: Candidate, key: str, now_s: float) -> None:
+    """Record that a request about an object goes to a candidate."""
+    health = candidate.health
+    health.note_sent(key, now_s)
+    if _is_cold(candidate, now_s):
+        health.cold_sent_s = now_s
+
+
+def _expected_s(
+    candidate: Candidate, needs: Needs, *, is_first: bool, now_s: float
+) -> float:
+    """Return the time after which an answer is expected."""
+    health = candidate.health
+    usual_s = needs.usual_s or _UNKNOWN_WORK_S
+    speed = health.slowness(usual_s)
+    work_s = usual_s * speed
+    is_known = is_first or health.knows(needs.key, now_s)
+    own_s = work_s if is_known else work_s * _COLD_WORK
+    return health.wait_s(work_s, now_s) + own_s + health.round_trip_s
 
 
 def _obstacle(
@@ -130,11 +193,15 @@
     if health.is_ejected(now_s):
         return 'ejected'
     if needs.cold_interval_s and _is_cold(candidate, now_s):
-        ready_s = health.cold_tokens_s + needs.cold_interval_s * _COLD_BURST
-        if now_s < ready_s:
+        if now_s < health.cold_sent_s + needs.cold_interval_s:
             return 'cold'
-    if health.is_failing() or health.is_slow(needs.usual_s, _SLOW_FACTOR):
-        is_due = now_s - health.trial_s >= _TRIAL_INTERVAL_S
+    if health.is_full(now_s):
+        return 'busy'
+    is_bad = health.is_failing() or (
+        health.slowness(needs.usual_s) > _SLOW_FACTOR
+    )
+    if is_bad:
+        is_due = now_s - health.sent_s >= _TRIAL_INTERVAL_S
         if not (is_due and needs.is_repeatable):
             return 'ejected'
     return None
@@ -145,17 +212,3 @@
     target = candidate.target
     is_unconfirmed = candidate.health.broken_s > target.load_seen_s
     return target.is_cold(now_s) or is_unconfirmed
-
-
-def note_placed(candidate: Candidate, now_s: float) -> None:
-    """Record that a request goes to a candidate."""
-    health = candidate.health
-    health.note_sent()
-    health.trial_s = now_s
-    if _is_cold(candidate, now_s):
-        health.cold_tokens_s = now_s
-
-
-def _queue(candidate: Candidate, now_s: float) -> float:
-    health = candidate.health
-    return max(0.0, health.busy(now_s) - health.slots) / max(1, health.slots)
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -17,13 +17,13 @@
 from .dialect import dialects
 from .forwarded import request_id
 from .listener import HttpListener
-from .messages import Answer, CallerRequest
+from .messages import Answer, CallerRequest, cookie
 from .rates import RateGate
 from .refusals import not_run, refusal_answer
 from .routes import RouteTable, WeightedRoute
 
 _LOG = logging.getLogger(__name__)
-_UPKEEP_S = 0.5
+_UPKEEP_S = 0.25
 # Longest wait for a share of the rate, in parts of the time that is left.
 _RATE_WAIT_PART = 0.2
 _NO_CONFIGURATION_RETRY_S = 0.5
@@ -108,7 +108,7 @@
 
     async def _upkeep(self) -> None:
         while not self.kernel.stopping.is_set():
-            self._attempts.pool.close_idle()
+            self._attempts.upkeep()
             await asyncio.sleep(_UPKEEP_S)
 
     async def _serve_ready(self, request: CallerRequest) -> Answer:
@@ -125,9 +125,7 @@
     def _limits(self) -> Configuration:
         return self._configuration()
 
-    async def _admit(
-        self, request: CallerRequest, request_key: bytes
-    ) -> Job:
+    async def _admit(self, request: CallerRequest, request_key: bytes) -> Job:
         state = self._view.state
         tables = (id(state.routes), id(state.profiles))
         if tables != self._routes_of:
@@ -157,8 +155,14 @@
             regions=_allowed_regions(profile.allowed_regions, account),
             deadline_s=deadline_s,
             rank=rank,
+            object_key=self._object_key(request, request_key),
         )
 
+    def _object_key(self, request: CallerRequest, request_key: bytes) -> str:
+        """Return the object that a request concerns, or the request's id."""
+        name = cookie(request.header(b'cookie'), self._dialect.object_cookie)
+        return (name or request_key).decode('latin-1')
+
     def _find_route(self, request: CallerRequest) -> WeightedRoute:
         if not self._configuration().number:
             raise not_run(
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -64,9 +64,7 @@
             result = self._shares.take_now(resource)
         return result
 
-    def _refusal(
-        self, account: Account, resource: str, result: str
-    ) -> Refusal:
+    def _refusal(self, account: Account, resource: str, result: str) -> Refusal:
         next_s = self._shares.holder.next_unit_s(resource)
         details = RefusalDetails(
             status=429,
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -1,6 +1,7 @@
 """The targets of each service, with what this instance has seen of them."""
 
-from collections.abc import Mapping
+import time
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -10,14 +11,22 @@
 from ..moves.drains import Drains
 from ..moves.split import ANY_VERSION
 from ..targets.table import TargetTable
-from .placement import Candidate, order_for
+from ..targets.announcement import Target
+from .placement import (
+    OTHER_REGION,
+    OWN_FAILURE_DOMAIN,
+    OWN_REGION,
+    Candidate,
+    order_for,
+)
+from .region_split import RegionSplit
 from .target_health import TargetHealth
 
 _MAX_ORDERS = 5000
 # Weight of the newest answer in the usual duration of a service.
 _WEIGHT = 0.05
 
-_Order = tuple[str, str, tuple[str, ...]]
+_Order = tuple[str, str, tuple[str, ...], bool]
 
 
 @dataclass(slots=True)
@@ -26,13 +35,18 @@
 
     candidates: list[Candidate] = field(default_factory=list)
     usual_s: float = 0.0
-    _orders: dict[_Order, list[Candidate]] = field(default_factory=dict)
+    split: RegionSplit = field(
+        default_factory=lambda: RegionSplit(time.monotonic())
+    )
+    _orders: dict[_Order, list[list[Candidate]]] = field(default_factory=dict)
 
     def ordered(
         self, key: str, version: str, regions: tuple[str, ...]
-    ) -> list[Candidate]:
+    ) -> list[list[Candidate]]:
         """Return the candidates of a version in the order of an object.
 
+        They are grouped by distance; the group of the object's home is first.
+
         Parameters
         ----------
         key : str
@@ -42,7 +56,9 @@
         regions : tuple of str
             Regions that may be used; empty for all.
         """
-        found = self._orders.get((key, version, regions))
+        is_at_home = self.split.is_at_home(key)
+        place = (key, version, regions, is_at_home)
+        found = self._orders.get(place)
         if found is None:
             allowed = [
                 each
@@ -50,18 +66,29 @@
                 if version in {ANY_VERSION, each.target.version}
                 and (not regions or each.target.region in regions)
             ]
-            found = order_for(key, allowed)
+            found = order_for(key, allowed, at_home=is_at_home)
             if len(self._orders) >= _MAX_ORDERS:
                 self._orders.clear()
-            self._orders[key, version, regions] = found
+            self._orders[place] = found
         return found
 
     def versions(self) -> set[str]:
         """Return the versions of the candidates."""
         return {each.target.version for each in self.candidates}
 
+    def update_split(self, now_s: float) -> None:
+        """Let the part of objects that stay follow the load."""
+        near = [each for each in self.candidates if each.is_near]
+        slots = sum(each.health.slots for each in near)
+        busy = sum(each.health.busy(now_s) for each in near)
+        every_slot = sum(each.health.slots for each in self.candidates)
+        regions = {each.target.region for each in self.candidates}
+        if every_slot:
+            self.split.assume(slots / every_slot, len(regions))
+        self.split.update(busy / slots if slots else 1.0, now_s)
+
     def note_duration(self, duration_s: float) -> None:
-        """Take the duration of a good answer."""
+        """Take the duration of an answer about an object known there."""
         if self.usual_s:
             self.usual_s += (duration_s - self.usual_s) * _WEIGHT
         else:
@@ -83,7 +110,7 @@
         self._drains = kernel.plugin(Drains)
         self._view = kernel.plugin(ControlView)
         self._peers = kernel.plugin(Peers)
-        self._region = kernel.settings.instance.region
+        self._place = kernel.settings.instance
         self._services: dict[str, ServiceTargets] = {}
         self._health: dict[tuple[str, str, str], TargetHealth] = {}
         self._seen_version = -1
@@ -106,6 +133,12 @@
             self._services[service] = found
         return found
 
+    def update_splits(self) -> None:
+        """Let the split of each service follow the load of its targets."""
+        now_s = time.monotonic()
+        for service in self._services.values():
+            service.update_split(now_s)
+
     def cold_interval_s(self, service: Service) -> float:
         """Return the time between requests of one instance to a cold target.
 
@@ -114,9 +147,7 @@
         """
         if not service.cold_rate_per_s:
             return 0.0
-        gateways = sum(
-            'gateway' in peer.roles for peer in self._peers.alive()
-        )
+        gateways = sum('gateway' in peer.roles for peer in self._peers.alive())
         self._sharers = max(self._sharers, gateways)
         return self._sharers / service.cold_rate_per_s
 
@@ -127,19 +158,29 @@
             if self._drains.is_draining(target):
                 continue
             key = (target.service, target.target_id, target.address)
-            known = self._health.get(key) or TargetHealth(target.slots)
-            known.slots = target.slots
-            health[key] = known
+            seen = self._health.get(key) or TargetHealth(target.slots)
+            seen.slots = target.slots
+            health[key] = seen
             by_service.setdefault(target.service, []).append(
-                Candidate(target, known, target.region == self._region)
+                Candidate(target, seen, self._distance(target))
             )
         self._health = {**self._kept_health(health), **health}
         for name in self._services.keys() | by_service.keys():
-            service = self._services.setdefault(name, ServiceTargets())
+            known = self._services.setdefault(name, ServiceTargets())
+            candidates = by_service.get(name, [])
+            if _near_ids(known.candidates) != _near_ids(candidates):
+                known.split.note_change(time.monotonic())
             self._services[name] = ServiceTargets(
-                by_service.get(name, []), service.usual_s
+                candidates, known.usual_s, known.split
             )
 
+    def _distance(self, target: Target) -> int:
+        if target.failure_domain == self._place.failure_domain:
+            return OWN_FAILURE_DOMAIN
+        if target.region == self._place.region:
+            return OWN_REGION
+        return OTHER_REGION
+
     def _kept_health(
         self, current: Mapping[tuple[str, str, str], TargetHealth]
     ) -> dict[tuple[str, str, str], TargetHealth]:
@@ -150,3 +191,6 @@
             if key not in current and health.in_flight
         }
 
+
+def _near_ids(candidates: Sequence[Candidate]) -> set[str]:
+    return {each.target.target_id for each in candidates if each.is_near}
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -1,5 +1,6 @@
 """What an instance has seen of a target, from its own requests."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 # Weight of the newest answer in the averages.
@@ -11,10 +12,18 @@
 _FAILURES_IN_A_ROW = 3
 # Averages are used after this many answers.
 _MIN_ANSWERS = 4
+# An average without a newer answer for so long counts little.
+_STALE_S = 0.8
+_STALE_WEIGHT = 0.6
 _FAILING_PART = 0.3
 # Reported load is believed for this long.
 _LOAD_VALID_S = 1.0
-_SHED_S = 0.15
+_SHED_S = 0.1
+# Requests that may wait at a target for each of its slots.
+_MOST_WAITING = 1.0
+# Objects that a target is taken to know, and for how long.
+_MAX_KNOWN = 64
+_KNOWN_S = 20.0
 
 
 @dataclass(slots=True)
@@ -25,12 +34,17 @@
     ----------
     slots : int
         Requests that the target processes at once.
+    round_trip_s : float
+        Time that an empty request takes, from the time of connecting.
     """
 
     slots: int
+    round_trip_s: float = 0.0
     in_flight: int = 0
     answers: int = 0
-    latency_s: float = 0.0
+    warm_answers: int = 0
+    warm_s: float = 0.0
+    measured_s: float = float('-inf')
     failure_part: float = 0.0
     failures_in_a_row: int = 0
     ejected_until_s: float = float('-inf')
@@ -39,36 +53,36 @@
     reported_busy: int = 0
     reported_s: float = float('-inf')
     sent_since_report: int = 0
-    trial_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    cold_sent_s: float = float('-inf')
     broken_s: float = float('-inf')
-    cold_tokens_s: float = field(default=float('-inf'))
+    _known: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
-    def busy(self, now_s: float) -> float:
+    def busy(self, now_s: float) -> int:
         """Return how many requests the target has, running and waiting."""
         if now_s - self.reported_s > _LOAD_VALID_S:
-            return float(self.in_flight)
-        return max(
-            float(self.in_flight),
-            float(self.reported_busy + self.sent_since_report),
-        )
+            return self.in_flight
+        return max(self.in_flight, self.reported_busy + self.sent_since_report)
+
+    def wait_s(self, work_s: float, now_s: float) -> float:
+        """Return how long a new request would wait for a slot."""
+        waiting = self.busy(now_s) + 1 - self.slots
+        return max(0, waiting) * work_s / max(1, self.slots)
 
-    def room(self, now_s: float) -> float:
-        """Return how many more requests would start at once."""
-        if now_s < self.full_until_s:
-            return 0.0
-        return self.slots - self.busy(now_s)
+    def is_full(self, now_s: float) -> bool:
+        """Return whether it has just refused, or has a long queue."""
+        most = self.slots * (1 + _MOST_WAITING)
+        return now_s < self.full_until_s or self.busy(now_s) >= most
 
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target gets no new work at present."""
         return now_s < self.ejected_until_s
 
-    def is_slow(self, usual_s: float, factor: float) -> bool:
-        """Return whether it is slower than usual for its service."""
-        return (
-            self.answers >= _MIN_ANSWERS
-            and usual_s > 0
-            and self.latency_s > usual_s * factor
-        )
+    def slowness(self, usual_s: float) -> float:
+        """Return its durations in parts of the usual one, at least 1."""
+        if self.warm_answers < _MIN_ANSWERS or usual_s <= 0:
+            return 1.0
+        return max(1.0, self.warm_s / usual_s)
 
     def is_failing(self) -> bool:
         """Return whether many of its answers are failures."""
@@ -76,10 +90,21 @@
             self.failure_part > _FAILING_PART
         )
 
-    def note_sent(self) -> None:
+    def knows(self, key: str, now_s: float) -> bool:
+        """Return whether the target has lately handled an object."""
+        handled_s = self._known.get(key)
+        return handled_s is not None and now_s - handled_s < _KNOWN_S
+
+    def note_sent(self, key: str, now_s: float) -> None:
         """Count a request that is on its way."""
         self.in_flight += 1
         self.sent_since_report += 1
+        self.sent_s = now_s
+
+    def note_connected(self, duration_s: float) -> None:
+        """Take the time of connecting; the shortest one tells the distance."""
+        if not self.round_trip_s or duration_s < self.round_trip_s:
+            self.round_trip_s = duration_s
 
     def note_load(self, running: int, waiting: int, now_s: float) -> None:
         """Take the load that an answer reports."""
@@ -87,16 +112,52 @@
         self.reported_s = now_s
         self.sent_since_report = 0
 
-    def note_answer(self, duration_s: float, *, is_failure: bool) -> None:
-        """Take a complete answer."""
+    def note_failure(self) -> None:
+        """Take an answer that tells of a failure."""
         self.answers += 1
-        self.failures_in_a_row = self.failures_in_a_row + 1 if is_failure else 0
-        if not is_failure:
-            self.ejections = 0
-            self.latency_s += (duration_s - self.latency_s) * (
-                _WEIGHT if self.answers > 1 else 1
-            )
-        self.failure_part += (int(is_failure) - self.failure_part) * _WEIGHT
+        self.failures_in_a_row += 1
+        self.failure_part += (1 - self.failure_part) * _WEIGHT
+
+    def note_success(
+        self, key: str, duration_s: float, now_s: float, *, has_waited: bool
+    ) -> bool:
+        """Take a good answer.
+
+        Parameters
+        ----------
+        key : str
+            Object of the request.
+        duration_s : float
+            Time from the request to the whole answer.
+        now_s : float
+            Monotonic time.
+        has_waited : bool
+            Whether the target had no free slot when the request was sent.
+
+        Returns
+        -------
+        bool
+            Whether the duration is that of work on an object known before.
+        """
+        self.answers += 1
+        self.failures_in_a_row = 0
+        self.ejections = 0
+        self.failure_part -= self.failure_part * _WEIGHT
+        was_known = self.knows(key, now_s)
+        self._known[key] = now_s
+        self._known.move_to_end(key)
+        if len(self._known) > _MAX_KNOWN:
+            self._known.popitem(last=False)
+        if not was_known or has_waited:
+            return False
+        # An answer after a pause tells more than the average of before.
+        is_stale = now_s - self.measured_s > _STALE_S
+        weight = _STALE_WEIGHT if is_stale else _WEIGHT
+        work_s = duration_s - self.round_trip_s
+        self.warm_s += (work_s - self.warm_s) * weight
+        self.warm_answers += 1
+        self.measured_s = now_s
+        return True
 
     def note_shed(self, now_s: float) -> None:
         """Note that the target refused a request for lack of room."""
@@ -104,15 +165,12 @@
 
     def note_broken(self, result: str, now_s: float) -> None:
         """Note an attempt without a complete answer."""
-        self.answers += 1
-        self.failure_part += (1 - self.failure_part) * _WEIGHT
-        self.failures_in_a_row += 1
-        if result == 'no_connection':
+        self.note_failure()
+        is_unreachable = result == 'no_connection'
+        if is_unreachable:
             self.broken_s = now_s
-        if (
-            result == 'no_connection'
-            or self.failures_in_a_row >= _FAILURES_IN_A_ROW
-        ):
+            self._known.clear()
+        if is_unreachable or self.failures_in_a_row >= _FAILURES_IN_A_ROW:
             duration_s = min(
                 _FIRST_EJECTION_S * 2**self.ejections, _LONGEST_EJECTION_S
             )
--- a/oleanderpin/lookup/gateways.py
+++ b/oleanderpin/lookup/gateways.py
@@ -33,8 +33,7 @@
         usable = [
             peer
             for peer in self._peers.alive()
-            if 'gateway' in peer.roles
-            and not peer.draining
+            if 'gateway' in peer.roles and not peer.draining
         ]
         return [
             peer.caller_address
--- a/oleanderpin/operators/actions.py
+++ b/oleanderpin/operators/actions.py
@@ -172,4 +172,3 @@
             if move.status == 'done':
                 key = (move.service, move.started_unix_s)
                 self._ended_s.setdefault(key, now_s)
-
--- a/oleanderpin/tests/forwarding/test_idempotency.py
+++ b/oleanderpin/tests/forwarding/test_idempotency.py
@@ -16,6 +16,7 @@
     IdempotencyHolder,
     RecordTable,
 )
+from ...core.settings import ControlSettings, PeersSettings
 from ...testing import ManualClock, ScriptedConnection, ScriptedTarget
 from ...wire.generated.idempotency.ttypes import Record, Verdict
 from ...wire.network import PeerNetwork
@@ -46,7 +47,8 @@
         members = [f'{each}={peer_address(each)}' for each in NAMES]
         settings = SimpleNamespace(
             instance=SimpleNamespace(name=name, data_dir=self.folder / name),
-            control=SimpleNamespace(initial_members=members),
+            control=ControlSettings(initial_members=members),
+            peers=PeersSettings(),
             listen=SimpleNamespace(peer=peer_address(name)),
         )
         server = SimpleNamespace(register=lambda *_arguments: None)
--- /dev/null
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -0,0 +1,158 @@
+"""A gateway over loopback, from the caller's request to the answer."""
+
+from pathlib import Path
+
+import pytest
+
+from ...control.configuration import ProfileDocument
+from ...daemon import Kernel  # noqa: F401
+from ...testing.gateway import (
+    GatewayFixture,
+    ScriptedHttpTarget,
+    answer_bytes,
+    configuration,
+    header_of,
+    request_bytes,
+    started_gateway,
+)
+
+REPEATABLE = ProfileDocument(is_repeatable=True, max_attempts=2)
+ONCE = ProfileDocument(is_repeatable=False, max_attempts=2)
+
+
+def status_of(answer: bytes) -> int:
+    return int(answer.split(b' ')[1]) if answer else 0
+
+
+@pytest.fixture
+def gateway(tmp_path: Path):
+    with started_gateway(tmp_path, configuration(profile=ONCE)) as started:
+        yield started
+
+
+@pytest.fixture
+def repeating(tmp_path: Path):
+    change = configuration(profile=REPEATABLE)
+    with started_gateway(tmp_path, change) as started:
+        yield started
+
+
+def test_forwards_with_own_headers_only(gateway: GatewayFixture) -> None:
+    """Guards against keys that reach targets and accounts that callers set."""
+    target = ScriptedHttpTarget().start()
+    gateway.announce(target, 't1')
+    sent = request_bytes(body=b'{}', method='POST').replace(
+        b'X-Request-Id', b'Client-Account: other\r\nX-Request-Id'
+    )
+    (answer,) = gateway.ask(sent)
+    assert status_of(answer) == 200
+    assert answer.endswith(b'ok')
+    (seen,) = target.requests
+    assert seen.startswith(b'POST /desk/1 HTTP/1.1')
+    assert seen.endswith(b'\r\n\r\n{}')
+    assert header_of(seen, b'authorization') == b''
+    assert header_of(seen, b'client-account') == b'shop'
+    assert header_of(seen, b'expected-target') == b't1'
+    assert 0 < int(header_of(seen, b'deadline-ms')) <= 5000
+
+
+def test_answers_in_the_order_of_requests(repeating: GatewayFixture) -> None:
+    """Guards against answers of requests behind each other that cross."""
+    import time
+
+    def script(request: bytes) -> bytes:
+        number = int(header_of(request, b'x-request-id')[1:])
+        time.sleep(0.2 if number == 0 else 0)
+        return answer_bytes(request, body=b'%d' % number)
+
+    repeating.announce(ScriptedHttpTarget(script).start(), 't1')
+    answers = repeating.ask(
+        *(request_bytes(request_id=f'r{number}') for number in range(4))
+    )
+    assert [answer[-1:] for answer in answers] == [b'0', b'1', b'2', b'3']
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [('/desk/1', 'wrong', 401), ('/desk/1', '', 401), ('/else/', 'k', 404)],
+)
+def test_refuses_before_any_target(
+    gateway: GatewayFixture, path: str, key: str, status: int
+) -> None:
+    """Guards against requests that run without a key or route."""
+    target = ScriptedHttpTarget().start()
+    gateway.announce(target, 't1')
+    (answer,) = gateway.ask(request_bytes(path=path, key=key))
+    assert status_of(answer) == status
+    assert not target.requests
+
+
+def test_repeats_what_a_target_did_not_run(gateway: GatewayFixture) -> None:
+    """Guards against a refusal although another target has room."""
+
+    def shed(request: bytes) -> bytes:
+        return answer_bytes(request, status=503, extra='Not-Executed: 1\r\n')
+
+    full, free = ScriptedHttpTarget(shed).start(), ScriptedHttpTarget().start()
+    gateway.announce(full, 't1')
+    gateway.announce(free, 't2')
+    answers = [
+        gateway.ask(request_bytes(request_id=f'r{number}', path=f'/desk/{number}'))
+        for number in range(8)
+    ]
+    assert {status_of(answer) for (answer,) in answers} == {200}
+
+
+def test_never_repeats_what_may_have_run(gateway: GatewayFixture) -> None:
+    """Guards against an action that runs twice after a lost answer."""
+    targets = [ScriptedHttpTarget(lambda _r: b'').start() for _n in range(2)]
+    for number, target in enumerate(targets):
+        gateway.announce(target, f't{number}')
+    (answer,) = gateway.ask(request_bytes(method='POST', body=b'x'))
+    assert status_of(answer) == 502
+    assert sum(len(target.requests) for target in targets) == 1
+
+
+def test_repeats_a_read_after_a_lost_answer(repeating: GatewayFixture) -> None:
+    """Guards against reads that fail although another target answers."""
+    lost = ScriptedHttpTarget(lambda _r: b'').start()
+    repeating.announce(lost, 't1')
+    repeating.announce(ScriptedHttpTarget().start(), 't2')
+    answers = [
+        repeating.ask(request_bytes(request_id=f'r{number}'))
+        for number in range(6)
+    ]
+    assert {status_of(answer) for (answer,) in answers} == {200}
+
+
+def test_skips_an_answer_to_another_request(repeating: GatewayFixture) -> None:
+    """Guards against a doubled answer that reaches the next caller."""
+
+    def double(request: bytes) -> bytes:
+        late = answer_bytes(request, body=b'late', request_id=b'r-old')
+        return late + answer_bytes(request, body=b'own')
+
+    repeating.announce(ScriptedHttpTarget(double).start(), 't1')
+    for number in range(3):
+        (answer,) = repeating.ask(request_bytes(request_id=f'r{number}'))
+        assert answer.endswith(b'own')
+
+
+def test_cut_answer_does_not_look_complete(gateway: GatewayFixture) -> None:
+    """Guards against a broken answer that is passed on as a whole one."""
+
+    def cut(request: bytes) -> bytes:
+        whole = answer_bytes(request, body=b'0123456789')
+        return whole[:-4]
+
+    target = ScriptedHttpTarget(cut).start()
+    gateway.announce(target, 't1')
+    (answer,) = gateway.ask(request_bytes(deadline_ms=400))
+    assert status_of(answer) in {502, 504}
+
+
+def test_no_target_is_refused_as_not_run(gateway: GatewayFixture) -> None:
+    """Guards against waiting until the deadline for nothing."""
+    (answer,) = gateway.ask(request_bytes())
+    assert status_of(answer) == 503
+    assert header_of(answer, b'retry-after')
