Ask targets that may have started again whether they are cold; learn the version in use

A service had no version before its first move, so targets of a new version got work before the move.

Change: targets are in doubt after a broken connection or a drain and get the cold share until they have been asked; the control leader adopts the version that a service's targets have.

--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -26,6 +26,8 @@
 )
 
 Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9._:-]{0,62}$')]
+# Names that operators of other systems give their objects.
+ObjectName = Annotated[str, Field(min_length=1, max_length=256)]
 Percent = Annotated[float, Field(ge=0, le=100)]
 _MAX_BLOCKS_PER_CHANGE = 10000
 
@@ -170,6 +172,26 @@
     return state.with_record('services', service.name, service)
 
 
+class ServiceAdoptVersion(_Arguments):
+    """Arguments of ``service.adopt_version``, proposed by the leader."""
+
+    name: ObjectName
+    version: Annotated[str, Field(min_length=1, max_length=64)]
+    previous: str = ''
+
+
+@command('service.adopt_version', ServiceAdoptVersion)
+def _adopt_version(
+    state: ControlState, arguments: ServiceAdoptVersion, _unix_s: float
+) -> ControlState:
+    service = _require(state, 'services', arguments.name)
+    is_unchanged = service.version == arguments.previous
+    if not is_unchanged or _running_move(state, service.name) is not None:
+        return state
+    adopted = replace(service, version=arguments.version)
+    return state.with_record('services', service.name, adopted)
+
+
 @command('service.delete', Named, table='services', key_field='name')
 def _delete_service(
     state: ControlState, arguments: Named, _unix_s: float
@@ -263,7 +285,7 @@
 class DrainStart(_Arguments):
     """Arguments of ``drain.start``."""
 
-    name: Name
+    name: ObjectName
     kind: Literal['target', 'instance', 'failure_domain']
 
 
@@ -285,8 +307,8 @@
 class MoveStart(_Arguments):
     """Arguments of ``move.start``."""
 
-    service: Name
-    to_version: Name
+    service: ObjectName
+    to_version: ObjectName
     deadline_s: Annotated[float, Field(gt=0, le=604800)]
 
 
@@ -318,7 +340,7 @@
 class MoveAdvance(_Arguments):
     """Arguments of ``move.advance``, proposed by the move controller."""
 
-    service: Name
+    service: ObjectName
     share_percent: Percent
     evidence: str = ''
 
@@ -339,7 +361,7 @@
 class MoveFinish(_Arguments):
     """Arguments of ``move.finish``."""
 
-    service: Name
+    service: ObjectName
     status: Literal['done', 'taken_back']
     reason: str
     evidence: str = ''
--- a/oleanderpin/control/configuration.py
+++ b/oleanderpin/control/configuration.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from ..core.errors import ConflictError, ValidationError
-from .commands import command
+from .commands import ObjectName, command
 from .state import (
     CURRENT,
     Account,
@@ -28,7 +28,6 @@
 _MAX_ACCEPTED = 300
 _TABLES = ('profiles', 'services', 'routes', 'accounts')
 
-ObjectName = Annotated[str, Field(min_length=1, max_length=256)]
 Amount = Annotated[float, Field(ge=0, le=1e9)]
 Seconds = Annotated[float, Field(gt=0, le=86400)]
 
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -25,7 +25,7 @@
 from .limits import allocator, fair_queue, limiter, shares  # noqa: F401
 from .lookup import answer, gateways  # noqa: F401
 from .membership import peers  # noqa: F401
-from .moves import controller, drains, reporting, split, stats  # noqa: F401
+from .moves import baseline, controller, drains, reporting, split, stats  # noqa: F401
 from .operators import actions, admin, members  # noqa: F401
 from .operators import drains as drain_routes  # noqa: F401
 from .routing import lending, links, router  # noqa: F401
--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -19,6 +19,7 @@
 from .forwarded import encode_request, to_caller
 from .messages import Answer, CallerRequest, TargetAnswer, TargetFailure
 from .placement import Candidate, Needs, Placement, note_placed, place
+from .probes import Probes
 from .refusals import maybe_run, not_run
 from .retry_budget import RetryBudget
 from .routes import WeightedRoute
@@ -86,6 +87,7 @@
         self._dialect = dialect
         self._log = log
         self._directory = TargetDirectory(kernel)
+        self._probes = Probes(kernel, dialect, self.pool)
         self._split = kernel.plugin(VersionSplit)
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_budget_percent)
@@ -96,6 +98,8 @@
         """Close old connections and follow the load of the targets."""
         self.pool.close_idle()
         self._directory.update_splits()
+        for candidate in self._directory.in_doubt():
+            self._probes.start(candidate)
 
     async def answer(self, job: Job) -> Answer:
         """Return a target's answer.
@@ -133,7 +137,7 @@
         if job.tried:
             groups = _without(groups, job.tried)
         home = groups[0][0].is_near if groups else True
-        if not targets.split.may_leave(now_s):
+        if not targets.split.may_leave(now_s, is_near=home):
             groups = [each for each in groups if each[0].is_near == home]
         needs = Needs(
             key=job.object_key,
--- a/oleanderpin/gateway/dialect.py
+++ b/oleanderpin/gateway/dialect.py
@@ -31,6 +31,9 @@
         Header with a target's running and waiting requests and its slots.
     target_id : bytes
         Header with the id of the target that answers.
+    cold_ms : bytes
+        Header by which a target tells how much longer it is cold, in answers
+        to questions about its health.
     seal : bytes
         Header that every complete answer of a target carries.
     has_retry_fractions : bool
@@ -47,6 +50,7 @@
     not_executed: bytes
     load: bytes
     target_id: bytes
+    cold_ms: bytes
     seal: bytes = b''
     has_retry_fractions: bool = False
 
@@ -71,5 +75,6 @@
         not_executed=b'not-executed',
         load=b'target-load',
         target_id=b'x-target-id',
+        cold_ms=b'cold-ms',
     )
 )
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -88,7 +88,7 @@
 def order_for(
     key: str, candidates: Sequence[Candidate], *, at_home: bool
 ) -> list[list[Candidate]]:
-    """Return the candidates by distance, each group in the object's order.
+    """Return the candidates by region, each group in the object's order.
 
     Parameters
     ----------
@@ -105,13 +105,9 @@
             f'{key}/{each.target.target_id}'.encode()
         ),
     )
-    distances = [OWN_FAILURE_DOMAIN, OWN_REGION, OTHER_REGION]
-    if not at_home:
-        distances = [OTHER_REGION, OWN_FAILURE_DOMAIN, OWN_REGION]
-    groups = [
-        [each for each in ordered if each.distance == distance]
-        for distance in distances
-    ]
+    near = [each for each in ordered if each.is_near]
+    far = [each for each in ordered if not each.is_near]
+    groups = [near, far] if at_home else [far, near]
     return [group for group in groups if group]
 
 
@@ -127,9 +123,8 @@
     Parameters
     ----------
     groups : sequence of sequence of Candidate
-        Candidates by distance in the order of the object. The first usable
-        one of the first group is expected to know the object, and so is that
-        of the own region's other failure domains.
+        Candidates by region in the order of the object. The first usable one
+        of all is expected to know the object.
     needs : Needs
         What the request needs.
     replicas : int
@@ -147,9 +142,7 @@
             if found is not None:
                 obstacle = found
                 continue
-            is_first = not compared and (
-                not number or candidate.distance == OWN_REGION
-            )
+            is_first = not compared and not number
             cost_s = _DISTANCE_BIAS_S[candidate.distance] + _expected_s(
                 candidate, needs, is_first=is_first, now_s=now_s
             )
@@ -208,7 +201,4 @@
 
 
 def _is_cold(candidate: Candidate, now_s: float) -> bool:
-    """Return whether a target is cold, or may have started again unseen."""
-    target = candidate.target
-    is_unconfirmed = candidate.health.broken_s > target.load_seen_s
-    return target.is_cold(now_s) or is_unconfirmed
+    return candidate.target.is_cold(now_s) or candidate.health.is_cold(now_s)
--- /dev/null
+++ b/oleanderpin/gateway/probes.py
@@ -0,0 +1,82 @@
+"""Asks targets that may have started again whether they are cold.
+
+Load pattern: targets come back after a crash or a drain and would be given
+their full share at once, because their last announcement is older than their
+start.
+"""
+
+import asyncio
+import time
+from typing import Any
+
+from ..control.view import ControlView
+from ..core.metrics import EVENTS
+from .connection_pool import ConnectionPool
+from .dialect import Dialect
+from .messages import TargetFailure
+from .placement import Candidate
+
+_TIMEOUT_S = 1.0
+_DEFAULT_PATH = '/health'
+
+
+class Probes:
+    """Runs at most one question at a time for each target.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Gives the control state.
+    dialect : Dialect
+        Names of the headers.
+    pool : ConnectionPool
+        Connections to targets.
+    """
+
+    def __init__(
+        self, kernel: Any, dialect: Dialect, pool: ConnectionPool
+    ) -> None:
+        """Start without questions."""
+        self._view = kernel.plugin(ControlView)
+        self._dialect = dialect
+        self._pool = pool
+        self._running: dict[str, asyncio.Task[None]] = {}
+
+    def start(self, candidate: Candidate) -> None:
+        """Ask a target, unless a question to it is on its way."""
+        address = candidate.target.address
+        if address in self._running:
+            return
+        task = asyncio.get_running_loop().create_task(self._ask(candidate))
+        self._running[address] = task
+        task.add_done_callback(lambda _task: self._running.pop(address, None))
+
+    async def _ask(self, candidate: Candidate) -> None:
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                answer = await self._pool.send(
+                    candidate,
+                    b'',
+                    lambda: self._encode(candidate),
+                    is_head=False,
+                    is_repeatable=True,
+                )
+        except (TargetFailure, TimeoutError) as error:
+            EVENTS.labels('gateway', 'probe_failed').inc()
+            if isinstance(error, TargetFailure):
+                now_s = time.monotonic()
+                candidate.health.note_broken(error.result, now_s)
+            return
+        target_id = answer.header(self._dialect.target_id)
+        if target_id == candidate.target.target_id.encode():
+            cold_ms = answer.header(self._dialect.cold_ms) or b'0'
+            cold_s = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
+            candidate.health.note_cold(cold_s, time.monotonic())
+
+    def _encode(self, candidate: Candidate) -> bytes:
+        service = self._view.state.services.get(candidate.target.service)
+        path = service.health_path if service else ''
+        return (
+            f'GET {path or _DEFAULT_PATH} HTTP/1.1\r\n'
+            f'Host: {candidate.target.address}\r\n\r\n'
+        ).encode()
--- a/oleanderpin/gateway/region_split.py
+++ b/oleanderpin/gateway/region_split.py
@@ -24,8 +24,11 @@
 # Requests that may leave their home region for lack of room, in parts of all.
 _MOST_OVERFLOW = 0.08
 _OVERFLOW_TIME_CONSTANT_S = 1.0
-# After a change of the own targets, requests follow the room that is left.
-_CHANGE_S = 6.0
+# After a loss of own targets, requests follow the room that is left.
+_LOSS_S = 6.0
+# The part is not changed for less, since every object that moves has to be
+# loaded again.
+_LEAST_STEP = 0.1
 _HASH_BITS = 64
 
 
@@ -44,7 +47,8 @@
         self._load = 0.0
         self._updated_s = now_s
         self._placed = 0
-        self._changed_s = now_s
+        self._lost_s = float('-inf')
+        self._is_moving = False
         self._overflow = 0.0
         self._counted_s = now_s
 
@@ -72,6 +76,11 @@
         span = _NONE_STAY_LOAD - _ALL_STAY_LOAD
         wanted = (_NONE_STAY_LOAD - self._load) / span
         step = min(max(wanted, 0.0), 1.0) - self.staying_part
+        self._is_moving = abs(step) > _LEAST_STEP or (
+            self._is_moving and abs(step) > _LEAST_STEP / 2
+        )
+        if not self._is_moving:
+            return
         most = _SLOPE_PER_S * passed_s
         self.staying_part += min(max(step, -most), most)
 
@@ -93,13 +102,21 @@
         self.staying_part = min(1.0, _NONE_STAY_LOAD / (load + span))
         self._load = load * self.staying_part
 
-    def note_change(self, now_s: float) -> None:
-        """Note that the own targets have become fewer or more."""
-        self._changed_s = now_s
+    def note_loss(self, now_s: float) -> None:
+        """Note that targets of the own region have gone."""
+        self._lost_s = now_s
+
+    def may_leave(self, now_s: float, *, is_near: bool) -> bool:
+        """Return whether a request may be placed outside its home region.
 
-    def may_leave(self, now_s: float) -> bool:
-        """Return whether a request may be placed outside its home region."""
-        if now_s - self._changed_s < _CHANGE_S:
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        is_near : bool
+            Whether the home is the own region.
+        """
+        if is_near and now_s - self._lost_s < _LOSS_S:
             return True
         return self._overflow < _MOST_OVERFLOW
 
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -113,6 +113,7 @@
         self._place = kernel.settings.instance
         self._services: dict[str, ServiceTargets] = {}
         self._health: dict[tuple[str, str, str], TargetHealth] = {}
+        self._drained: set[tuple[str, str, str]] = set()
         self._seen_version = -1
         self._seen_drains: Any = None
         self._sharers = 1
@@ -133,6 +134,16 @@
             self._services[service] = found
         return found
 
+    def in_doubt(self) -> list[Candidate]:
+        """Return the targets that may have started again unseen."""
+        now_s = time.monotonic()
+        return [
+            each
+            for service in self._services.values()
+            for each in service.candidates
+            if each.health.is_in_doubt and not each.health.is_ejected(now_s)
+        ]
+
     def update_splits(self) -> None:
         """Let the split of each service follow the load of its targets."""
         now_s = time.monotonic()
@@ -154,22 +165,27 @@
     def _refresh(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
         health: dict[tuple[str, str, str], TargetHealth] = {}
+        drained: set[tuple[str, str, str]] = set()
         for target in self._table.every_target():
+            key = (target.service, target.target_id, target.address)
             if self._drains.is_draining(target):
+                drained.add(key)
                 continue
-            key = (target.service, target.target_id, target.address)
             seen = self._health.get(key) or TargetHealth(target.slots)
+            # It may have become cold while it had no work.
+            seen.is_in_doubt = seen.is_in_doubt or key in self._drained
             seen.slots = target.slots
             health[key] = seen
             by_service.setdefault(target.service, []).append(
                 Candidate(target, seen, self._distance(target))
             )
         self._health = {**self._kept_health(health), **health}
+        self._drained = drained
         for name in self._services.keys() | by_service.keys():
             known = self._services.setdefault(name, ServiceTargets())
             candidates = by_service.get(name, [])
-            if _near_ids(known.candidates) != _near_ids(candidates):
-                known.split.note_change(time.monotonic())
+            if _near_ids(known.candidates) - _near_ids(candidates):
+                known.split.note_loss(time.monotonic())
             self._services[name] = ServiceTargets(
                 candidates, known.usual_s, known.split
             )
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -56,7 +56,7 @@
         Parameters
         ----------
         request_id : bytes
-            Id that the answer must echo.
+            Id that the answer must echo; empty if any answer will do.
         encoded : bytes
             The whole request.
         is_head : bool
@@ -150,7 +150,9 @@
         if waiter is None:
             self.close()
             return
-        if answer.header(self._id_header) != self._request_id:
+        if self._request_id and (
+            answer.header(self._id_header) != self._request_id
+        ):
             self._skip_foreign()
             return
         self._waiter = None
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -16,6 +16,8 @@
 _STALE_S = 0.8
 _STALE_WEIGHT = 0.6
 _FAILING_PART = 0.3
+# After these results the target may have started again.
+_MAY_HAVE_RESTARTED = frozenset(('no_connection', 'reset'))
 # Reported load is believed for this long.
 _LOAD_VALID_S = 1.0
 _SHED_S = 0.1
@@ -36,6 +38,11 @@
         Requests that the target processes at once.
     round_trip_s : float
         Time that an empty request takes, from the time of connecting.
+
+    Notes
+    -----
+    ``is_in_doubt`` tells that the target may have started again without the
+    knowledge of this instance; it counts as cold until it has been asked.
     """
 
     slots: int
@@ -55,7 +62,8 @@
     sent_since_report: int = 0
     sent_s: float = float('-inf')
     cold_sent_s: float = float('-inf')
-    broken_s: float = float('-inf')
+    cold_until_s: float = float('-inf')
+    is_in_doubt: bool = False
     _known: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def busy(self, now_s: float) -> int:
@@ -74,6 +82,15 @@
         most = self.slots * (1 + _MOST_WAITING)
         return now_s < self.full_until_s or self.busy(now_s) >= most
 
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the target is cold, or may be."""
+        return self.is_in_doubt or now_s < self.cold_until_s
+
+    def note_cold(self, cold_s: float, now_s: float) -> None:
+        """Take from the target how much longer it is cold."""
+        self.cold_until_s = now_s + cold_s
+        self.is_in_doubt = False
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether the target gets no new work at present."""
         return now_s < self.ejected_until_s
@@ -167,8 +184,9 @@
         """Note an attempt without a complete answer."""
         self.note_failure()
         is_unreachable = result == 'no_connection'
+        if result in _MAY_HAVE_RESTARTED:
+            self.is_in_doubt = True
         if is_unreachable:
-            self.broken_s = now_s
             self._known.clear()
         if is_unreachable or self.failures_in_a_row >= _FAILURES_IN_A_ROW:
             duration_s = min(
--- a/oleanderpin/moves/controller.py
+++ b/oleanderpin/moves/controller.py
@@ -198,6 +198,9 @@
         now_s = self.kernel.clock.now_s()
         self._follow(state, now_s)
         for service, progress in list(self._progress.items()):
+            if service not in state.services:
+                # Removed by a configuration; the move ends with it.
+                continue
             profile = state.profiles[state.services[service].profile]
             targets = self._table.targets(service)
             version = progress.move.to_version
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -17,6 +17,7 @@
     RouteDocument,
     ServiceDocument,
 )
+from ..control.view import ControlView
 from ..core.kernel import Kernel
 from ..operators.actions import OperatorActions
 from ..targets.announcement import Announcement
@@ -222,7 +223,10 @@
 def started_gateway(
     folder: Path, change: ConfigurationReplace
 ) -> Iterator[GatewayFixture]:
-    """Run a gateway with a configuration until the block ends."""
+    """Run a gateway with a configuration until the block ends.
+
+    It has authority, so that requests with keys are answered.
+    """
     ports = free_ports(3)
     text = '\n'.join(
         (
@@ -258,7 +262,6 @@
     end_s = time.monotonic() + _READY_TIMEOUT_S
     while time.monotonic() < end_s:
         outcome = actions.replace_configuration(change)
-        if outcome.kind == 'ok':
+        if outcome.kind == 'ok' and kernel.plugin(ControlView).is_fresh():
             return
     raise TimeoutError('no configuration was accepted')
-
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -97,7 +97,9 @@
     gateway.announce(full, 't1')
     gateway.announce(free, 't2')
     answers = [
-        gateway.ask(request_bytes(request_id=f'r{number}', path=f'/desk/{number}'))
+        gateway.ask(
+            request_bytes(request_id=f'r{number}', path=f'/desk/{number}')
+        )
         for number in range(8)
     ]
     assert {status_of(answer) for (answer,) in answers} == {200}
