Keep the time of warming up over renewals; accept waits up to the aim

Change: the cold time is taken once for each record; a target that does not know an object may have it in its queue again; waits up to the aim. Cold targets get 0.8 of their rate.

--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -36,7 +36,9 @@
     return str(ipaddress.ip_network(cidr))
 
 
-class _Arguments(BaseModel):
+class Arguments(BaseModel):
+    """Base of the arguments of commands."""
+
     model_config = ConfigDict(extra='forbid', frozen=True)
 
 
@@ -48,7 +50,7 @@
     both are empty for a command that changes many objects.
     """
 
-    arguments_model: type[_Arguments]
+    arguments_model: type[Arguments]
     table: str
     key_field: str
     apply: Callable[[ControlState, Any, float], ControlState]
@@ -60,7 +62,7 @@
 
 
 def command(
-    name: str, model: type[_Arguments], *, table: str = '', key_field: str = ''
+    name: str, model: type[Arguments], *, table: str = '', key_field: str = ''
 ) -> Callable[[_Apply], _Apply]:
     """Return a decorator that registers a command.
 
@@ -83,7 +85,7 @@
     return decorator
 
 
-class ProfilePut(_Arguments):
+class ProfilePut(Arguments):
     """Arguments of ``profile.put``."""
 
     name: Name
@@ -115,7 +117,7 @@
     return state.with_record('profiles', profile.name, profile)
 
 
-class Named(_Arguments):
+class Named(Arguments):
     """Arguments of commands that only name an object."""
 
     name: Name
@@ -125,11 +127,17 @@
 def _delete_profile(
     state: ControlState, arguments: Named, _unix_s: float
 ) -> ControlState:
-    users = [
-        user.name
-        for user in (*state.services.values(), *state.routes.values())
-        if user.profile == arguments.name
+    services = [
+        each.name
+        for each in state.services.values()
+        if each.profile == arguments.name
+    ]
+    routes = [
+        each.name
+        for each in state.routes.values()
+        if each.profile == arguments.name
     ]
+    users = services + routes
     if users:
         raise ValidationError(
             f'profile {arguments.name!r} is used by {users}',
@@ -138,7 +146,7 @@
     return state.without_record('profiles', arguments.name)
 
 
-class ServicePut(_Arguments):
+class ServicePut(Arguments):
     """Arguments of ``service.put``."""
 
     name: Name
@@ -172,7 +180,7 @@
     return state.with_record('services', service.name, service)
 
 
-class ServiceAdoptVersion(_Arguments):
+class ServiceAdoptVersion(Arguments):
     """Arguments of ``service.adopt_version``, proposed by the leader."""
 
     name: ObjectName
@@ -214,7 +222,7 @@
     return state.without_record('services', arguments.name)
 
 
-class AccountPut(_Arguments):
+class AccountPut(Arguments):
     """Arguments of ``account.put``."""
 
     name: Name
@@ -253,7 +261,7 @@
     return state.without_record('accounts', arguments.name)
 
 
-class KeyAdd(_Arguments):
+class KeyAdd(Arguments):
     """Arguments of ``key.add``; the key's text never enters the state."""
 
     key_hash: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
@@ -269,7 +277,7 @@
     return state.with_record('keys', key.key_hash, key)
 
 
-class KeyRevoke(_Arguments):
+class KeyRevoke(Arguments):
     """Arguments of ``key.revoke``."""
 
     key_hash: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
@@ -282,7 +290,7 @@
     return state.without_record('keys', arguments.key_hash)
 
 
-class DrainStart(_Arguments):
+class DrainStart(Arguments):
     """Arguments of ``drain.start``."""
 
     name: ObjectName
@@ -304,7 +312,7 @@
     return state.without_record('drains', arguments.name)
 
 
-class MoveStart(_Arguments):
+class MoveStart(Arguments):
     """Arguments of ``move.start``."""
 
     service: ObjectName
@@ -337,7 +345,7 @@
     return state.with_record('moves', service.name, move)
 
 
-class MoveAdvance(_Arguments):
+class MoveAdvance(Arguments):
     """Arguments of ``move.advance``, proposed by the move controller."""
 
     service: ObjectName
@@ -358,7 +366,7 @@
     return state.with_record('moves', move.service, advanced)
 
 
-class MoveFinish(_Arguments):
+class MoveFinish(Arguments):
     """Arguments of ``move.finish``."""
 
     service: ObjectName
@@ -388,7 +396,7 @@
     return state
 
 
-class BlocksPut(_Arguments):
+class BlocksPut(Arguments):
     """Arguments of ``blocks.put``: CIDR to site."""
 
     blocks: Annotated[
@@ -407,7 +415,7 @@
     return state.with_records('blocks', records)
 
 
-class BlocksDelete(_Arguments):
+class BlocksDelete(Arguments):
     """Arguments of ``blocks.delete``."""
 
     cidrs: Annotated[
@@ -429,7 +437,7 @@
     return replace(state, blocks=rest)
 
 
-class MemberFields(_Arguments):
+class MemberFields(Arguments):
     """One member of the control group."""
 
     member_id: str
@@ -438,7 +446,7 @@
     is_voter: bool
 
 
-class MembersSet(_Arguments):
+class MembersSet(Arguments):
     """Arguments of ``members.set``, which only the log itself proposes."""
 
     members: tuple[MemberFields, ...]
--- a/oleanderpin/control/configuration.py
+++ b/oleanderpin/control/configuration.py
@@ -7,10 +7,10 @@
 from types import MappingProxyType
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import Field
 
 from ..core.errors import ConflictError, ValidationError
-from .commands import ObjectName, command
+from .commands import Arguments, ObjectName, command
 from .state import (
     CURRENT,
     Account,
@@ -32,11 +32,7 @@
 Seconds = Annotated[float, Field(gt=0, le=86400)]
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-
-class ProfileDocument(_Model):
+class ProfileDocument(Arguments):
     """Needs of a kind of traffic, as `Profile` holds them."""
 
     request_timeout_s: Seconds = 10.0
@@ -51,7 +47,7 @@
     move_watch_s: Amount = 30.0
 
 
-class ServiceDocument(_Model):
+class ServiceDocument(Arguments):
     """A service; its version is set by moves only."""
 
     profile: ObjectName
@@ -62,7 +58,7 @@
     annotation: str = ''
 
 
-class RouteDocument(_Model):
+class RouteDocument(Arguments):
     """A route; ``weights`` holds one weight for each of ``services``."""
 
     host: Annotated[str, Field(min_length=1, max_length=253)]
@@ -74,7 +70,7 @@
     annotation: str = ''
 
 
-class AccountDocument(_Model):
+class AccountDocument(Arguments):
     """A client account with the hashes of its keys."""
 
     key_hashes: tuple[Annotated[str, Field(pattern='^[0-9a-f]{64}$')], ...] = ()
@@ -85,7 +81,7 @@
     annotation: str = ''
 
 
-class LimitsDocument(_Model):
+class LimitsDocument(Arguments):
     """Bounds on what callers send."""
 
     max_header_bytes: Annotated[int, Field(ge=256)] = 16384
@@ -95,7 +91,7 @@
     annotation: str = ''
 
 
-class Objects(_Model):
+class Objects(Arguments):
     """Objects by table and name."""
 
     profiles: dict[ObjectName, ProfileDocument] = {}
@@ -104,7 +100,7 @@
     accounts: dict[ObjectName, AccountDocument] = {}
 
 
-class _Numbered(_Model):
+class _Numbered(Arguments):
     """Number of the new configuration and of the one that it builds on."""
 
     number: Annotated[int, Field(ge=0)]
@@ -268,25 +264,8 @@
 def _check_references(state: ControlState) -> None:
     places: dict[tuple[str, str], str] = {}
     for route in state.routes.values():
-        for service in route.services:
-            if service not in state.services:
-                raise ValidationError(
-                    f'route {route.name!r} names the unknown service '
-                    f'{service!r}',
-                    remedy=f'use one of {sorted(state.services)}',
-                )
-        if len(route.weights) != len(route.services) or not sum(route.weights):
-            raise ValidationError(
-                f'route {route.name!r} has the weights {list(route.weights)}',
-                remedy='give one weight a service, with a sum above 0',
-            )
-        if route.profile not in state.profiles:
-            raise ValidationError(
-                f'route {route.name!r} names the unknown profile '
-                f'{route.profile!r}',
-                remedy=f'use one of {sorted(state.profiles)}',
-            )
-        place = (route.host, route.path_prefix)
+        _check_route(state, route)
+        place = (route.host.lower(), route.path_prefix)
         if place in places:
             raise ValidationError(
                 f'routes {places[place]!r} and {route.name!r} share '
@@ -294,3 +273,22 @@
                 remedy='give each route a host and path of its own',
             )
         places[place] = route.name
+
+
+def _check_route(state: ControlState, route: Route) -> None:
+    for service in route.services:
+        if service not in state.services:
+            raise ValidationError(
+                f'route {route.name!r} names the unknown service {service!r}',
+                remedy=f'use one of {sorted(state.services)}',
+            )
+    if len(route.weights) != len(route.services) or not sum(route.weights):
+        raise ValidationError(
+            f'route {route.name!r} has the weights {list(route.weights)}',
+            remedy='give one weight a service, with a sum above 0',
+        )
+    if route.profile not in state.profiles:
+        raise ValidationError(
+            f'route {route.name!r} names the unknown profile {route.profile!r}',
+            remedy=f'use one of {sorted(state.profiles)}',
+        )
--- a/oleanderpin/gateway/admission.py
+++ b/oleanderpin/gateway/admission.py
@@ -10,10 +10,12 @@
 
 # Part of the time for a timely answer that a request of the lowest urgency may
 # spend; more urgent ones may spend all of it.
-_LEAST_PATIENCE = 0.7
-_PATIENCE_STEP = 0.15
+_LEAST_PATIENCE = 0.9
+_PATIENCE_STEP = 0.05
 # A short wait is always accepted: loads of targets are known with a delay.
-_LEAST_WAIT_S = 0.05
+_LEAST_WAIT_S = 0.1
+# A queue as long as the accepted wait drains in about this time.
+_LEAST_RETURN_S = 0.15
 # Callers that are turned away return over this time, so that they do not
 # arrive together.
 _SPREAD_S = 0.3
@@ -54,4 +56,4 @@
         Spreads the callers.
     """
     drained_s = max(0.0, wait_s - accepted_s)
-    return drained_s + _LEAST_WAIT_S + generator.uniform(0, _SPREAD_S)
+    return drained_s + _LEAST_RETURN_S + generator.uniform(0, _SPREAD_S)
--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -17,7 +17,7 @@
 from .bounded_log import BoundedLog
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
-from .forwarded import encode_request, to_caller
+from .forwarded import encode_request, for_caller
 from .messages import Answer, CallerRequest, TargetAnswer, TargetFailure
 from .placement import Candidate, Needs, Placement, note_placed, place
 from .probes import Probes
@@ -66,6 +66,13 @@
         """Return the time until the answer is due."""
         return self.deadline_s - time.monotonic()
 
+    def may_repeat(self) -> bool:
+        """Return whether another attempt is allowed and of use."""
+        is_allowed = self.is_repeatable or not self.has_maybe_run
+        is_useful = not self.request.is_gone and self.left_s() > _LEAST_TIME_S
+        most = self.route.profile.max_attempts
+        return is_allowed and is_useful and self.attempts < most
+
 
 class Attempts:
     """Chooses targets, sends requests and learns from the answers.
@@ -239,14 +246,14 @@
         self._observe(job, candidate, result, now_s - started_s, answer)
         if not is_failure:
             self._note_success(job, candidate, now_s - started_s)
-            return to_caller(answer)
+            return for_caller(answer)
         health.note_failure()
         job.has_maybe_run = True
         if self._may_retry(job, 'target_error'):
             return None
         if answer.header(b'content-encoding') is not None:
             raise self._given_up(job, 'bad_answer')
-        return to_caller(answer)
+        return for_caller(answer)
 
     def _note_success(
         self, job: Job, candidate: Candidate, duration_s: float
@@ -324,14 +331,7 @@
 
     def _may_retry(self, job: Job, reason: str) -> bool:
         """Return whether another target may be tried, and spend budget."""
-        is_allowed = job.is_repeatable or not job.has_maybe_run
-        if (
-            not is_allowed
-            or job.request.is_gone
-            or job.attempts >= job.route.profile.max_attempts
-            or job.left_s() < _LEAST_TIME_S
-            or not self._budget.take()
-        ):
+        if not job.may_repeat() or not self._budget.take():
             return False
         RETRIES.labels(reason).inc()
         return True
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import deque
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -34,9 +35,8 @@
         """Return the bounds in force."""
         ...
 
-    async def serve(self, request: CallerRequest) -> Answer:
-        """Answer a request; cancelled when its caller has gone."""
-        ...
+    # Answers a request; cancelled when its caller has gone.
+    serve: Callable[[CallerRequest], Awaitable[Answer]]
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether so much more may be held in memory."""
--- a/oleanderpin/gateway/forwarded.py
+++ b/oleanderpin/gateway/forwarded.py
@@ -65,7 +65,7 @@
     return b''.join(parts)
 
 
-def to_caller(answer: TargetAnswer) -> Answer:
+def for_caller(answer: TargetAnswer) -> Answer:
     """Return a target's answer without what concerns its connection."""
     skipped = hop_by_hop(answer.headers)
     return Answer(
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -138,36 +138,51 @@
     now_s : float
         Monotonic time.
     """
+    found = _Search(needs, replicas, now_s)
+    for number, group in enumerate(groups):
+        found.compare(group, is_home=not number)
+    best = found.best
+    if best is None:
+        return Placement(None, found.obstacle)
+    wait_s = best.health.wait_s(needs.usual_s or _UNKNOWN_WORK_S, now_s)
+    if found.best_s > needs.left_s or wait_s > needs.most_wait_s:
+        return Placement(None, 'busy', wait_s)
+    return Placement(best, wait_s=wait_s)
+
+
+@dataclass(slots=True)
+class _Search:
+    """The best candidate so far."""
+
+    needs: Needs
+    replicas: int
+    now_s: float
     best: Candidate | None = None
-    best_s = float('inf')
+    best_s: float = float('inf')
     obstacle: Obstacle = 'no_target'
-    for number, group in enumerate(groups):
+
+    def compare(self, group: Sequence[Candidate], *, is_home: bool) -> None:
+        """Compare the first usable candidates of a group."""
         compared = 0
         for candidate in group:
-            found = _obstacle(candidate, needs, now_s)
+            found = _obstacle(candidate, self.needs, self.now_s)
             if found is not None:
-                obstacle = found
-                continue
-            is_first = not compared and not number
-            is_known = is_first or candidate.health.knows(needs.key, now_s)
-            if not is_known and not candidate.health.has_room(now_s):
-                # Loading an object must not lengthen a queue.
-                obstacle = 'busy'
+                self.obstacle = found
                 continue
-            cost_s = _DISTANCE_BIAS_S[candidate.distance] + _expected_s(
-                candidate, needs, is_known=is_known, now_s=now_s
-            )
-            if cost_s < best_s:
-                best, best_s = candidate, cost_s
+            self._take(candidate, is_first=is_home and not compared)
             compared += 1
-            if compared >= replicas:
-                break
-    if best is None:
-        return Placement(None, obstacle)
-    wait_s = best.health.wait_s(needs.usual_s or _UNKNOWN_WORK_S, now_s)
-    if best_s > needs.left_s or wait_s > needs.most_wait_s:
-        return Placement(None, 'busy', wait_s)
-    return Placement(best, wait_s=wait_s)
+            if compared >= self.replicas:
+                return
+
+    def _take(self, candidate: Candidate, *, is_first: bool) -> None:
+        health = candidate.health
+        is_known = is_first or health.knows(self.needs.key, self.now_s)
+        cost_s = _DISTANCE_BIAS_S[candidate.distance] + _expected_s(
+            candidate, self.needs, is_known=is_known, now_s=self.now_s
+        )
+        if cost_s < self.best_s:
+            self.best = candidate
+            self.best_s = cost_s
 
 
 def note_placed(candidate: Candidate, key: str, now_s: float) -> None:
--- a/oleanderpin/gateway/routes.py
+++ b/oleanderpin/gateway/routes.py
@@ -24,7 +24,7 @@
         if len(weights) == 1:
             return self.route.services[0]
         if not self._credits:
-            self._credits = [0.0] * len(weights)
+            self._credits = [0.0 for _weight in weights]
         for position, weight in enumerate(weights):
             self._credits[position] += weight
         chosen = max(range(len(weights)), key=self._credits.__getitem__)
@@ -52,7 +52,7 @@
                 WeightedRoute(route, profile)
             )
         for routes in self._by_host.values():
-            routes.sort(key=lambda each: -len(each.route.path_prefix))
+            routes.sort(key=_prefix_length, reverse=True)
 
     def find(self, host: str, path: str) -> WeightedRoute | None:
         """Return the route with the longest prefix of ``path``."""
@@ -62,5 +62,9 @@
         return None
 
 
+def _prefix_length(candidate: WeightedRoute) -> int:
+    return len(candidate.route.path_prefix)
+
+
 def _profile(profiles: Mapping[str, Profile], name: str) -> Profile:
     return profiles.get(name) or Profile(name)
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -26,6 +26,12 @@
 # Weight of the newest answer in the usual duration of a service.
 _WEIGHT = 0.05
 
+# Part of a cold target's rate that is used; the rest covers requests that were
+# on their way when an instance learned that the target is cold.
+_COLD_PART = 0.8
+# An instance that has just started does not know the others yet.
+_LEAST_SHARERS = 8
+
 _Order = tuple[str, str, tuple[str, ...], bool]
 
 
@@ -116,7 +122,7 @@
         self._drained: set[tuple[str, str, str]] = set()
         self._seen_version = -1
         self._seen_drains: Any = None
-        self._sharers = 1
+        self._sharers = _LEAST_SHARERS
 
     def of(self, service: str) -> ServiceTargets:
         """Return the targets of a service."""
@@ -160,7 +166,7 @@
             return 0.0
         gateways = sum('gateway' in peer.roles for peer in self._peers.alive())
         self._sharers = max(self._sharers, gateways)
-        return self._sharers / service.cold_rate_per_s
+        return self._sharers / (service.cold_rate_per_s * _COLD_PART)
 
     def _refresh(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -150,9 +150,7 @@
         if waiter is None:
             self.close()
             return
-        if self._request_id and (
-            answer.header(self._id_header) != self._request_id
-        ):
+        if not self._is_own(answer):
             self._skip_foreign()
             return
         self._waiter = None
@@ -164,20 +162,20 @@
         if not answer.is_reusable:
             self._finish()
 
+    def _is_own(self, answer: TargetAnswer) -> bool:
+        echoed = answer.header(self._id_header)
+        return not self._request_id or echoed == self._request_id
+
     def _skip_foreign(self) -> None:
         self.foreign_answers += 1
         if self._is_until_close or not self._parser.should_keep_alive():
             self._fail('bad_answer')
 
     def _is_reusable(self, answer: TargetAnswer) -> bool:
+        if self._is_until_close or self._is_head or self.foreign_answers:
+            return False
         is_sent = not self._transport.get_write_buffer_size()
-        return (
-            is_sent
-            and not self._is_until_close
-            and not self._is_head
-            and not self.foreign_answers
-            and self._parser.should_keep_alive()
-        )
+        return is_sent and self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         """Close after the rest of the request, which may still be unsent."""
@@ -185,7 +183,8 @@
         self._transport.close()
 
     def _fail(self, result: str) -> None:
-        waiter, self._waiter = self._waiter, None
+        waiter = self._waiter
+        self._waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_exception(TargetFailure(result, may_have_run=True))
         if not self.is_closed:
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -72,10 +72,6 @@
             return self.in_flight
         return max(self.in_flight, self.reported_busy + self.sent_since_report)
 
-    def has_room(self, now_s: float) -> bool:
-        """Return whether a new request would start at once."""
-        return self.busy(now_s) < self.slots
-
     def wait_s(self, work_s: float, now_s: float) -> float:
         """Return how long a new request would wait for a slot."""
         waiting = self.busy(now_s) + 1 - self.slots
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -221,6 +221,10 @@
                 known.is_own and row.order == known.order
             ):
                 return
+            if row.order == known.order:
+                # A renewal tells nothing newer of the start.
+                cold_until_s = known.target.cold_until_s
+                row.target = replace(row.target, cold_until_s=cold_until_s)
             self._store(row)
             if known.is_own:
                 self._exchange.withdraw(_KIND, known.name)
--- a/oleanderpin/tests/targets/test_exchange.py
+++ b/oleanderpin/tests/targets/test_exchange.py
@@ -177,6 +177,17 @@
         assert not found(pair.table(0)) + found(pair.table(1))
 
 
+def test_renewal_leaves_the_time_of_warming_up(pair: Pair) -> None:
+    """Guards against full load on a cold target after the next push."""
+    pair.table(0).announce(announcement(cold_s=3.0))
+    pair.push(0, 1)
+    cold_until_s = found(pair.table(1))[0].cold_until_s
+    assert cold_until_s == pair.clock.now_s() + 3.0
+    pair.clock.advance(0.2)
+    pair.push(0, 1)
+    assert found(pair.table(1))[0].cold_until_s == cold_until_s
+
+
 def test_record_of_an_older_push_is_ignored(pair: Pair) -> None:
     """Guards against a delayed push that replaces a newer record."""
     pair.table(0).announce(announcement(version='v1'))
