--- a/oleanderpin/cli/main.py
+++ b/oleanderpin/cli/main.py
@@ -14,6 +14,7 @@
     ValidationError,
 )
 from .client import AdminClient
+from .configuration import Configurations
 from .groups import (
     Accounts,
     Blocks,
@@ -75,6 +76,7 @@
         self.move = Moves(session)
         self.members = Members(session)
         self.blocks = Blocks(session)
+        self.configuration = Configurations(session)
 
     def status(self) -> str:
         """Show revision, freshness and live instances."""
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -126,6 +126,8 @@
     """Leases of the client accounts' shares."""
 
     lease_s: Annotated[float, Field(ge=0.5, le=60)] = 4.0
+    # Part of each rate that gateways divide evenly without the leader.
+    floor_percent: Annotated[float, Field(ge=0, le=100)] = 0.0
     renew_interval_s: Annotated[float, Field(ge=0.05, le=10)] = 0.5
 
 
--- a/oleanderpin/gateway/dialect.py
+++ b/oleanderpin/gateway/dialect.py
@@ -67,14 +67,14 @@
     Dialect(
         key=b'authorization',
         key_prefix=b'Bearer ',
-        deadline_ms=b'deadline-ms',
+        deadline_ms=b'x-request-deadline-ms',
         request_id=b'x-request-id',
         object_cookie=b'object',
-        account=b'client-account',
-        expected_target=b'expected-target',
-        not_executed=b'not-executed',
-        load=b'target-load',
+        account=b'x-client-account',
+        expected_target=b'x-expected-target',
+        not_executed=b'x-not-run',
+        load=b'x-target-load',
         target_id=b'x-target-id',
-        cold_ms=b'cold-ms',
+        cold_ms=b'x-target-cold-ms',
     )
 )
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -109,6 +109,7 @@
     async def _upkeep(self) -> None:
         while not self.kernel.stopping.is_set():
             self._attempts.upkeep()
+            self._rates.upkeep()
             await asyncio.sleep(_UPKEEP_S)
 
     async def _serve_ready(self, request: CallerRequest) -> Answer:
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -7,11 +7,15 @@
 from ..control.state import Account
 from ..core.errors import Refusal, RefusalDetails
 from ..limits.allocator import account_resource
+from ..limits.floors import Floors
 from ..limits.shares import ShareHolder
+from ..membership.peers import Peers
 
 # An answer of the leader in another region arrives within two of these.
 _POLL_S = 0.02
 _MIN_RETRY_AFTER_S = 0.2
+# An instance that has just started does not know all others yet.
+_LEAST_SHARERS = 8
 
 
 class RateGate:
@@ -26,6 +30,15 @@
     def __init__(self, kernel: Any) -> None:
         """Keep the holder of the shares."""
         self._shares = kernel.plugin(ShareHolder)
+        self._peers = kernel.plugin(Peers)
+        self._floors = Floors(kernel.settings.limits.floor_percent)
+
+    def upkeep(self) -> None:
+        """Follow the number of gateways, once another instance is known."""
+        peers = self._peers.alive()
+        if len(peers) > 1:
+            gateways = sum('gateway' in peer.roles for peer in peers)
+            self._floors.note_sharers(max(gateways, _LEAST_SHARERS))
 
     async def admit(self, account: Account, *, deadline_s: float) -> None:
         """Take one token, waiting for the leader while the share is short.
@@ -44,6 +57,8 @@
         """
         if account.rate_per_s <= 0:
             return
+        if self._floors.take(account, time.monotonic()):
+            return
         resource = account_resource(account.name)
         holder = self._shares.holder
         holder.note_arrival(resource)
--- a/oleanderpin/limits/allocator.py
+++ b/oleanderpin/limits/allocator.py
@@ -132,9 +132,10 @@
         known = self._accounts or {}
         for name, account in accounts.items():
             if account.rate_per_s > 0 and known.get(name) != account:
+                lent = 1 - self.kernel.settings.limits.floor_percent / 100
                 ledger.set_whole(
                     account_resource(name),
-                    Whole(account.rate_per_s, account.burst),
+                    Whole(account.rate_per_s * lent, account.burst * lent),
                 )
         for name in known.keys() - accounts.keys():
             ledger.remove(account_resource(name))
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -46,7 +46,7 @@
         f'{method} {path} HTTP/1.1',
         'Host: shop.example',
         f'X-Request-Id: {request_id}',
-        f'Deadline-Ms: {deadline_ms}',
+        f'X-Request-Deadline-Ms: {deadline_ms}',
         f'Authorization: Bearer {key}' if key else 'X-None: 1',
         f'Content-Length: {len(body)}' if body else 'X-Empty: 1',
     ]
--- a/oleanderpin/tests/cli/test_main.py
+++ b/oleanderpin/tests/cli/test_main.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -117,3 +118,25 @@
     """Guards against deadlines rounded to days by the number format."""
     rows = [{'service': 'desk', 'deadline_unix_s': 1796380000.0}]
     assert '2026-12-04T' in render(rows, as_json=False)
+
+
+def test_configuration_comes_from_a_file(
+    admin: AdminStandIn, tmp_path: Path
+) -> None:
+    """Guards against a document that is changed on its way."""
+    document = {'number': 2, 'based_on': 1, 'objects': {}}
+    path = tmp_path / 'configuration.json'
+    path.write_text(json.dumps(document))
+    assert admin.run('configuration', 'replace', str(path)) == 0
+    assert admin.changes[0]['command'] == 'configuration.replace'
+    assert admin.changes[0]['arguments'] == document
+
+
+def test_unreadable_configuration_is_refused_here(
+    admin: AdminStandIn, tmp_path: Path
+) -> None:
+    """Guards against sending what cannot be a configuration."""
+    path = tmp_path / 'configuration.json'
+    path.write_text('[')
+    assert admin.run('configuration', 'replace', str(path)) == 1
+    assert not admin.changes
--- /dev/null
+++ b/oleanderpin/tests/gateway/test_placement.py
@@ -0,0 +1,207 @@
+"""Placement by object, replayed on loads without input and output."""
+
+import random
+from collections import Counter
+
+from ...gateway.admission import most_wait_s, return_after_s
+from ...gateway.placement import (
+    OTHER_REGION,
+    OWN_FAILURE_DOMAIN,
+    Candidate,
+    Needs,
+    note_placed,
+    order_for,
+    place,
+)
+from ...gateway.region_split import RegionSplit
+from ...gateway.retry_budget import RetryBudget
+from ...gateway.target_health import TargetHealth
+from ...targets.announcement import Target
+
+USUAL_S = 0.15
+
+
+def candidate(
+    name: str, *, distance: int = OWN_FAILURE_DOMAIN, cold_until_s: float = 0
+) -> Candidate:
+    """Return a target with nine slots."""
+    target = Target(
+        service='desk',
+        target_id=name,
+        address='127.0.0.1:1',
+        region='north',
+        failure_domain='north-a',
+        version='',
+        slots=9,
+        connections=100,
+        load=0,
+        cold_until_s=cold_until_s,
+    )
+    return Candidate(target, TargetHealth(9), distance)
+
+
+def needs(key: str = 'o1', **changes: object) -> Needs:
+    """Return the needs of a request with time left."""
+    fields = {'key': key, 'left_s': 2.0, 'usual_s': USUAL_S}
+    return Needs(**(fields | changes))  # type: ignore[arg-type]
+
+
+def choose(candidates: list[Candidate], asked: Needs, now_s: float = 10.0):
+    groups = order_for(asked.key, candidates, at_home=True)
+    return place(groups, asked, replicas=4, now_s=now_s)
+
+
+def test_an_object_stays_at_its_target() -> None:
+    """Guards against objects that wander while their target has room."""
+    fleet = [candidate(f't{number}') for number in range(12)]
+    for key in ('a', 'b', 'c'):
+        chosen = {
+            choose(fleet, needs(key)).candidate.target.target_id
+            for _request in range(20)
+        }
+        assert len(chosen) == 1
+
+
+def test_a_lost_target_moves_only_its_objects() -> None:
+    """Guards against a loss after which all objects are loaded again."""
+    fleet = [candidate(f't{number}') for number in range(12)]
+    keys = [f'o{number}' for number in range(200)]
+    before = {key: choose(fleet, needs(key)).candidate for key in keys}
+    after = {key: choose(fleet[1:], needs(key)).candidate for key in keys}
+    moved = [key for key in keys if after[key] is not before[key]]
+    assert all(before[key] is fleet[0] for key in moved)
+
+
+def test_a_short_queue_is_better_than_loading_the_object() -> None:
+    """Guards against moving objects for a wait that is shorter."""
+    fleet = [candidate(f't{number}') for number in range(3)]
+    first = choose(fleet, needs()).candidate
+    first.health.note_load(9, 2, 10.0)
+    assert choose(fleet, needs()).candidate is first
+    first.health.note_load(9, 9, 10.0)
+    assert choose(fleet, needs()).candidate is not first
+
+
+def test_full_targets_refuse_what_would_be_late() -> None:
+    """Guards against queues in which all answers become late."""
+    fleet = [candidate(f't{number}') for number in range(2)]
+    for each in fleet:
+        each.health.note_load(9, 8, 10.0)
+    placed = choose(fleet, needs(most_wait_s=0.05))
+    assert placed.candidate is None
+    assert placed.obstacle == 'busy'
+    assert placed.wait_s > 0.05
+
+
+def test_cold_target_gets_its_rate() -> None:
+    """Guards against full load on a target that has just started."""
+    cold = candidate('t0', cold_until_s=100.0)
+    asked = needs(cold_interval_s=0.5)
+    sent = 0
+    for step in range(40):
+        now_s = 10.0 + step * 0.1
+        placed = choose([cold], asked, now_s)
+        if placed.candidate is not None:
+            note_placed(cold, 'o1', now_s)
+            sent += 1
+    assert sent == 8
+
+
+def test_target_in_doubt_counts_as_cold() -> None:
+    """Guards against full load on a target that restarted unseen."""
+    target = candidate('t0')
+    target.health.note_broken('reset', 9.0)
+    note_placed(target, 'o1', 10.0)
+    asked = needs(cold_interval_s=0.5)
+    assert choose([target], asked, 10.1).obstacle == 'cold'
+    target.health.note_cold(0.0, 10.2)
+    assert choose([target], asked, 10.2).candidate is target
+
+
+def test_slow_target_is_only_tried_now_and_then() -> None:
+    """Guards against a slow target that keeps its objects."""
+    fleet = [candidate(f't{number}') for number in range(3)]
+    slow = choose(fleet, needs(is_repeatable=True)).candidate
+    for step in range(8):
+        slow.health.note_success('o1', 0.9, 5.0 + step, has_waited=False)
+    chosen: Counter[str] = Counter()
+    for step in range(30):
+        now_s = 20.0 + step * 0.1
+        placed = choose(fleet, needs(is_repeatable=True), now_s).candidate
+        note_placed(placed, 'o1', now_s)
+        placed.health.in_flight = 0
+        chosen[placed.target.target_id] += 1
+    assert chosen[slow.target.target_id] <= 4
+
+
+def test_far_target_only_when_near_ones_are_late() -> None:
+    """Guards against traffic between regions without need."""
+    near, far = candidate('near'), candidate('far', distance=OTHER_REGION)
+    far.health.note_connected(0.11)
+    assert choose([near, far], needs()).candidate is near
+    near.health.note_shed(10.0)
+    assert choose([near, far], needs()).candidate is far
+
+
+def test_region_split_changes_slowly() -> None:
+    """Guards against a region's traffic that follows each wave."""
+    split = RegionSplit(0.0)
+    for _request in range(50):
+        split.note_placed(0.0, leaves=False)
+    parts = []
+    for step in range(200):
+        split.update(3.0 if step % 40 < 20 else 0.1, step * 0.25)
+        parts.append(split.staying_part)
+    changes = [
+        abs(later - earlier)
+        for earlier, later in zip(parts, parts[8:], strict=False)
+    ]
+    assert max(changes) <= 0.15
+
+
+def test_region_split_settles_below_full_load() -> None:
+    """Guards against a small region that is kept full."""
+    split = RegionSplit(0.0)
+    for step in range(2000):
+        load = split.staying_part * 2.0
+        split.update(load, step * 0.25)
+    assert 0.65 <= split.staying_part * 2.0 <= 0.95
+
+
+def test_overflow_of_a_region_is_bounded() -> None:
+    """Guards against requests that all leave when their targets are full."""
+    split = RegionSplit(0.0)
+    left = 0
+    for request in range(1000):
+        now_s = request * 0.01
+        leaves = split.may_leave(now_s, is_near=True)
+        left += leaves
+        split.note_placed(now_s, leaves=leaves)
+    assert left <= 150
+
+
+def test_urgent_requests_may_wait_longer() -> None:
+    """Guards against turning away what ranks higher first."""
+    waits = [
+        most_wait_s(0.4, USUAL_S, rank=rank, spent_s=0.0) for rank in range(3)
+    ]
+    assert waits == sorted(waits, reverse=True)
+    assert waits[0] <= 0.4 - USUAL_S
+
+
+def test_time_to_come_back_follows_the_wait() -> None:
+    """Guards against callers that return to the same queue."""
+    generator = random.Random(1)
+    short = return_after_s(0.2, 0.2, generator)
+    long = return_after_s(1.5, 0.2, generator)
+    assert long > short + 0.9
+
+
+def test_retry_budget_bounds_repetition() -> None:
+    """Guards against retries that multiply the load."""
+    budget = RetryBudget(10)
+    repeated = 0
+    for _request in range(1000):
+        budget.note_request()
+        repeated += budget.take()
+    assert repeated <= 103
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -42,7 +42,7 @@
     target = ScriptedHttpTarget().start()
     gateway.announce(target, 't1')
     sent = request_bytes(body=b'{}', method='POST').replace(
-        b'X-Request-Id', b'Client-Account: other\r\nX-Request-Id'
+        b'X-Request-Id', b'X-Client-Account: other\r\nX-Request-Id'
     )
     (answer,) = gateway.ask(sent)
     assert status_of(answer) == 200
@@ -51,9 +51,9 @@
     assert seen.startswith(b'POST /desk/1 HTTP/1.1')
     assert seen.endswith(b'\r\n\r\n{}')
     assert header_of(seen, b'authorization') == b''
-    assert header_of(seen, b'client-account') == b'shop'
-    assert header_of(seen, b'expected-target') == b't1'
-    assert 0 < int(header_of(seen, b'deadline-ms')) <= 5000
+    assert header_of(seen, b'x-client-account') == b'shop'
+    assert header_of(seen, b'x-expected-target') == b't1'
+    assert 0 < int(header_of(seen, b'x-request-deadline-ms')) <= 5000
 
 
 def test_answers_in_the_order_of_requests(repeating: GatewayFixture) -> None:
@@ -91,7 +91,7 @@
     """Guards against a refusal although another target has room."""
 
     def shed(request: bytes) -> bytes:
-        return answer_bytes(request, status=503, extra='Not-Executed: 1\r\n')
+        return answer_bytes(request, status=503, extra='X-Not-Run: true\r\n')
 
     full, free = ScriptedHttpTarget(shed).start(), ScriptedHttpTarget().start()
     gateway.announce(full, 't1')
--- /dev/null
+++ b/oleanderpin/tests/limits/test_floors.py
@@ -0,0 +1,42 @@
+"""The part of a rate that instances divide without the leader."""
+
+from ...control.state import Account
+from ...limits.floors import Floors
+
+ACCOUNT = Account('shop', rate_per_s=100, burst=100)
+
+
+def admitted(floors: Floors, *, duration_s: float, per_s: int = 1000) -> int:
+    """Ask evenly for a time; return how many requests were admitted."""
+    times = range(int(duration_s * per_s))
+    return sum(floors.take(ACCOUNT, 100 + time / per_s) for time in times)
+
+
+def test_floors_of_all_instances_keep_their_part() -> None:
+    """Guards against floors that add up to more than their part."""
+    instances = [Floors(50) for _number in range(10)]
+    total = 0
+    for floors in instances:
+        floors.note_sharers(10)
+        total += admitted(floors, duration_s=4)
+    assert 0.9 * 4 * 50 <= total <= 4 * 50
+
+
+def test_restart_of_all_instances_serves_at_once() -> None:
+    """Guards against refusing all requests until a ledger has recovered."""
+    floors = Floors(50)
+    floors.note_sharers(10)
+    assert admitted(floors, duration_s=1) >= 4
+
+
+def test_lost_instances_do_not_raise_the_floor() -> None:
+    """Guards against cut-off instances that each take the whole rate."""
+    floors = Floors(50)
+    floors.note_sharers(10)
+    floors.note_sharers(1)
+    assert admitted(floors, duration_s=4) <= 4 * 5
+
+
+def test_no_floor_without_knowledge_of_others() -> None:
+    """Guards against a started instance that counts only itself."""
+    assert admitted(Floors(50), duration_s=1) == 0
