--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -235,7 +235,7 @@
                 health.ejected_until_s = now_s + _WRONG_TARGET_EJECTION_S
                 self.pool.forget(candidate.target.address)
             else:
-                health.note_shed(now_s)
+                self._note_shed(job, candidate, now_s)
                 self._observe(job, candidate, 'shed', now_s - started_s, answer)
             self._require_retry(job, 'shed')
             return None
@@ -269,6 +269,14 @@
             targets = self._directory.of(job.service.name)
             targets.note_duration(duration_s - health.round_trip_s)
 
+    def _note_shed(self, job: Job, candidate: Candidate, now_s: float) -> None:
+        """Keep away from a full target; one that has room may be asked again."""
+        health = candidate.health
+        if health.tells_room(now_s):
+            job.tried.discard(candidate.target.target_id)
+        else:
+            health.note_shed(now_s)
+
     def _is_not_run(self, answer: TargetAnswer) -> bool:
         return (
             answer.status == HTTPStatus.MISDIRECTED_REQUEST
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -72,6 +72,11 @@
             return self.in_flight
         return max(self.in_flight, self.reported_busy + self.sent_since_report)
 
+    def tells_room(self, now_s: float) -> bool:
+        """Return whether the target itself reports free slots."""
+        is_recent = now_s - self.reported_s <= _LOAD_VALID_S
+        return is_recent and self.reported_busy < self.slots
+
     def wait_s(self, work_s: float, now_s: float) -> float:
         """Return how long a new request would wait for a slot."""
         waiting = self.busy(now_s) + 1 - self.slots
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -105,6 +105,22 @@
     assert {status_of(answer) for (answer,) in answers} == {200}
 
 
+def test_asks_a_target_with_room_again(gateway: GatewayFixture) -> None:
+    """Guards against loading an object elsewhere for a random refusal."""
+    refused: list[bytes] = []
+
+    def shed_once(request: bytes) -> bytes:
+        if refused:
+            return answer_bytes(request)
+        refused.append(request)
+        extra = 'X-Not-Run: true\r\nX-Target-Load: 1,0,4\r\n'
+        return answer_bytes(request, status=503, extra=extra)
+
+    gateway.announce(ScriptedHttpTarget(shed_once).start(), 't1')
+    (answer,) = gateway.ask(request_bytes())
+    assert status_of(answer) == 200
+
+
 def test_never_repeats_what_may_have_run(gateway: GatewayFixture) -> None:
     """Guards against an action that runs twice after a lost answer."""
     targets = [ScriptedHttpTarget(lambda _r: b'').start() for _n in range(2)]
