--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -10,8 +10,8 @@
 from cheroot import connections
 from cheroot.server import HTTPServer
 
-from .http_head import bad_request
 from .http_connection import Activity, CallerConnection
+from .http_head import bad_request
 from .metrics import EVENTS
 
 # Time for a request's head and small body, and for idle connections.
--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -94,7 +94,7 @@
         self._dialect = dialect
         self._log = log
         self._directory = TargetDirectory(kernel)
-        self._probes = Probes(kernel, dialect, self.pool)
+        self._probes = Probes(kernel, dialect, self.pool, log)
         self._split = kernel.plugin(VersionSplit)
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_budget_percent)
@@ -309,6 +309,10 @@
             result=result,
             attempt=job.attempts,
             left_ms=int(job.left_s() * 1000),
+            announcement_age_ms=_age_ms(candidate, now_s),
+            ejected_ms=int(
+                max(0.0, candidate.health.ejected_until_s - now_s) * 1000
+            ),
         )
 
     def _observe(
@@ -354,7 +358,8 @@
             )
         return not_run(
             f'service_{reason}',
-            f'no target of {job.service.name!r} can take the request: {reason}',
+            f'no target of {job.service.name!r} can take the request: '
+            f'{reason}, expected wait {int(job.wait_s * 1000)} ms',
             retry_after_s=return_after_s(
                 job.wait_s,
                 job.route.profile.latency_objective_s,
@@ -372,3 +377,8 @@
         for group in groups
     ]
     return [group for group in left if group]
+
+
+def _age_ms(candidate: Candidate, now_s: float) -> int:
+    """Return the age of a target's last announcement."""
+    return int((now_s - candidate.target.load_seen_s) * 1000)
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -132,6 +132,12 @@
         if tables != self._routes_of:
             self._routes = RouteTable(state)
             self._routes_of = tables
+            self._log.write(
+                'configuration in force',
+                number=state.configuration.number,
+                revision=self._view.revision,
+                freshness_age_ms=int(self._view.freshness_age_s() * 1000),
+            )
         route = self._find_route(request)
         account = self._authorize(request, route)
         profile = route.profile
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -11,6 +11,7 @@
 
 from ..control.view import ControlView
 from ..core.metrics import EVENTS
+from .bounded_log import BoundedLog
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
 from .messages import TargetFailure
@@ -31,12 +32,19 @@
         Names of the headers.
     pool : ConnectionPool
         Connections to targets.
+    log : BoundedLog
+        Takes a line for each answer.
     """
 
     def __init__(
-        self, kernel: Any, dialect: Dialect, pool: ConnectionPool
+        self,
+        kernel: Any,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        log: BoundedLog,
     ) -> None:
         """Start without questions."""
+        self._log = log
         self._view = kernel.plugin(ControlView)
         self._dialect = dialect
         self._pool = pool
@@ -72,6 +80,12 @@
             cold_ms = answer.header(self._dialect.cold_ms) or b'0'
             cold_s = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
             candidate.health.note_cold(cold_s, time.monotonic())
+            self._log.write(
+                'target no longer in doubt',
+                target=candidate.target.target_id,
+                address=candidate.target.address,
+                cold_ms=int(cold_s * 1000),
+            )
 
     def _encode(self, candidate: Candidate) -> bytes:
         service = self._view.state.services.get(candidate.target.service)
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -10,8 +10,8 @@
 from ..membership.peers import Peers
 from ..moves.drains import Drains
 from ..moves.split import ANY_VERSION
-from ..targets.table import TargetTable
 from ..targets.announcement import Target
+from ..targets.table import TargetTable
 from .placement import (
     OTHER_REGION,
     OWN_FAILURE_DOMAIN,
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -259,10 +259,13 @@
                 timeout_s=_LEAVE_TIMEOUT_S if is_leaving else _CALL_TIMEOUT_S,
             )
         except UnavailableError as error:
-            self._is_cut_off = True
             EVENTS.labels('limits', 'renewal_failed').inc()
-            _LOG.info('shares not renewed: %s', error)
+            if not self._is_cut_off:
+                _LOG.warning('shares are no longer renewed: %s', error)
+            self._is_cut_off = True
             return
+        if self._is_cut_off:
+            _LOG.info('shares are renewed again')
         self._is_cut_off = False
         EVENTS.labels('limits', 'renewed').inc()
         if self._holder.apply(decode_grants(reply)):
--- a/oleanderpin/membership/peers.py
+++ b/oleanderpin/membership/peers.py
@@ -16,7 +16,6 @@
 from .members import MemberTable, Status, as_alive
 from .probing import Prober
 
-
 _Cached = tuple[tuple[int, bool], tuple['Peer', ...]]
 
 
--- a/oleanderpin/tests/control/test_log.py
+++ b/oleanderpin/tests/control/test_log.py
@@ -9,8 +9,8 @@
 import pytest
 
 from ...control.change import Outcome
-from ...core.metrics import EVENTS
 from ...core.http import HttpRequest
+from ...core.metrics import EVENTS
 from ...operators.admin import Admin
 from ...wire.generated.common.ttypes import NotLeader, Unavailable
 from ...wire.generated.raft.ttypes import MemberProblem
--- a/oleanderpin/tests/forwarding/test_idempotency.py
+++ b/oleanderpin/tests/forwarding/test_idempotency.py
@@ -10,13 +10,13 @@
 
 from ...control.state import ControlState
 from ...control.view import ControlView
+from ...core.settings import ControlSettings, PeersSettings
 from ...forwarding.holder import (
     MAX_ACCOUNT_BYTES,
     RECORD_TTL_S,
     IdempotencyHolder,
     RecordTable,
 )
-from ...core.settings import ControlSettings, PeersSettings
 from ...testing import ManualClock, ScriptedConnection, ScriptedTarget
 from ...wire.generated.idempotency.ttypes import Record, Verdict
 from ...wire.network import PeerNetwork
