Keep large bodies in the own failure domain

Change: requests with a body of 16 KiB or more prefer targets of the own failure domain while these have room.

--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -33,6 +33,9 @@
 _LEAST_TIME_S = 0.02
 _WRONG_TARGET_EJECTION_S = 5.0
 _SERVER_ERROR = 500
+# A body of this size costs links between failure domains more than loading an
+# object again costs its target.
+_BULK_BYTES = 16384
 
 
 @dataclass(slots=True)
@@ -141,7 +144,12 @@
     def _place(self, job: Job, targets: ServiceTargets) -> Placement:
         now_s = time.monotonic()
         version = self._version(job.service, targets)
-        groups = targets.ordered(job.object_key, version, job.regions)
+        groups = targets.ordered(
+            job.object_key,
+            version,
+            job.regions,
+            is_bulk=len(job.request.body) >= _BULK_BYTES,
+        )
         if job.tried:
             groups = _without(groups, job.tried)
         home = groups[0][0].is_near if groups else True
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -92,7 +92,11 @@
 
 
 def order_for(
-    key: str, candidates: Sequence[Candidate], *, at_home: bool
+    key: str,
+    candidates: Sequence[Candidate],
+    *,
+    at_home: bool,
+    is_bulk: bool = False,
 ) -> list[list[Candidate]]:
     """Return the candidates by region, each group in the object's order.
 
@@ -104,6 +108,9 @@
         Targets of the service.
     at_home : bool
         Whether the object's home is the own region; its group comes first.
+    is_bulk : bool
+        Whether the request has a large body, which is kept in the own failure
+        domain while its targets have room.
     """
     ordered = sorted(
         candidates,
@@ -112,11 +119,17 @@
         ),
     )
     near = [each for each in ordered if each.is_near]
+    if is_bulk:
+        near.sort(key=_distance)
     far = [each for each in ordered if not each.is_near]
     groups = [near, far] if at_home else [far, near]
     return [group for group in groups if group]
 
 
+def _distance(candidate: Candidate) -> int:
+    return candidate.distance
+
+
 def place(
     groups: Sequence[Sequence[Candidate]],
     needs: Needs,
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -32,7 +32,7 @@
 # An instance that has just started does not know the others yet.
 _LEAST_SHARERS = 8
 
-_Order = tuple[str, str, tuple[str, ...], bool]
+_Order = tuple[str, str, tuple[str, ...], bool, bool]
 
 
 @dataclass(slots=True)
@@ -47,7 +47,12 @@
     _orders: dict[_Order, list[list[Candidate]]] = field(default_factory=dict)
 
     def ordered(
-        self, key: str, version: str, regions: tuple[str, ...]
+        self,
+        key: str,
+        version: str,
+        regions: tuple[str, ...],
+        *,
+        is_bulk: bool = False,
     ) -> list[list[Candidate]]:
         """Return the candidates of a version in the order of an object.
 
@@ -61,9 +66,11 @@
             Version of the service; empty for any.
         regions : tuple of str
             Regions that may be used; empty for all.
+        is_bulk : bool
+            Whether the request has a large body.
         """
         is_at_home = self.split.is_at_home(key)
-        place = (key, version, regions, is_at_home)
+        place = (key, version, regions, is_at_home, is_bulk)
         found = self._orders.get(place)
         if found is None:
             allowed = [
@@ -72,7 +79,7 @@
                 if version in {ANY_VERSION, each.target.version}
                 and (not regions or each.target.region in regions)
             ]
-            found = order_for(key, allowed, at_home=is_at_home)
+            found = order_for(key, allowed, at_home=is_at_home, is_bulk=is_bulk)
             if len(self._orders) >= _MAX_ORDERS:
                 self._orders.clear()
             self._orders[place] = found
--- a/oleanderpin/tests/gateway/test_placement.py
+++ b/oleanderpin/tests/gateway/test_placement.py
@@ -7,6 +7,7 @@
 from ...gateway.placement import (
     OTHER_REGION,
     OWN_FAILURE_DOMAIN,
+    OWN_REGION,
     Candidate,
     Needs,
     note_placed,
@@ -143,6 +144,18 @@
     assert choose([near, far], needs()).candidate is far
 
 
+def test_large_bodies_stay_in_the_failure_domain() -> None:
+    """Guards against uploads that cross failure domains without need."""
+    own = [candidate(f'own{number}') for number in range(3)]
+    other = [
+        candidate(f'other{number}', distance=OWN_REGION) for number in range(3)
+    ]
+    for key in ('a', 'b', 'c', 'd', 'e', 'f'):
+        groups = order_for(key, own + other, at_home=True, is_bulk=True)
+        placed = place(groups, needs(key), replicas=4, now_s=10.0)
+        assert placed.candidate in own
+
+
 def test_region_split_changes_slowly() -> None:
     """Guards against a region's traffic that follows each wave."""
     split = RegionSplit(0.0)
