--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: demo test lint format modelcheck bench measure capacity trace thrift
 
-BENCHES := forwarding lookup distribution log_restart
+BENCHES := forwarding gateway lookup distribution log_restart
 MEASURES := limits routing moves
 CAPACITIES := idle lookup membership distribution targets limits
 
--- a/bench/routing_simulation.py
+++ b/bench/routing_simulation.py
@@ -9,8 +9,8 @@
 
 from oleanderpin.control.state import Profile
 from oleanderpin.core.errors import Refusal
-from oleanderpin.routing.outcome import AttemptOutcome
 from oleanderpin.routing.capacity import RegionCapacity, spare_slots
+from oleanderpin.routing.outcome import AttemptOutcome
 from oleanderpin.routing.router import Router
 from oleanderpin.routing.shift_budget import POOL_PART
 from oleanderpin.testing.clock import ManualClock
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -219,16 +219,17 @@
     )
 
 
-@contextmanager
-def started_gateway(
-    folder: Path, change: ConfigurationReplace
-) -> Iterator[GatewayFixture]:
-    """Run a gateway with a configuration until the block ends.
-
-    It has authority, so that requests with keys are answered.
+def gateway_settings(ports: list[int], folder: Path) -> str:
+    """Return the INI text of a gateway that is its own control group.
+
+    Parameters
+    ----------
+    ports : list of int
+        Caller, admin and peer port.
+    folder : Path
+        Data folder.
     """
-    ports = free_ports(3)
-    text = '\n'.join(
+    return '\n'.join(
         (
             '[instance]',
             'name = g1',
@@ -247,7 +248,18 @@
             'lookup_ttl_s = 0',
         )
     )
-    kernel = Kernel(build_settings(text))
+
+
+@contextmanager
+def started_gateway(
+    folder: Path, change: ConfigurationReplace
+) -> Iterator[GatewayFixture]:
+    """Run a gateway with a configuration until the block ends.
+
+    It has authority, so that requests with keys are answered.
+    """
+    ports = free_ports(3)
+    kernel = Kernel(build_settings(gateway_settings(ports, folder)))
     kernel.start()
     try:
         _configure(kernel, change)
