Pass on no status by which a target seems to promise; bound the bytes of bodies; refuse at once when cut off

Change: such answers end as 502 or are repeated; bodies are counted over all connections; without a leader only the own share is waited for.

--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -33,6 +33,14 @@
 _LEAST_TIME_S = 0.02
 _WRONG_TARGET_EJECTION_S = 5.0
 _SERVER_ERROR = 500
+_FIRST_REDIRECTION = 300
+_PROMISES_NOT_RUN = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 # A body of this size costs links between failure domains more than loading an
 # object again costs its target.
 _BULK_BYTES = 16384
@@ -247,9 +255,8 @@
                 self._observe(job, candidate, 'shed', now_s - started_s, answer)
             self._require_retry(job, 'shed')
             return None
-        is_failure = answer.status >= _SERVER_ERROR or (
-            answer.header(b'content-encoding') is not None
-        )
+        is_sound = self._is_sound(answer)
+        is_failure = answer.status >= _SERVER_ERROR or not is_sound
         result: AttemptResult = 'target_error' if is_failure else 'ok'
         self._observe(job, candidate, result, now_s - started_s, answer)
         if not is_failure:
@@ -259,10 +266,24 @@
         job.has_maybe_run = True
         if self._may_retry(job, 'target_error'):
             return None
-        if answer.header(b'content-encoding') is not None:
+        if not is_sound:
             raise self._given_up(job, 'bad_answer')
         return for_caller(answer)
 
+    def _is_sound(self, answer: TargetAnswer) -> bool:
+        """Return whether an answer may be passed on as the target's own.
+
+        Callers take some statuses as a promise that a request has not run. A
+        target promises that in its own way, so these are not passed on.
+        """
+        if answer.status in _PROMISES_NOT_RUN:
+            return False
+        seal = self._dialect.seal
+        is_success = answer.status < _FIRST_REDIRECTION
+        is_sealed = not seal or answer.header(seal) is not None
+        is_plain = answer.header(b'content-encoding') is None
+        return is_plain and (is_sealed or not is_success)
+
     def _note_success(
         self, job: Job, candidate: Candidate, duration_s: float
     ) -> None:
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -30,6 +30,8 @@
 
     connections: set['CallerConnection']
     is_draining: bool
+    # Bytes of bodies that are held for requests without an answer.
+    buffered_bytes: int
 
     def limits(self) -> Limits:
         """Return the bounds in force."""
@@ -39,7 +41,7 @@
     serve: Callable[[CallerRequest], Awaitable[Answer]]
 
     def has_room(self, size_bytes: int) -> bool:
-        """Return whether so much more may be held in memory."""
+        """Return whether a body of that size may be held in memory."""
         ...
 
 
@@ -72,6 +74,7 @@
         self._request: CallerRequest | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._held_bytes = 0
         self._header_bytes = 0
         self._in_headers = False
         self._is_closing = False
@@ -93,6 +96,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up requests whose caller has gone."""
         self._is_closing = True
+        self._hold(-self._held_bytes)
         self._listener.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
@@ -170,6 +174,7 @@
         """Take a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
+        self._hold(len(body))
         self._check_size(self._body_bytes)
 
     def on_message_complete(self) -> None:
@@ -203,6 +208,7 @@
             pending = self._pending.popleft()
             if self._is_closing or pending.answer is None:
                 return
+            self._hold(-len(pending.request.body))
             closes = pending.answer.closes or not pending.request.keeps_alive
             is_last = self._listener.is_draining and not self._pending
             self._write(pending.answer, closes=closes or is_last)
@@ -217,6 +223,10 @@
     def _write(self, answer: Answer, *, closes: bool) -> None:
         self._transport.write(encode_answer(answer, closes=closes))
 
+    def _hold(self, change_bytes: int) -> None:
+        self._held_bytes += change_bytes
+        self._listener.buffered_bytes += change_bytes
+
     def _check_size(self, size_bytes: int) -> None:
         if size_bytes > self._listener.limits().max_body_bytes:
             self._reject(413)
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -9,6 +9,7 @@
 from .messages import Answer, CallerRequest
 
 _BACKLOG = 1024
+_MAX_BUFFERED_BYTES = 67108864
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,12 +34,20 @@
         Answers a request.
     limits : callable, optional
         Returns the bounds in force.
+    max_buffered_bytes : int
+        Bytes of bodies that may be held for all connections together.
     """
 
     def __init__(
-        self, serve: Serve, *, limits: Callable[[], Any] = StaticLimits
+        self,
+        serve: Serve,
+        *,
+        limits: Callable[[], Any] = StaticLimits,
+        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
     ) -> None:
         """Listen on no address yet."""
+        self.buffered_bytes = 0
+        self._max_buffered_bytes = max_buffered_bytes
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.serve = serve
@@ -54,7 +63,7 @@
 
     def has_room(self, size_bytes: int) -> bool:
         """Return whether a body of that size may be held in memory."""
-        return True
+        return self.buffered_bytes + size_bytes <= self._max_buffered_bytes
 
     def stop_accepting(self) -> None:
         """Close the address; open connections go on."""
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -51,7 +51,11 @@
         self._rates = RateGate(kernel)
         self._routes = RouteTable(self._view.state)
         self._routes_of = (0, 0)
-        self.listener = HttpListener(self.serve, limits=self._limits)
+        self.listener = HttpListener(
+            self.serve,
+            limits=self._limits,
+            max_buffered_bytes=self._settings.max_buffered_bytes,
+        )
         self._ready = HttpListener(self._serve_ready)
 
     def start(self) -> None:
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -1,6 +1,7 @@
 """Takes a client account's rate without blocking the event loop."""
 
 import asyncio
+import random
 import time
 from typing import Any
 
@@ -14,6 +15,10 @@
 # An answer of the leader in another region arrives within two of these.
 _POLL_S = 0.02
 _MIN_RETRY_AFTER_S = 0.2
+# Refused callers return over this time, not together.
+_SPREAD_S = 0.2
+# Longest wait for a unit of the own share without the leader.
+_SHORT_WAIT_S = 0.1
 # An instance that has just started does not know all others yet.
 _LEAST_SHARERS = 8
 
@@ -31,6 +36,7 @@
         """Keep the holder of the shares."""
         self._shares = kernel.plugin(ShareHolder)
         self._peers = kernel.plugin(Peers)
+        self._random = random.Random()
         self._floors = Floors(kernel.settings.limits.floor_percent)
 
     def upkeep(self) -> None:
@@ -74,6 +80,11 @@
 
     async def _wait(self, resource: str, deadline_s: float) -> Any:
         result: Any = 'short'
+        if self._shares.is_cut_off:
+            # Only what the own share earns can come.
+            earned_s = self._shares.holder.next_unit_s(resource)
+            if earned_s is None or earned_s > _SHORT_WAIT_S:
+                return result
         while result == 'short' and time.monotonic() < deadline_s:
             await asyncio.sleep(_POLL_S)
             result = self._shares.take_now(resource)
@@ -83,7 +94,8 @@
         next_s = self._shares.holder.next_unit_s(resource)
         details = RefusalDetails(
             status=429,
-            retry_after_s=max(next_s or 0.0, _MIN_RETRY_AFTER_S),
+            retry_after_s=max(next_s or 0.0, _MIN_RETRY_AFTER_S)
+            + self._random.uniform(0, _SPREAD_S),
         )
         if result == 'exhausted':
             return Refusal(
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -99,6 +99,11 @@
         """What this instance holds."""
         return self._holder
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the last renewal found no leader."""
+        return self._is_cut_off
+
     def start(self) -> None:
         """Start renewing."""
         self._thread.start()
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -19,6 +19,7 @@
 )
 from ..control.view import ControlView
 from ..core.kernel import Kernel
+from ..gateway.plugin import Gateway
 from ..operators.actions import OperatorActions
 from ..targets.announcement import Announcement
 from ..targets.table import TargetTable
@@ -165,6 +166,10 @@
             connection.sendall(b''.join(requests))
             return [read_message(connection, kept) for _each in requests]
 
+    def buffered_bytes(self) -> int:
+        """Return the bytes of bodies that the gateway holds."""
+        return self.kernel.plugin(Gateway).listener.buffered_bytes
+
     def announce(
         self, target: ScriptedHttpTarget, name: str, *, service: str = 'desk'
     ) -> None:
@@ -246,6 +251,7 @@
             '[gateway]',
             'grace_s = 1',
             'lookup_ttl_s = 0',
+            'max_buffered_bytes = 1048576',
         )
     )
 
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -169,6 +169,38 @@
     assert status_of(answer) in {502, 504}
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_promise_of_a_target_is_not_passed_on(
+    gateway: GatewayFixture, status: int
+) -> None:
+    """Guards against telling a caller that a request that ran has not run."""
+
+    def promise(request: bytes) -> bytes:
+        return answer_bytes(request, status=status)
+
+    gateway.announce(ScriptedHttpTarget(promise).start(), 't1')
+    (answer,) = gateway.ask(request_bytes(method='POST', body=b'x'))
+    assert status_of(answer) == 502
+
+
+def test_bodies_beyond_the_memory_bound_are_refused(
+    gateway: GatewayFixture,
+) -> None:
+    """Guards against a process that ends because bodies fill its memory."""
+    target = ScriptedHttpTarget().start()
+    gateway.announce(target, 't1')
+    most = gateway.kernel.settings.gateway.max_buffered_bytes
+    head = request_bytes(method='POST', body=b'x')
+    head = head.replace(b'Content-Length: 1', b'Content-Length: %d' % most)
+    with gateway.connect() as held:
+        held.sendall(head[:-1] + bytes(65536))
+        while not gateway.buffered_bytes():
+            pass
+        (answer,) = gateway.ask(head)
+    assert status_of(answer) == 503
+    assert not target.requests
+
+
 def test_no_target_is_refused_as_not_run(gateway: GatewayFixture) -> None:
     """Guards against waiting until the deadline for nothing."""
     (answer,) = gateway.ask(request_bytes())
