--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -13,7 +13,6 @@
 
 _MAX_PIPELINED = 256
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-_WRITE_TIMEOUT_S = 20.0
 
 
 class Limits(Protocol):
--- a/oleanderpin/lookup/gateways.py
+++ b/oleanderpin/lookup/gateways.py
@@ -5,7 +5,6 @@
 
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peer, Peers
-from ..moves.drains import Drains
 
 # A failure domain with fewer gateways shares those of its region, so that
 # callers have another one to turn to.
@@ -14,13 +13,15 @@
 
 @plugins.register('gateways')
 class Gateways(Plugin):
-    """Lists live gateways by distance."""
+    """Lists live gateways by distance.
+
+    A drained failure domain keeps its gateways: only its targets are emptied.
+    """
 
     def __init__(self, kernel: Any) -> None:
-        """Keep the membership and the drains."""
+        """Keep the membership."""
         super().__init__(kernel)
         self._peers = kernel.plugin(Peers)
-        self._drains = kernel.plugin(Drains)
 
     def nearest(self, region: str, failure_domain: str) -> list[str]:
         """Return the addresses of the gateways that callers should use.
