--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -57,6 +57,7 @@
             max_buffered_bytes=self._settings.max_buffered_bytes,
         )
         self._ready = HttpListener(self._serve_ready)
+        self._upkeep_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Listen on both addresses."""
@@ -102,7 +103,8 @@
         await self.listener.listen(self.kernel.settings.listen.caller)
         if self._settings.ready:
             await self._ready.listen(self._settings.ready)
-        asyncio.get_running_loop().create_task(self._upkeep())
+        loop = asyncio.get_running_loop()
+        self._upkeep_task = loop.create_task(self._upkeep())
 
     async def _stop_accepting(self) -> None:
         self.listener.stop_accepting()
@@ -112,8 +114,12 @@
 
     async def _upkeep(self) -> None:
         while not self.kernel.stopping.is_set():
-            self._attempts.upkeep()
-            self._rates.upkeep()
+            try:
+                self._attempts.upkeep()
+                self._rates.upkeep()
+            except Exception:
+                # The next round may work; without upkeep connections pile up.
+                _LOG.exception('upkeep failed')
             await asyncio.sleep(_UPKEEP_S)
 
     async def _serve_ready(self, request: CallerRequest) -> Answer:
