--- /dev/null
+++ b/oleanderpin/gateway/admission.py
@@ -0,0 +1,57 @@
+"""How long a request may wait for a slot, and when a caller should return.
+
+Load pattern: callers ask for more than the targets can do. If all of them
+wait, all answers are late and callers ask again; so those that would be late
+are turned away at once and the others stay timely. What ranks lower is turned
+away first.
+"""
+
+import random
+
+# Part of the time for a timely answer that a request of the lowest urgency may
+# spend; more urgent ones may spend all of it.
+_LEAST_PATIENCE = 0.7
+_PATIENCE_STEP = 0.15
+# A short wait is always accepted: loads of targets are known with a delay.
+_LEAST_WAIT_S = 0.05
+# Callers that are turned away return over this time, so that they do not
+# arrive together.
+_SPREAD_S = 0.3
+
+
+def most_wait_s(
+    objective_s: float, usual_s: float, *, rank: int, spent_s: float
+) -> float:
+    """Return the longest wait after which an answer is still timely.
+
+    Parameters
+    ----------
+    objective_s : float
+        Time within which an answer is timely.
+    usual_s : float
+        Usual time of an answer without a wait.
+    rank : int
+        Urgency, 0 is the highest.
+    spent_s : float
+        Time since the request came.
+    """
+    patience = max(_LEAST_PATIENCE, 1.0 - rank * _PATIENCE_STEP)
+    return max(_LEAST_WAIT_S, objective_s * patience - usual_s - spent_s)
+
+
+def return_after_s(
+    wait_s: float, accepted_s: float, generator: random.Random
+) -> float:
+    """Return when a caller that was turned away should come back.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected wait for a slot.
+    accepted_s : float
+        Wait that would have been accepted.
+    generator : random.Random
+        Spreads the callers.
+    """
+    drained_s = max(0.0, wait_s - accepted_s)
+    return drained_s + _LEAST_WAIT_S + generator.uniform(0, _SPREAD_S)
--- a/oleanderpin/gateway/attempts.py
+++ b/oleanderpin/gateway/attempts.py
@@ -13,6 +13,7 @@
 from ..moves.split import VersionSplit
 from ..routing.outcome import AttemptOutcome, AttemptResult, Observation
 from ..routing.router import Router
+from .admission import most_wait_s, return_after_s
 from .bounded_log import BoundedLog
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
@@ -30,8 +31,6 @@
 _DEADLINE_MARGIN_S = 0.1
 # An attempt with less time left than this cannot be answered.
 _LEAST_TIME_S = 0.02
-# Callers that are turned away for lack of room return spread over this time.
-_RETRY_AFTER_S = (0.15, 0.45)
 _WRONG_TARGET_EJECTION_S = 5.0
 _SERVER_ERROR = 500
 
@@ -55,6 +54,7 @@
     attempts: int = 0
     has_maybe_run: bool = False
     has_waited: bool = False
+    wait_s: float = 0.0
     tried: set[str] = field(default_factory=set)
 
     @property
@@ -127,6 +127,7 @@
         targets = self._directory.of(job.service.name)
         placement = self._place(job, targets)
         if placement.candidate is None:
+            job.wait_s = placement.wait_s
             raise self._given_up(job, placement.obstacle)
         return placement.candidate
 
@@ -142,6 +143,12 @@
         needs = Needs(
             key=job.object_key,
             left_s=job.left_s(),
+            most_wait_s=most_wait_s(
+                job.route.profile.latency_objective_s,
+                targets.usual_s,
+                rank=job.rank,
+                spent_s=now_s - job.request.received_s,
+            ),
             usual_s=targets.usual_s,
             cold_interval_s=self._directory.cold_interval_s(job.service),
             is_repeatable=job.is_repeatable,
@@ -340,7 +347,11 @@
         return not_run(
             f'service_{reason}',
             f'no target of {job.service.name!r} can take the request: {reason}',
-            retry_after_s=self._random.uniform(*_RETRY_AFTER_S),
+            retry_after_s=return_after_s(
+                job.wait_s,
+                job.route.profile.latency_objective_s,
+                self._random,
+            ),
         )
 
 
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -60,6 +60,8 @@
         Names the object.
     left_s : float
         Time until the answer is due.
+    most_wait_s : float
+        Longest wait for a slot after which the answer is still timely.
     usual_s : float
         Usual time of an answer about an object that the target knows.
     cold_interval_s : float
@@ -71,6 +73,7 @@
 
     key: str
     left_s: float
+    most_wait_s: float = 1.0
     usual_s: float = 0.0
     cold_interval_s: float = 0.0
     is_repeatable: bool = False
@@ -78,11 +81,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The chosen candidate, or why there is none."""
+    """The chosen candidate, or why there is none.
+
+    ``wait_s`` is the expected wait for a slot.
+    """
 
     candidate: Candidate | None
     obstacle: Obstacle = 'no_target'
-    expected_s: float = 0.0
+    wait_s: float = 0.0
 
 
 def order_for(
@@ -143,8 +149,13 @@
                 obstacle = found
                 continue
             is_first = not compared and not number
+            is_known = is_first or candidate.health.knows(needs.key, now_s)
+            if not is_known and not candidate.health.has_room(now_s):
+                # Loading an object must not lengthen a queue.
+                obstacle = 'busy'
+                continue
             cost_s = _DISTANCE_BIAS_S[candidate.distance] + _expected_s(
-                candidate, needs, is_first=is_first, now_s=now_s
+                candidate, needs, is_known=is_known, now_s=now_s
             )
             if cost_s < best_s:
                 best, best_s = candidate, cost_s
@@ -153,9 +164,10 @@
                 break
     if best is None:
         return Placement(None, obstacle)
-    if best_s > needs.left_s:
-        return Placement(None, 'busy', best_s)
-    return Placement(best, expected_s=best_s)
+    wait_s = best.health.wait_s(needs.usual_s or _UNKNOWN_WORK_S, now_s)
+    if best_s > needs.left_s or wait_s > needs.most_wait_s:
+        return Placement(None, 'busy', wait_s)
+    return Placement(best, wait_s=wait_s)
 
 
 def note_placed(candidate: Candidate, key: str, now_s: float) -> None:
@@ -167,14 +179,13 @@
 
 
 def _expected_s(
-    candidate: Candidate, needs: Needs, *, is_first: bool, now_s: float
+    candidate: Candidate, needs: Needs, *, is_known: bool, now_s: float
 ) -> float:
     """Return the time after which an answer is expected."""
     health = candidate.health
     usual_s = needs.usual_s or _UNKNOWN_WORK_S
     speed = health.slowness(usual_s)
     work_s = usual_s * speed
-    is_known = is_first or health.knows(needs.key, now_s)
     own_s = work_s if is_known else work_s * _COLD_WORK
     return health.wait_s(work_s, now_s) + own_s + health.round_trip_s
 
--- /dev/null
+++ b/oleanderpin/tests/test_boundaries.py
@@ -0,0 +1,69 @@
+"""The package knows nothing of the platform, and the adapter stays small."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+PACKAGE = ROOT / 'oleanderpin'
+ADAPTER = ROOT / 'platform'
+# Names of the platform's wire, settings and bench.
+FOREIGN = re.compile(
+    'heartbeatAddress|coldRemaining|coldPerS|coldStart|faultTolerance|'
+    'baseVersion|targetLatency|targetVersion|pathPrefix|maxAttempts|'
+    'allowedRegions|ratePerS|apiKeys|[Tt]enant|fleetbench|internalPorts|'
+    'OLEANDERPIN_BOOT|[Ee]vacuat|X-Deadline-Ms|X-Affinity|X-Instance|'
+    'X-Response-Seal|X-Not-Executed',
+    re.IGNORECASE,
+)
+MAX_ADAPTER_LINES = 900
+# The control log, the shares and the exchange decide; the adapter calls these
+# interfaces of theirs only.
+ALLOWED_IMPORTS = re.compile(
+    r'oleanderpin(\.(control\.(authority|change|configuration|state)|core\.\w+|'
+    r'gateway\.(dialect|listener|messages)|lookup\.gateways|'
+    r'operators\.actions|targets\.(announcement|table)))?$'
+)
+
+
+def package_files() -> list[Path]:
+    return sorted(
+        path
+        for path in PACKAGE.rglob('*.py')
+        if path != Path(__file__) and 'generated' not in path.parts
+    )
+
+
+def test_package_holds_no_name_of_the_platform() -> None:
+    """Guards against the platform's words outside the adapter."""
+    found = [
+        f'{path.relative_to(ROOT)}:{number}: {line.strip()}'
+        for path in package_files()
+        for number, line in enumerate(
+            path.read_text(encoding='utf-8').splitlines(), 1
+        )
+        if FOREIGN.search(line)
+    ]
+    assert not found
+
+
+def test_adapter_stays_small() -> None:
+    """Guards against decisions of the product that move into the adapter."""
+    lines = sum(
+        len(path.read_text(encoding='utf-8').splitlines())
+        for path in ADAPTER.rglob('*')
+        if path.suffix in {'.py', '.ini'}
+    )
+    assert lines <= MAX_ADAPTER_LINES
+
+
+@pytest.mark.parametrize(
+    'path', sorted(ADAPTER.rglob('*.py')), ids=lambda path: path.name
+)
+def test_adapter_uses_public_interfaces(path: Path) -> None:
+    """Guards against an adapter that reaches into the product's parts."""
+    imports = re.findall(
+        r'^from (oleanderpin[\w.]*) import', path.read_text('utf-8'), re.M
+    )
+    assert [each for each in imports if not ALLOWED_IMPORTS.match(each)] == []
