Log stalls, processor time by thread group and received control states

Cause: logs could not tell a process that lacks processor time from one whose source of the control state is outdated, the first two hypotheses of the incident.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..core.errors import UnavailableError
+from ..core.logs import age_ms
 from ..core.metrics import EVENTS
 from ..membership.peers import Peers
 from ..wire.generated.control.ttypes import WatchReply, WatchRequest
@@ -94,10 +95,21 @@
             request,
             timeout_s=hold_s + _CALL_MARGIN_S,
         )
+        known_revision = self._view.revision
         if reply.snapshot:
             self._view.install(reply.snapshot)
         self._view.apply(reply.entries)
         self._update_freshness(reply, requested_s)
+        if self._view.revision > known_revision:
+            _LOG.info(
+                'control state received',
+                extra={
+                    'revision': self._view.revision,
+                    'configuration': self._view.state.configuration.number,
+                    'source': address,
+                    'source_age_ms': reply.freshness_age_ms,
+                },
+            )
         return reply
 
     def ordered_sources(self) -> list[str]:
@@ -161,6 +173,15 @@
             return
         address = known[0]
         is_new = address != self.source
+        if is_new:
+            _LOG.info(
+                'control state source changed',
+                extra={
+                    'source': address,
+                    'previous': self.source,
+                    'freshness_age_ms': age_ms(self._view.freshness_age_s()),
+                },
+            )
         self.source = address
         # A new source is asked to reply at once, to show that it works.
         hold_s = 0 if is_new else self._kernel.settings.control.watch_hold_s
@@ -187,7 +208,17 @@
         if reply.leader_address:
             self._hinted_leader = reply.leader_address
         limit_s = self._kernel.settings.control.freshness_limit_s
-        return 0 <= reply.freshness_age_ms / 1000 <= limit_s / 2
+        is_fresh = 0 <= reply.freshness_age_ms / 1000 <= limit_s / 2
+        if not is_fresh:
+            EVENTS.labels('control', 'source_outdated').inc()
+            _LOG.warning(
+                'control state source is outdated',
+                extra={
+                    'source': address,
+                    'source_age_ms': reply.freshness_age_ms,
+                },
+            )
+        return is_fresh
 
     def _back_off(self, address: str) -> None:
         _until_s, last_s = self._backoffs.get(address, (0.0, 0.0))
--- a/oleanderpin/control/replication.py
+++ b/oleanderpin/control/replication.py
@@ -48,7 +48,7 @@
             threading.Thread(
                 target=self._run,
                 args=(term, member),
-                name=f'log-replicate-{member.name}',
+                name='log-replicate',
                 daemon=True,
             ).start()
 
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -15,7 +15,7 @@
     log,
     view,
 )
-from .core import event_loop  # noqa: F401
+from .core import event_loop, process_usage  # noqa: F401
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs
