Push records only from instances that have published some

Cause: each instance kept one pushing thread and one connection for every peer and renewed its records there, but only control instances, to which targets announce themselves, ever publish a record. Change: an instance starts to push with its first record.

Evidence: the test fails before (12 threads for 4 instances, 3 after).

--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -66,6 +66,7 @@
         self._received = ReceivedRecords(kernel.clock)
         self._receivers: dict[str, Receiver] = {}
         self._pushers: dict[str, Pusher] = {}
+        self._has_first_record = threading.Event()
         # Notified when a peer has replied to a push.
         self.confirmed = threading.Condition()
         kernel.plugin(PeerServer).register(
@@ -79,7 +80,8 @@
         ).start()
 
     def stop(self) -> None:
-        """Wake up the pushing threads so that they end."""
+        """Wake up the threads so that they end."""
+        self._has_first_record.set()
         with self.published.changed:
             self.published.changed.notify_all()
 
@@ -120,9 +122,11 @@
         int
             Version of the record, as for `confirmed_by`.
         """
-        return self.published.put(
+        version = self.published.put(
             (kind, name), payload, ttl_s=ttl_s, is_urgent=is_urgent
         )
+        self._has_first_record.set()
+        return version
 
     def confirmed_by(self, version: int) -> set[str]:
         """Return the peers that have confirmed own records up to ``version``."""
@@ -246,10 +250,16 @@
         is_running = True
         while is_running:
             _own, *others = self._peers.alive()
-            self._update_pushers(others)
+            # Most instances never publish a record, and a thread per peer at
+            # each of them is too many for a large fleet.
+            if self._has_first_record.is_set():
+                self._update_pushers(others)
+                is_running = self.kernel.wait_while_running(_UPDATE_INTERVAL_S)
+            else:
+                self._has_first_record.wait(_UPDATE_INTERVAL_S)
             if others and not has_pulled:
                 has_pulled = self.pull_from(random.choice(others))
-            is_running = self.kernel.wait_while_running(_UPDATE_INTERVAL_S)
+            is_running = is_running and not self.kernel.stopping.is_set()
 
     def _update_pushers(self, others: list[Peer]) -> None:
         for peer in others:
--- a/oleanderpin/tests/targets/test_exchange.py
+++ b/oleanderpin/tests/targets/test_exchange.py
@@ -1,16 +1,19 @@
 """Exchange of targets: leaves, restarts, deltas and new instances."""
 
+import threading
 from typing import Any
 
 import pytest
 
 from ... import daemon  # noqa: F401  registers all plug-ins
 from ...core.kernel import Kernel
+from ...membership.peers import Peers
 from ...targets.announcement import Announcement, Departure, Target
 from ...targets.exchange import Exchange
 from ...targets.table import LEAVE_LEASE_S, TARGET_LEASE_S, TargetTable
 from ...testing.clock import ManualClock
 from ...testing.fleet import build_fleet
+from ..control.group import wait_until
 
 
 class Pair:
@@ -218,3 +221,32 @@
     assert not pusher.push_once()
     assert pusher.push_once()
     assert pushed == [1, 0, 1]
+
+
+def _pushing_threads() -> int:
+    return sum(thread.name == 'push' for thread in threading.enumerate())
+
+
+def test_instance_without_records_has_no_thread_per_peer() -> None:
+    """Guards against a cost of idle instances that grows with the fleet."""
+    kernels = build_fleet(['north-a'] * 4)
+    threads_before = _pushing_threads()
+    try:
+        for kernel in kernels:
+            kernel.start()
+        wait_until(
+            'all instances known',
+            lambda: all(
+                len(each.plugin(Peers).alive()) == len(kernels)
+                for each in kernels
+            ),
+        )
+        kernels[0].plugin(TargetTable).announce(announcement())
+        wait_until(
+            'target known everywhere',
+            lambda: all(found(each.plugin(TargetTable)) for each in kernels),
+        )
+        assert _pushing_threads() - threads_before == len(kernels) - 1
+    finally:
+        for kernel in kernels:
+            kernel.stop()
