Tell the ledger of demand that has fallen, and of shares no longer needed

Cause: partial renewals left out idle accounts that still held a reserve, and on-demand accounts whose demand had fallen; the ledger then lent less to others or took bursts for exhausting demand. Change: such accounts are listed until the ledger knows.

--- a/oleanderpin/limits/bucket.py
+++ b/oleanderpin/limits/bucket.py
@@ -17,6 +17,10 @@
 _LOW_FRACTION = 0.4
 # Burst beyond this multiple of its use is returned at once.
 _EXCESS_FACTOR = 1.5
+# The ledger is told of demand that has changed by more than this fraction, and
+# by more than an amount that makes no difference to it.
+_OUTDATED_DEMAND_FRACTION = 0.5
+_NEGLIGIBLE_DEMAND_PER_S = 0.2
 # Multiple of the permits needed that is requested, so that shares grow ahead of
 # demand.
 _PERMIT_HEADROOM_FACTOR = 1.25
@@ -50,7 +54,8 @@
     -----
     ``applied`` is the sequence number of the last applied grants that listed
     the resource. ``has_arrivals`` and ``is_reduced`` are set by arrivals and by
-    reductions of the share since the last report.
+    reductions of the share since the last report; ``told_per_s`` is the demand
+    at that time.
     """
 
     is_permit: bool = False
@@ -64,6 +69,7 @@
     applied: int = 0
     has_arrivals: bool = False
     is_reduced: bool = False
+    told_per_s: float = 0.0
     in_use: int = 0
     waiting: int = 0
     reserve: float = 0.0
@@ -127,17 +133,22 @@
         used = max(self.tokens, self.reserve + self.waiting, 1.0)
         return not self.is_permit and self.burst > used * _EXCESS_FACTOR
 
-    @property
-    def is_changed(self) -> bool:
-        """Whether the ledger should know more than it was last told."""
+    def is_changed(self, now_s: float) -> bool:
+        """Return whether the ledger should know more than it was last told."""
         if self.waiting or self.is_permit or self.is_reduced:
             return True
-        if self.has_excess:
+        if self._is_demand_outdated(now_s):
             return True
         if self.is_on_demand:
             # What is not needed counts as lent until the ledger is told.
             return self.burst > 0 or self.rate_per_s > 0
-        return self.has_arrivals or self.is_low
+        # While the demand decays, so does the share that the holder needs.
+        return self.has_arrivals or self.reserve > 0 or self.has_excess
+
+    def _is_demand_outdated(self, now_s: float) -> bool:
+        change_per_s = abs(self.demand.rate_per_s(now_s) - self.told_per_s)
+        limit_per_s = self.told_per_s * _OUTDATED_DEMAND_FRACTION
+        return change_per_s > max(limit_per_s, _NEGLIGIBLE_DEMAND_PER_S)
 
     def report(self, resource: str, now_s: float) -> Holding:
         """Return empty burst to the ledger and report what is kept.
@@ -146,6 +157,7 @@
         """
         self.has_arrivals = False
         self.is_reduced = False
+        self.told_per_s = self.demand.rate_per_s(now_s)
         demand_per_s = self._demand_per_s(now_s)
         self.reserve = _reserve_for(self.reserve_demand.rate_per_s(now_s))
         if self.is_permit:
--- a/oleanderpin/limits/holder.py
+++ b/oleanderpin/limits/holder.py
@@ -118,8 +118,9 @@
     def has_changes(self) -> bool:
         """Return whether the next renewal lists any resource."""
         with self._lock:
-            return not self._may_be_partial(self._update_now()) or any(
-                bucket.is_changed for bucket in self._buckets.values()
+            now_s = self._update_now()
+            return not self._may_be_partial(now_s) or any(
+                bucket.is_changed(now_s) for bucket in self._buckets.values()
             )
 
     def exhausted_age_s(self, resource: str) -> float | None:
@@ -193,7 +194,7 @@
                 holdings=tuple(
                     bucket.report(resource, now_s)
                     for resource, bucket in self._buckets.items()
-                    if bucket.is_changed or not is_partial
+                    if not is_partial or bucket.is_changed(now_s)
                 ),
                 is_leaving=is_leaving,
                 is_partial=is_partial,
