Close the datagram socket after its thread has been told to stop

Cause: stop() cleared the socket field and then sent itself a datagram; the receiving thread, busy with another datagram, saw the cleared field and closed the socket first. Change: stop() closes the socket, after the thread.

--- a/oleanderpin/wire/datagrams.py
+++ b/oleanderpin/wire/datagrams.py
@@ -50,7 +50,7 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop the receiving thread, which closes the socket."""
+        """Stop the receiving thread and close the socket."""
         udp_socket = self._socket
         self._socket = None
         if udp_socket is None or self._thread is None:
@@ -58,6 +58,7 @@
         # An empty datagram unblocks the thread that waits in recvfrom().
         udp_socket.sendto(b'', udp_socket.getsockname())
         self._thread.join(_STOP_TIMEOUT_S)
+        udp_socket.close()
 
     def send(self, address: str, payload: bytes) -> None:
         """Send ``payload`` to a peer address without acknowledgement."""
@@ -73,16 +74,15 @@
         PEER_BYTES.labels('sent').inc(len(payload))
 
     def _receive(self, udp_socket: socket.socket) -> None:
-        with udp_socket:
-            while self._socket is udp_socket:
-                try:
-                    payload, source = udp_socket.recvfrom(_MAX_DATAGRAM_BYTES)
-                except OSError:
-                    # recvfrom() reports ICMP errors of datagrams sent earlier.
-                    EVENTS.labels('wire', 'datagram_failed').inc()
-                    continue
-                if payload:
-                    self._dispatch(f'{source[0]}:{source[1]}', payload)
+        while self._socket is udp_socket:
+            try:
+                payload, source = udp_socket.recvfrom(_MAX_DATAGRAM_BYTES)
+            except OSError:
+                # recvfrom() reports ICMP errors of datagrams sent earlier.
+                EVENTS.labels('wire', 'datagram_failed').inc()
+                continue
+            if payload:
+                self._dispatch(f'{source[0]}:{source[1]}', payload)
 
     def _dispatch(self, address: str, payload: bytes) -> None:
         PEER_BYTES.labels('received').inc(len(payload))
