Give up responses of targets that do not end

Change: limits for the head, the response and all incomplete responses together ([gateway] max_response_head_bytes, max_response_bytes, max_buffered_bytes); beyond them the connection is closed and the attempt ends as too_large, counted by the event response_too_large.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -160,7 +160,8 @@
 
     It listens on the address for callers; ``ready`` is the address of its
     readiness check. ``dialect`` selects the header names that callers and
-    targets use.
+    targets use. ``max_buffered_bytes`` bounds the bodies of requests and, apart
+    from them, the responses of targets that are not complete yet.
     """
 
     ready: Address | None = None
@@ -168,6 +169,8 @@
     max_targets_per_object: Annotated[int, Field(ge=1, le=1000)] = 4
     retry_budget_percent: Annotated[float, Field(ge=0, le=100)] = 10.0
     max_buffered_bytes: Annotated[int, Field(ge=65536)] = 100 * 1024 * 1024
+    max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
+    max_response_head_bytes: Annotated[int, Field(ge=1024)] = 65536
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
     idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 4.0
     grace_s: Annotated[Seconds, Field(ge=0, le=3600)] = 6.0
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -12,6 +12,7 @@
 from ..core.settings import GatewaySettings
 from .messages import TargetFailure, TargetResponse
 from .placement import Candidate
+from .response_budget import ResponseBudget
 from .target_connection import TargetConnection
 
 # Fraction of a target's idle time-out for which a connection is reused; the
@@ -46,6 +47,7 @@
         self._settings = settings
         self._id_header = request_id_header
         self._idle: dict[str, list[TargetConnection]] = {}
+        self.budget = ResponseBudget(settings)
 
     async def send(
         self,
@@ -149,7 +151,9 @@
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
                 transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._id_header), host, int(port)
+                    lambda: TargetConnection(self._id_header, self.budget),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as error:
             raise TargetFailure('no_connection', may_have_run=False) from error
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -115,7 +115,8 @@
     Parameters
     ----------
     result : str
-        ``no_connection``, ``reset``, ``timeout`` or ``bad_answer``.
+        ``no_connection``, ``reset``, ``timeout``, ``bad_answer`` or
+        ``too_large``.
     may_have_run : bool
         Whether any byte of the request may have reached the target.
     """
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -63,6 +63,7 @@
             limits=self._limits,
             max_buffered_bytes=self._settings.max_buffered_bytes,
         )
+        self.response_budget = self._forwarder.pool.budget
         self._readiness_listener = HttpListener(self._serve_readiness)
         self._maintenance_task: asyncio.Task[None] | None = None
 
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -373,7 +373,8 @@
             candidate.health.note_connection_failure(result, now_s)
         else:
             candidate.health.note_failure()
-        outcome = 'reset' if result == 'bad_answer' else result
+        is_unreadable = result in {'bad_answer', 'too_large'}
+        outcome = 'reset' if is_unreadable else result
         self._observe(routed, candidate, outcome, 0.0, None)  # type: ignore[arg-type]
         self._log.write(
             'attempt failed',
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -6,7 +6,9 @@
 
 import httptools
 
+from ..core.metrics import EVENTS
 from .messages import Header, TargetFailure, TargetResponse
+from .response_budget import ResponseBudget
 
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = frozenset((204, 304))
@@ -22,11 +24,17 @@
     ----------
     request_id_header : bytes
         Header in which the target echoes the request id.
+    budget : ResponseBudget
+        Bounds what the target may send.
     """
 
-    def __init__(self, request_id_header: bytes) -> None:
+    def __init__(
+        self, request_id_header: bytes, budget: ResponseBudget
+    ) -> None:
         """Start idle."""
         self._id_header = request_id_header
+        self._budget = budget
+        self._meter = budget.start()
         self._transport: Any = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[TargetResponse] | None = None
@@ -69,6 +77,7 @@
         """
         self._request_id = request_id
         self._is_head = is_head
+        self._meter = self._budget.start()
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(encoded)
         return self._waiter
@@ -88,6 +97,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail('bad_answer')
+        if self._waiter is not None and not self._meter.add(
+            len(data), is_in_head=not self._has_head
+        ):
+            EVENTS.labels('gateway', 'response_too_large').inc()
+            self._fail('too_large')
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection."""
@@ -115,6 +129,7 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
+        self._has_head = True
         names = {name for name, _value in self._headers}
         status = self._parser.get_status_code()
         has_length = bool(names & {b'content-length', b'transfer-encoding'})
@@ -154,6 +169,7 @@
             self._skip_mismatched()
             return
         self._waiter = None
+        self._meter.end()
         self.idle_since_s = time.monotonic()
         response.is_reusable = self._is_reusable(response)
         self.idle_limit_s = keep_alive_timeout_s(response)
@@ -185,6 +201,7 @@
     def _fail(self, result: str) -> None:
         waiter = self._waiter
         self._waiter = None
+        self._meter.end()
         if waiter is not None and not waiter.done():
             waiter.set_exception(TargetFailure(result, may_have_run=True))
         if not self.is_closed:
@@ -196,6 +213,7 @@
         self._body: list[bytes] = []
         self._ends_at_close = False
         self._in_message = False
+        self._has_head = False
 
 
 def keep_alive_timeout_s(response: TargetResponse) -> float:
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -153,6 +153,56 @@
                 message = read_message(connection, buffer)
 
 
+@dataclass(slots=True)
+class EndlessTarget:
+    """Responds with a beginning and then one part again and again.
+
+    ``closed`` is set once the caller has closed a connection; ``sent_bytes``
+    counts what was sent on all connections.
+    """
+
+    beginning: bytes
+    part: bytes
+    port: int = 0
+    sent_bytes: int = 0
+    closed: threading.Event = field(default_factory=threading.Event)
+    _server: socket.socket | None = None
+
+    def start(self) -> 'EndlessTarget':
+        """Listen on a free port."""
+        self._server = socket.create_server(('127.0.0.1', 0))
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def stop(self) -> None:
+        """Close the listening socket."""
+        if self._server is not None:
+            self._server.close()
+
+    def _accept(self) -> None:
+        while self._server is not None:
+            try:
+                connection, _address = self._server.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            read_message(connection, bytearray())
+            sent = self.beginning
+            try:
+                while True:
+                    connection.sendall(sent)
+                    self.sent_bytes += len(sent)
+                    sent = self.part
+            except OSError:
+                self.closed.set()
+
+
 @dataclass(slots=True)
 class GatewayFixture:
     """A running gateway that is the only member of its control group."""
@@ -177,8 +227,16 @@
         """Return the number of body bytes that the gateway buffers."""
         return self.kernel.plugin(Gateway).listener.buffered_bytes
 
+    def buffered_response_bytes(self) -> int:
+        """Return the number of bytes of incomplete responses."""
+        return self.kernel.plugin(Gateway).response_budget.total_bytes
+
     def announce(
-        self, target: ScriptedHttpTarget, name: str, *, service: str = 'desk'
+        self,
+        target: ScriptedHttpTarget | EndlessTarget,
+        name: str,
+        *,
+        service: str = 'desk',
     ) -> None:
         """Announce a target in the gateway's own failure domain."""
         self.kernel.plugin(TargetTable).announce(
