--- /dev/null
+++ b/oleanderpin/testing/power.py
@@ -0,0 +1,85 @@
+"""Loss of power: files keep only what was synced."""
+
+import os
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+
+class SyncedFiles:
+    """Contents of files when they were last synced.
+
+    Replaces ``os.fsync`` while it is used as a context manager. A new file is
+    durable with its own sync; a changed name is once its folder is synced.
+
+    Parameters
+    ----------
+    root : Path
+        Folder below which syncs are recorded.
+    """
+
+    def __init__(self, root: Path) -> None:
+        """Start without recorded files."""
+        self._root = root
+        self._lock = threading.Lock()
+        self._fsync: Callable[[int], None] = os.fsync
+        self._contents: dict[int, bytes] = {}
+        self._inodes: dict[Path, int] = {}
+
+    def __enter__(self) -> 'SyncedFiles':
+        """Start recording."""
+        os.fsync = self._record  # type: ignore[assignment]
+        return self
+
+    def __exit__(self, *_details: object) -> None:
+        """Stop recording."""
+        os.fsync = self._fsync  # type: ignore[assignment]
+
+    def contents(self) -> dict[Path, bytes]:
+        """Return what the files would hold if power were lost now."""
+        with self._lock:
+            return {
+                path: self._contents[inode]
+                for path, inode in self._inodes.items()
+            }
+
+    def _record(self, descriptor: int) -> None:
+        self._fsync(descriptor)
+        path = Path(os.readlink(f'/proc/self/fd/{descriptor}'))
+        if not path.is_relative_to(self._root):
+            return
+        with self._lock:
+            if path.is_dir():
+                self._record_folder(path)
+            else:
+                inode = os.fstat(descriptor).st_ino
+                self._contents[inode] = path.read_bytes()
+                self._inodes.setdefault(path, inode)
+
+    def _record_folder(self, folder: Path) -> None:
+        existing = {path: path.stat().st_ino for path in folder.iterdir()}
+        for path in list(self._inodes):
+            if path.parent == folder:
+                self._inodes.pop(path)
+        for path, inode in existing.items():
+            if inode in self._contents:
+                self._inodes[path] = inode
+
+
+def lose_power(contents: dict[Path, bytes], folder: Path) -> None:
+    """Set the files of a folder to what was synced.
+
+    Parameters
+    ----------
+    contents : dict
+        Contents by path, as returned by `SyncedFiles.contents`.
+    folder : Path
+        The folder of one instance.
+    """
+    for path in folder.rglob('*'):
+        if path.is_file() and path not in contents:
+            path.unlink()
+    for path, content in contents.items():
+        if path.is_relative_to(folder):
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_bytes(content)
