Let the first homes of objects follow targets that announce themselves late

Cause (class: a decision that is fixed while the knowledge behind it is incomplete): a gateway estimates from the slots of all regions where objects have their homes and keeps the estimate after 20 requests. When the targets of its own region are announced first, it keeps all objects at home, and the limit on changes (2.5% a second) then holds the overload. Change: for the first 5 s the estimate follows the targets that are announced.

--- a/oleanderpin/gateway/region_split.py
+++ b/oleanderpin/gateway/region_split.py
@@ -31,6 +31,9 @@
 _ASSUMED_LOAD = 0.6
 # Number of requests after which the measured load is meaningful.
 _MIN_REQUESTS = 20
+# After a restart of all instances the targets announce themselves again one
+# after another; the estimate follows them for this long.
+_ANNOUNCEMENTS_S = 5.0
 _LOAD_TIME_CONSTANT_S = 1.5
 # Fraction of requests that may leave their home region for lack of capacity.
 _MAX_OVERFLOW_FRACTION = 0.08
@@ -122,6 +125,8 @@
         self.shares = {own_region: 1.0}
         self.own_region = own_region
         self._reported_shares = self.shares
+        self._started_s = now_s
+        self._estimated_slots: dict[str, float] = {}
         self._capacities: dict[str, RegionCapacity] = {}
         self._updated_s = now_s
         self._placed_requests = 0
@@ -196,17 +201,22 @@
             for region, change in changes.items()
         }
 
-    def estimate_from_slots(self, slots: Mapping[str, float]) -> None:
-        """Choose the shares before the first requests, from the slots alone.
+    def estimate_from_slots(
+        self, slots: Mapping[str, float], now_s: float
+    ) -> None:
+        """Choose the first shares from the slots alone.
 
         Parameters
         ----------
         slots : mapping of str to float
             Slots by region; the same demand is assumed from the callers of
             each.
+        now_s : float
+            Monotonic time.
         """
-        if self._placed_requests >= _MIN_REQUESTS or not any(slots.values()):
+        if not any(slots.values()) or not self._is_estimate_due(slots, now_s):
             return
+        self._estimated_slots = dict(slots)
         demand = _ASSUMED_LOAD * sum(slots.values()) / len(slots)
         own_slots = slots.get(self.own_region, 0.0)
         load = demand / own_slots if own_slots else math.inf
@@ -235,6 +245,14 @@
                 own_slots, demand * local_share
             )
 
+    def _is_estimate_due(
+        self, slots: Mapping[str, float], now_s: float
+    ) -> bool:
+        if self._placed_requests < _MIN_REQUESTS:
+            return True
+        is_starting = now_s - self._started_s < _ANNOUNCEMENTS_S
+        return is_starting and slots != self._estimated_slots
+
     def note_target_loss(self, now_s: float) -> None:
         """Record that targets of the own region were lost."""
         self._targets_lost_s = now_s
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -112,7 +112,7 @@
         now_s : float
             Monotonic time.
         """
-        self.split.estimate_from_slots(self.slots)
+        self.split.estimate_from_slots(self.slots, now_s)
         capacities = {}
         for region, slots in self.slots.items():
             if fleet is not None:
--- a/oleanderpin/tests/gateway/test_region_split.py
+++ b/oleanderpin/tests/gateway/test_region_split.py
@@ -36,7 +36,7 @@
         self.splits = {region: RegionSplit(region, 0.0) for region in SLOTS}
         self.now_s = 0.0
         for split in self.splits.values():
-            split.estimate_from_slots(SLOTS)
+            split.estimate_from_slots(SLOTS, 0.0)
             for _request in range(50):
                 split.note_placed(0.0, leaves=False)
 
@@ -115,11 +115,11 @@
 def test_new_instance_divides_by_slots() -> None:
     """Guards against a start at which all objects of a small region stay."""
     split = RegionSplit('central', 0.0)
-    split.estimate_from_slots(SLOTS)
+    split.estimate_from_slots(SLOTS, 0.0)
     assert split.local_share < 0.7
     assert sum(split.shares.values()) == pytest.approx(1.0)
     large = RegionSplit('north', 0.0)
-    large.estimate_from_slots(SLOTS)
+    large.estimate_from_slots(SLOTS, 0.0)
     assert large.shares.get('central', 0.0) == 0
 
 
@@ -167,3 +167,33 @@
         left += leaves
         split.note_placed(now_s, leaves=leaves)
     assert left <= 150
+
+
+def test_first_shares_follow_targets_that_announce_themselves_late() -> None:
+    """Guards against an overload that lasts after a restart of all instances.
+
+    A gateway of a small region that knew only its own region's targets when
+    its first requests came kept all objects there, and the limit on changes
+    held them for half a minute.
+    """
+    split = RegionSplit('central', 0.0)
+    split.estimate_from_slots({'central': SLOTS['central']}, 0.1)
+    assert split.local_share == 1.0
+    for _request in range(50):
+        split.note_placed(0.2, leaves=False)
+    split.estimate_from_slots(SLOTS, 1.5)
+    expected = RegionSplit('central', 0.0)
+    expected.estimate_from_slots(SLOTS, 0.0)
+    assert split.shares == expected.shares
+    assert split.local_share < 0.6
+
+
+def test_first_shares_stay_once_all_targets_had_time_to_announce() -> None:
+    """Guards against a jump of traffic when targets are added later."""
+    split = RegionSplit('central', 0.0)
+    split.estimate_from_slots(SLOTS, 0.0)
+    for _request in range(50):
+        split.note_placed(0.2, leaves=False)
+    shares = split.shares
+    split.estimate_from_slots(SLOTS | {'south': 540.0}, 20.0)
+    assert split.shares == shares
