--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 
 BENCHES := forwarding gateway lookup distribution log_restart
 MEASURES := limits routing moves overload
-# A seed that ever failed stays here, with a line on its cause.
-SOAK_SEEDS := 1 2
+# A seed that ever failed stays here. 3: a change was 2.6 s late behind a paused
+# relay.
+SOAK_SEEDS := 1 2 3
 CAPACITIES := idle lookup membership distribution targets limits loads peer_cost
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
