Reset the connection of a request that was given up

Cause: the gateway closed the connection without a reset, so the kernel kept the request and delivered it once the cut ended. Change: a close with a request in progress resets the connection. Evidence: the test fails before (the target gets the whole request).

--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -1,6 +1,8 @@
 """Client side of an HTTP/1.1 connection to a target, without pipelining."""
 
 import asyncio
+import socket
+import struct
 import time
 from typing import Any
 
@@ -12,6 +14,8 @@
 
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = frozenset((204, 304))
+# Linger is on, for zero seconds.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class TargetConnection(asyncio.Protocol):
@@ -83,10 +87,20 @@
         return self._waiter
 
     def close(self) -> None:
-        """Abort the connection; a request in progress fails."""
+        """Abort the connection; a request in progress fails.
+
+        The connection is reset then, because the kernel may otherwise deliver
+        the request long after the caller has got its answer.
+        """
         self.is_closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        connected = self._transport.get_extra_info('socket')
+        if self._waiter is not None and not self._transport.is_closing():
+            connected.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close on bytes outside of a request."""
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -141,16 +141,23 @@
             ).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        buffer = bytearray()
         with connection:
+            try:
+                self._respond(connection)
+            except ConnectionResetError:
+                # The gateway has given up a request.
+                return
+
+    def _respond(self, connection: socket.socket) -> None:
+        buffer = bytearray()
+        message = read_message(connection, buffer)
+        while message:
+            self.requests.append(message)
+            response = self.script(message)
+            if not response:
+                return
+            connection.sendall(response)
             message = read_message(connection, buffer)
-            while message:
-                self.requests.append(message)
-                response = self.script(message)
-                if not response:
-                    return
-                connection.sendall(response)
-                message = read_message(connection, buffer)
 
 
 @dataclass(slots=True)
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -1,5 +1,6 @@
 """End-to-end tests of a gateway over loopback."""
 
+import socket
 from pathlib import Path
 
 import pytest
@@ -210,3 +211,25 @@
     (response,) = gateway.ask(request_bytes())
     assert status_of(response) == 503
     assert header_of(response, b'retry-after')
+
+
+def test_request_that_was_given_up_is_not_delivered_later(
+    gateway: GatewayFixture,
+) -> None:
+    """Guards against a request that a target gets after its caller's answer.
+
+    A cut between gateway and target ended after the target had been told that
+    no more requests would come.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        target = ScriptedHttpTarget(port=server.getsockname()[1])
+        gateway.announce(target, 't1')
+        request = request_bytes(
+            method='POST', body=bytes(300_000), deadline_ms=300
+        )
+        (response,) = gateway.ask(request)
+        assert status_of(response) == 504
+        connection, _address = server.accept()
+        with connection, pytest.raises(ConnectionResetError):
+            while connection.recv(65536):
+                pass
