Try control instances right after the relays of a failure domain

Change: control instances take turns with the other gateways once the relays have failed. Evidence: the test fails before (a control instance came sixth).

--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -4,6 +4,7 @@
 instances watch the relays, which limits the number of watchers of the leader.
 """
 
+import itertools
 from collections.abc import Iterable
 
 import xxhash
@@ -122,13 +123,19 @@
             *fallback_addresses[:_MAX_FALLBACKS],
         ]
     else:
+        # Relays of a domain often fail together with its other instances.
         ordered = [
             *relay_addresses,
-            *fallback_addresses[:_MAX_FALLBACKS],
-            *control,
+            *_alternate(control, fallback_addresses[:_MAX_FALLBACKS]),
         ]
     return [
         address
         for address in dict.fromkeys(ordered)
         if address != own.peer_address
     ]
+
+
+def _alternate(first: list[str], second: list[str]) -> list[str]:
+    """Return the items of both lists in turn, beginning with ``first``."""
+    pairs = itertools.zip_longest(first, second, fillvalue='')
+    return [each for pair in pairs for each in pair if each]
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -401,3 +401,18 @@
     assert len(relays('a', remaining)) == 2
     draining = [peer('c', 'c', draining=True), peer('d', 'c')]
     assert [each.name for each in relays('c', draining)] == ['d']
+
+
+def test_control_is_tried_right_after_the_relays() -> None:
+    """Guards against a change that waits for many lost peers in turn.
+
+    A gateway whose relays had lost power tried three other instances of its
+    failure domain, which had lost power too, before a control instance.
+    """
+    peers = [peer(f'a{number}', 'a') for number in range(9)]
+    chosen = relays('a', peers)
+    own = next(each for each in peers if each not in chosen)
+    ordered = sources(own, peers, ['c1', 'c2', 'c3'])
+    assert set(ordered[:2]) == {each.peer_address for each in chosen}
+    assert ordered[2] == 'c1'
+    assert ordered.index('c2') <= 4
