--- a/oleanderpin/core/process_usage.py
+++ b/oleanderpin/core/process_usage.py
@@ -144,7 +144,6 @@
         """Check for stalls and log the usage until the instance stops."""
         logged_s = time.monotonic()
         used_before: dict[str, float] = {}
-        process_s = time.process_time()
         while True:
             started_s = time.monotonic()
             if not self.kernel.wait_while_running(_CHECK_INTERVAL_S):
@@ -160,15 +159,13 @@
             if now_s - logged_s < _LOG_INTERVAL_S:
                 continue
             used_s, counts = USAGE.sample()
-            total_s = time.process_time()
             _log_usage(
                 used_s,
                 used_before,
                 interval_s=now_s - logged_s,
-                process_s=total_s - process_s,
                 thread_count=sum(counts.values()),
             )
-            logged_s, used_before, process_s = now_s, used_s, total_s
+            logged_s, used_before = now_s, used_s
 
 
 def _log_usage(
@@ -176,7 +173,6 @@
     used_before: dict[str, float],
     *,
     interval_s: float,
-    process_s: float,
     thread_count: int,
 ) -> None:
     spent_ms = Counter(
@@ -189,7 +185,7 @@
         'processor time used',
         extra={
             'interval_ms': int(interval_s * 1000),
-            'process_ms': int(process_s * 1000),
+            'used_ms': spent_ms.total(),
             'threads': thread_count,
             'by_group_ms': dict(spent_ms.most_common(_LOGGED_GROUPS)),
         },
