Lend tokens on demand as whole tokens only

Cause (class: a resource split so that no one can use it): when more gateways wait for an account than it has tokens, each renewal got the fraction of a token that had been earned since the last one; requests gave up with a part of a token, which went back and was split again. Change: the pool completes whole tokens and otherwise lends nothing.

--- a/oleanderpin/limits/pool.py
+++ b/oleanderpin/limits/pool.py
@@ -17,6 +17,7 @@
 _EXHAUSTED_FRACTION = 0.95
 # Bursts of a caller within its rate must not look like exhausting demand.
 _DEMAND_TIME_CONSTANT_S = 1.5
+_ROUNDING_ERROR_TOKENS = 1e-9
 # Fraction of the burst lent as reserves; the rest stays available for bursts at
 # any holder.
 _RESERVE_FRACTION = 0.5
@@ -200,6 +201,9 @@
             burst = min(burst, share.burst)
         # Tokens in transit must fit on top of all that the holder may have.
         given = min(self.tokens, max(0.0, burst - share.burst))
+        if self.is_on_demand:
+            given = _part_that_completes(share.burst, given)
+            burst = min(burst, share.burst + given)
         self.tokens -= given
         share.given += given
         self.set_lent(
@@ -208,3 +212,12 @@
             max(share.burst, burst),
         )
         return Quota(rate_per_s, burst)
+
+
+def _part_that_completes(held: float, available: float) -> float:
+    """Return how much of ``available`` makes whole tokens of what is held.
+
+    A fraction of a token is useless to its holder and missing at the others.
+    """
+    whole = math.floor(held + available + _ROUNDING_ERROR_TOKENS)
+    return min(available, max(0.0, whole - held))
--- a/oleanderpin/tests/limits/test_small_accounts.py
+++ b/oleanderpin/tests/limits/test_small_accounts.py
@@ -258,3 +258,18 @@
     assert not claim.is_partial
     assert using.apply(second.renew(claim))
     assert second.lent(ACCOUNT).rate_per_s >= using.held(ACCOUNT)[0] > 0
+
+
+@pytest.mark.parametrize('demand_factor', [1.0, 1.3, 2.0])
+def test_busy_account_is_served_up_to_its_rate(demand_factor: float) -> None:
+    """Guards against tokens lent in fractions that no request can use.
+
+    With many instances waiting, each got a part of a token with each renewal,
+    and most requests gave up before theirs was whole.
+    """
+    rate_per_s = 20.0
+    fleet = Fleet(66, Quota(rate_per_s, rate_per_s))
+    arrivals = poisson(66, rate_per_s * demand_factor, seed=3)
+    fleet.run(arrivals)
+    served_per_s = len(fleet.admitted_s) / RUN_S
+    assert served_per_s >= 0.9 * rate_per_s
