Count the time between share renewals from request to request

Cause (suspected of the short failure domains far from the control leader): the pause between renewals began with the answer, so that an instance 55 ms away renewed every 0.25 s where a near one renewed every 0.13 s, and asked for tokens half as often. Change: the interval counts from request to request, with a minimum of 10 ms after an answer. Evidence: the test; with the pause after the answer, intervals of 11 holders were 0.053 and 0.165 s, of 66 holders 0.135 and 0.247 s.

--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -12,9 +12,10 @@
 from oleanderpin.limits.messages import Quota
 from oleanderpin.limits.shares import (
     COLLECT_S,
-    EARLY_GAP_S,
+    EARLY_INTERVAL_S,
     EXHAUSTED_VALID_S,
     LOW_GAP_S,
+    MIN_GAP_S,
 )
 from oleanderpin.testing import ManualClock
 
@@ -256,7 +257,10 @@
         """Renew as soon as the gap between renewals allows."""
         if not self.is_asking[index]:
             self.is_asking[index] = True
-            soonest_s = self.answered_s[index] + EARLY_GAP_S
+            soonest_s = max(
+                self.answered_s[index] + MIN_GAP_S,
+                self.sent_s[index] + EARLY_INTERVAL_S,
+            )
             due_s = max(self.now_s() + COLLECT_S, soonest_s)
             self.at(due_s, self.send, index)
 
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -21,9 +21,11 @@
 _LOG = logging.getLogger(__name__)
 _CALL_TIMEOUT_S = 1.0
 _LEAVE_TIMEOUT_S = 0.5
-# Minimum time between two renewals for waiting requests. Large fleets leave
-# more time, so that the leader answers a limited number of renewals.
-EARLY_GAP_S = 0.05
+# Minimum time between two renewals for waiting requests, from request to
+# request and from an answer to the next request. Large fleets leave more time,
+# so that the leader answers a limited number of renewals.
+EARLY_INTERVAL_S = 0.06
+MIN_GAP_S = 0.01
 _MAX_EARLY_RENEWALS_PER_S = 500
 # Renewals in the time of one lease while nothing changes.
 _RENEWALS_PER_LEASE = 4
@@ -257,7 +259,10 @@
             self._track_accounts()
             if self._is_renewal_needed():
                 self._renew()
-            gap_s = self._early_gap_s()
+            gap_s = early_gap_s(
+                len(self._view.state.share_holders),
+                self.kernel.clock.now_s() - self._last_renewal_s,
+            )
             if self.kernel.wait_while_running(gap_s):
                 interval_s = self._interval_s(gap_s)
 
@@ -269,10 +274,6 @@
             self._holder.has_changes() or age_s > lease_s / _RENEWALS_PER_LEASE
         )
 
-    def _early_gap_s(self) -> float:
-        holder_count = len(self._view.state.share_holders)
-        return max(EARLY_GAP_S, holder_count / _MAX_EARLY_RENEWALS_PER_S)
-
     def _interval_s(self, gap_s: float) -> float:
         if self._holder.is_renewal_urgent():
             return 0.0
@@ -325,3 +326,20 @@
     return {
         name for name, account in accounts.items() if account.rate_per_s > 0
     }
+
+
+def early_gap_s(holder_count: int, elapsed_s: float) -> float:
+    """Return the time until the next renewal may be sent.
+
+    It counts from the last request, not from its answer: otherwise instances
+    far from the leader would get fewer tokens than near ones.
+
+    Parameters
+    ----------
+    holder_count : int
+        Number of instances that renew at the leader.
+    elapsed_s : float
+        Time since the last request, in seconds.
+    """
+    interval_s = max(EARLY_INTERVAL_S, holder_count / _MAX_EARLY_RENEWALS_PER_S)
+    return max(MIN_GAP_S, interval_s - elapsed_s)
--- a/oleanderpin/tests/limits/test_limiter.py
+++ b/oleanderpin/tests/limits/test_limiter.py
@@ -14,7 +14,7 @@
 from ...limits.allocator import ShareAllocator
 from ...limits.limiter import RateLimiter
 from ...limits.messages import Quota
-from ...limits.shares import ShareHolder
+from ...limits.shares import ShareHolder, early_gap_s
 from ...testing import ManualClock
 from ...wire.generated.common.ttypes import NotLeader
 
@@ -218,3 +218,15 @@
     instance.shares.stop()
     assert instance.allocator._ledger.lent('account/shop') == Quota(0, 0)
     assert instance.allocator._ledger.tokens('account/shop') == SHOP.burst
+
+
+def test_distance_from_the_leader_does_not_lower_the_rate_of_renewals() -> None:
+    """Guards against a region whose requests wait longer for their tokens."""
+    near_s, far_s = 0.003, 0.115
+    for holder_count in (11, 66):
+        intervals = [
+            round_trip_s + early_gap_s(holder_count, round_trip_s)
+            for round_trip_s in (near_s, far_s)
+        ]
+        assert max(intervals) <= max(far_s + 0.02, min(intervals))
+    assert early_gap_s(530, near_s) > 1.0
