Give sources of the control state a second beyond the hold time

Change: 1 s again; the hold time stays 0.5 s, so that a silent relay costs 1.5 s (test bound 2 s). Open: two sources that are silent one after the other.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -17,7 +17,9 @@
 from .view import ControlView
 
 _LOG = logging.getLogger(__name__)
-_CALL_MARGIN_S = 0.5
+# Longer than a round trip on a link whose queue is half a second long in both
+# directions.
+_CALL_MARGIN_S = 1.0
 # Fraction of the freshness limit from which on a source counts as outdated. In
 # a fleet without faults a relay's copy is younger than two hold times.
 OUTDATED_FRACTION = 0.25
