--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,12 @@
     parser.add_argument('--count', type=int, default=0, help='fresh seeds')
     parser.add_argument('--duration', type=float, default=30.0, help='seconds')
     parser.add_argument('--keep', type=Path, help='folder for logs')
+    parser.add_argument(
+        '--network',
+        default='127.80',
+        help='first two numbers of the loopback addresses; another one for '
+        'each soak that runs at the same time',
+    )
     parsed = parser.parse_args()
     fresh = [secrets.randbelow(_MAX_SEED) for _each in range(parsed.count)]
     failed = []
@@ -40,7 +46,7 @@
                 seed,
                 duration_s=parsed.duration,
                 folder=folder,
-                network=f'127.80.{number % _NETWORKS}',
+                network=f'{parsed.network}.{number % _NETWORKS}',
             )
         print(
             f'seed {seed}: {len(seen.confirmed)} changes, '
