--- a/oleanderpin/limits/holder.py
+++ b/oleanderpin/limits/holder.py
@@ -67,7 +67,7 @@
         """List all resources with the next renewal.
 
         Only such a renewal tells the ledger which resources are no longer
-        tracked, and the holder of idle resources what has become of them.
+        tracked, and this holder what has changed for idle ones.
         """
         with self._lock:
             self._last_full_s = float('-inf')
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -5,8 +5,9 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Self
 
 from ..control.authority import hash_key
 from ..control.configuration import (
@@ -106,19 +107,15 @@
     return message
 
 
-@dataclass(slots=True)
-class ScriptedHttpTarget:
-    """Responds to each request with the bytes that a script returns.
-
-    An empty result closes the connection without a response.
-    """
+class LoopbackTarget:
+    """Accepts connections on a free port and serves each in a thread."""
 
-    script: Script = answer_bytes
-    requests: list[bytes] = field(default_factory=list)
-    port: int = 0
-    _server: socket.socket | None = None
+    def __init__(self, *, port: int = 0) -> None:
+        """Store the port of a listener that is not this one, if given."""
+        self.port = port
+        self._server: socket.socket | None = None
 
-    def start(self) -> 'ScriptedHttpTarget':
+    def start(self) -> Self:
         """Listen on a free port."""
         self._server = socket.create_server(('127.0.0.1', 0))
         self.port = self._server.getsockname()[1]
@@ -130,6 +127,10 @@
         if self._server is not None:
             self._server.close()
 
+    def serve(self, connection: socket.socket) -> None:
+        """Serve one connection until it is closed."""
+        raise NotImplementedError
+
     def _accept(self) -> None:
         while self._server is not None:
             try:
@@ -143,12 +144,26 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection:
             try:
-                self._respond(connection)
-            except ConnectionResetError:
+                self.serve(connection)
+            except ConnectionError:
                 # The gateway has given up a request.
                 return
 
-    def _respond(self, connection: socket.socket) -> None:
+
+class ScriptedHttpTarget(LoopbackTarget):
+    """Responds to each request with the bytes that a script returns.
+
+    An empty result closes the connection without a response.
+    """
+
+    def __init__(self, script: Script = answer_bytes, *, port: int = 0) -> None:
+        """Start without requests."""
+        super().__init__(port=port)
+        self.script = script
+        self.requests: list[bytes] = []
+
+    def serve(self, connection: socket.socket) -> None:
+        """Respond to one request after the other."""
         buffer = bytearray()
         message = read_message(connection, buffer)
         while message:
@@ -160,54 +175,28 @@
             message = read_message(connection, buffer)
 
 
-@dataclass(slots=True)
-class EndlessTarget:
+class EndlessTarget(LoopbackTarget):
     """Responds with a beginning and then one part again and again.
 
-    ``closed`` is set once the caller has closed a connection; ``sent_bytes``
-    counts what was sent on all connections.
+    ``closed`` is set once the caller has closed a connection.
     """
 
-    beginning: bytes
-    part: bytes
-    port: int = 0
-    sent_bytes: int = 0
-    closed: threading.Event = field(default_factory=threading.Event)
-    _server: socket.socket | None = None
-
-    def start(self) -> 'EndlessTarget':
-        """Listen on a free port."""
-        self._server = socket.create_server(('127.0.0.1', 0))
-        self.port = self._server.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-        return self
+    def __init__(self, beginning: bytes, part: bytes) -> None:
+        """Store what to send."""
+        super().__init__()
+        self.closed = threading.Event()
+        self._beginning = beginning
+        self._part = part
 
-    def stop(self) -> None:
-        """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
-
-    def _accept(self) -> None:
-        while self._server is not None:
-            try:
-                connection, _address = self._server.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
-            ).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        with connection:
-            read_message(connection, bytearray())
-            sent = self.beginning
-            try:
-                while True:
-                    connection.sendall(sent)
-                    self.sent_bytes += len(sent)
-                    sent = self.part
-            except OSError:
-                self.closed.set()
+    def serve(self, connection: socket.socket) -> None:
+        """Send until the caller closes the connection."""
+        read_message(connection, bytearray())
+        try:
+            connection.sendall(self._beginning)
+            while True:
+                connection.sendall(self._part)
+        finally:
+            self.closed.set()
 
 
 @dataclass(slots=True)
@@ -240,7 +229,7 @@
 
     def announce(
         self,
-        target: ScriptedHttpTarget | EndlessTarget,
+        target: LoopbackTarget,
         name: str,
         *,
         service: str = 'desk',
