Log bytes and times of requests by part, and estimates behind a refusal

Cause: no log line tells a full link from a wait for a token or for a connection, a refusal as busy does not tell which estimate rejected the targets, and a request that a drain leaves behind is not logged.

Change: a line each two seconds with bytes by leg and mean times by part (also as metrics), the estimates of the best target in a refusal, and a line for each connection that a drain does not finish. No decision changes.

--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -23,6 +23,17 @@
     ['service'],
     buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
 )
+REQUEST_PART_S = Histogram(
+    'oleanderpin_request_part_seconds',
+    'Time of a request waiting for its rate, for a connection, for a target.',
+    ['part'],
+    buckets=(0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
+)
+GATEWAY_BYTES = Counter(
+    'oleanderpin_gateway_bytes_total',
+    'Bytes of requests and responses by leg.',
+    ['leg'],
+)
 LOOKUPS = Counter(
     'oleanderpin_lookups_total', 'Answered look-ups by service.', ['service']
 )
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -10,6 +10,7 @@
 import httptools
 
 from .messages import CallerRequest, Response
+from .traffic import TrafficMeter
 
 _MAX_PIPELINED_REQUESTS = 256
 _REASON_PHRASES = {
@@ -31,6 +32,7 @@
 
     connections: set['CallerConnection']
     is_draining: bool
+    meter: TrafficMeter
     # Bytes of bodies held for requests that have no response yet.
     buffered_bytes: int
 
@@ -88,6 +90,17 @@
         """Whether there is no partly read request and no pending response."""
         return not self._pending and self._request is None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the kernel has not taken yet."""
+        return int(self._transport.get_write_buffer_size())
+
+    @property
+    def pending_ages_s(self) -> list[float]:
+        """Times since the requests without a response were received."""
+        now_s = time.monotonic()
+        return [now_s - each.request.received_s for each in self._pending]
+
     def connection_made(self, transport: Any) -> None:
         """Register with the listener and start the idle time-out."""
         self._transport = transport
@@ -125,6 +138,7 @@
         if self._is_closing:
             return
         self._last_activity_s = time.monotonic()
+        self._listener.meter.add_bytes('from_callers', len(data))
         if self._request is None or self._in_headers:
             self._header_bytes += len(data)
         try:
@@ -225,7 +239,9 @@
             self._start_timer(self._listener.limits().idle_timeout_s)
 
     def _write(self, response: Response, *, closes: bool) -> None:
-        self._transport.write(encode_response(response, closes=closes))
+        encoded = encode_response(response, closes=closes)
+        self._listener.meter.add_bytes('to_callers', len(encoded))
+        self._transport.write(encoded)
 
     def _adjust_buffered(self, change_bytes: int) -> None:
         self._buffered_bytes += change_bytes
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -14,6 +14,7 @@
 from .placement import Candidate
 from .response_budget import ResponseBudget
 from .target_connection import TargetConnection
+from .traffic import TrafficMeter
 
 # Fraction of a target's idle time-out for which a connection is reused; the
 # rest is the margin for messages in transit.
@@ -38,12 +39,18 @@
         Time-outs.
     request_id_header : bytes
         Header in which targets echo the request id.
+    traffic : TrafficMeter
+        Counts bytes and times.
     """
 
     def __init__(
-        self, settings: GatewaySettings, request_id_header: bytes
+        self,
+        settings: GatewaySettings,
+        request_id_header: bytes,
+        traffic: TrafficMeter,
     ) -> None:
         """Start without connections."""
+        self._traffic = traffic
         self._settings = settings
         self._id_header = request_id_header
         self._idle: dict[str, list[TargetConnection]] = {}
@@ -83,7 +90,10 @@
         if connection is None:
             started_s = time.monotonic()
             connection = await self._connect(address)
-            candidate.health.note_connected(time.monotonic() - started_s)
+            connected_s = time.monotonic() - started_s
+            candidate.health.note_connected(connected_s)
+            self._traffic.add_time('connect', connected_s)
+        sent_s = time.monotonic()
         try:
             response = await connection.send(
                 request_id, encode(), is_head=is_head
@@ -91,6 +101,7 @@
         except BaseException:
             connection.close()
             raise
+        self._traffic.add_time('target', time.monotonic() - sent_s)
         self._release(address, connection)
         return response
 
@@ -151,7 +162,9 @@
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
                 transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._id_header, self.budget),
+                    lambda: TargetConnection(
+                        self._id_header, self.budget, self._traffic
+                    ),
                     host,
                     int(port),
                 )
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -7,6 +7,7 @@
 
 from .caller_connection import CallerConnection
 from .messages import CallerRequest, Response
+from .traffic import TrafficMeter
 
 _BACKLOG = 1024
 _MAX_BUFFERED_BYTES = 67108864
@@ -36,6 +37,8 @@
         Returns the limits in force.
     max_buffered_bytes : int
         Limit on the bytes of bodies buffered for all connections.
+    meter : TrafficMeter, optional
+        Counts the bytes of the connections.
     """
 
     def __init__(
@@ -44,9 +47,11 @@
         *,
         limits: Callable[[], Any] = StaticLimits,
         max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
+        meter: TrafficMeter | None = None,
     ) -> None:
         """Prepare the listener; `listen` opens the address."""
         self.buffered_bytes = 0
+        self.meter = meter or TrafficMeter()
         self._max_buffered_bytes = max_buffered_bytes
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
@@ -70,6 +75,10 @@
         if self._server is not None:
             self._server.close()
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the kernel has not taken yet."""
+        return sum(each.unsent_bytes for each in self.connections)
+
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections):
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -91,12 +91,24 @@
 class Placement:
     """The chosen candidate, or the reason why there is none.
 
-    ``wait_s`` is the expected wait for a slot.
+    ``wait_s`` is the expected wait for a slot and ``response_s`` the expected
+    time of the response, both of the best one of the ``compared`` candidates.
     """
 
     candidate: Candidate | None
     reject_reason: RejectReason = 'no_target'
     wait_s: float = 0.0
+    response_s: float = 0.0
+    compared: int = 0
+
+    def describe(self, needs: Needs) -> str:
+        """Return the estimates behind a rejection, for logs."""
+        return (
+            f'{self.reject_reason}, {self.compared} targets compared, '
+            f'expected wait {int(self.wait_s * 1000)} ms of '
+            f'{int(needs.most_wait_s * 1000)} ms, response in '
+            f'{int(self.response_s * 1000)} ms of {int(needs.left_s * 1000)} ms'
+        )
 
 
 def order_candidates(
@@ -170,10 +182,13 @@
     best = search.best
     if best is None:
         return Placement(None, search.reject_reason)
+    compared = search.compared
     wait_s = best.health.wait_s(needs.usual_s or _DEFAULT_WORK_S, now_s)
     if search.best_s > needs.left_s or wait_s > needs.most_wait_s:
-        return Placement(None, 'busy', wait_s)
-    return Placement(best, wait_s=wait_s)
+        return Placement(None, 'busy', wait_s, search.best_s, compared)
+    return Placement(
+        best, wait_s=wait_s, response_s=search.best_s, compared=compared
+    )
 
 
 @dataclass(slots=True)
@@ -186,6 +201,7 @@
     sharers: KnownGateways
     best: Candidate | None = None
     best_s: float = float('inf')
+    compared: int = 0
     reject_reason: RejectReason = 'no_target'
 
     def compare(self, group: Sequence[Candidate], *, is_home: bool) -> None:
@@ -198,6 +214,7 @@
                 continue
             self._consider(candidate, is_preferred=is_home and not compared)
             compared += 1
+            self.compared += 1
             if compared >= self.replicas:
                 return
 
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -14,6 +14,7 @@
 from ..core.metrics import REQUEST_DURATION_S, REQUESTS
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
+from .connection_pool import ConnectionPool
 from .dialect import dialects
 from .known_gateways import KnownGateways
 from .listener import HttpListener
@@ -24,6 +25,7 @@
 from .request_forwarder import RequestForwarder, RoutedRequest
 from .rewriting import request_id
 from .routes import RouteTable, WeightedRoute
+from .traffic import TrafficMeter
 
 _LOG = logging.getLogger(__name__)
 _MAINTENANCE_INTERVAL_S = 0.25
@@ -52,8 +54,15 @@
         self._log = RateLimitedLog(_LOG)
         self._peers = kernel.plugin(Peers)
         self._known_gateways = KnownGateways(kernel.settings.instance.name)
+        self._traffic = TrafficMeter()
         self._forwarder = RequestForwarder(
-            kernel, self._dialect, self._log, sharers=self._known_gateways
+            kernel,
+            self._dialect,
+            self._log,
+            sharers=self._known_gateways,
+            pool=ConnectionPool(
+                self._settings, self._dialect.request_id, self._traffic
+            ),
         )
         self._rate_limiter = AccountRateLimiter(kernel)
         self._routes = RouteTable(self._view.state)
@@ -62,6 +71,7 @@
             self.serve,
             limits=self._limits,
             max_buffered_bytes=self._settings.max_buffered_bytes,
+            meter=self._traffic,
         )
         self.response_budget = self._forwarder.pool.budget
         self._readiness_listener = HttpListener(self._serve_readiness)
@@ -87,6 +97,7 @@
         while self.kernel.clock.now_s() < limit_s and self.listener.connections:
             self._loop.run(self._close_idle())
             self.kernel.clock.sleep(_DRAIN_POLL_S)
+        self._loop.run(self._log_unfinished())
 
     async def serve(self, request: CallerRequest) -> Response:
         """Return the response to a caller's request."""
@@ -104,6 +115,7 @@
                 'request failed', extra={'request_id': request_key.decode()}
             )
             response = Response(502)
+        self._traffic.add_response(response.status)
         status_class = f'{response.status // 100}xx'
         REQUESTS.labels(service, status_class).inc()
         REQUEST_DURATION_S.labels(service).observe(
@@ -124,18 +136,37 @@
     async def _close_idle(self) -> None:
         self.listener.close_idle()
 
+    async def _log_unfinished(self) -> None:
+        for connection in self.listener.connections:
+            _LOG.warning(
+                'drain ended before a connection',
+                extra={
+                    'pending_ages_ms': [
+                        int(age_s * 1000) for age_s in connection.pending_ages_s
+                    ],
+                    'unsent_bytes': connection.unsent_bytes,
+                },
+            )
+
     async def _run_maintenance(self) -> None:
         while not self.kernel.stopping.is_set():
             try:
                 self._known_gateways.add(self._live_gateways())
                 self._forwarder.run_maintenance()
                 self._rate_limiter.run_maintenance()
+                self._log_traffic()
             except Exception:
                 # Retried in the next round; if the task ended, idle connections
                 # would accumulate.
                 _LOG.exception('periodic maintenance failed')
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
+    def _log_traffic(self) -> None:
+        self._traffic.log_if_due(
+            connections=len(self.listener.connections),
+            unsent_bytes=self.listener.unsent_bytes(),
+        )
+
     def _live_gateways(self) -> list[str]:
         alive = self._peers.alive()
         return [peer.name for peer in alive if 'gateway' in peer.roles]
@@ -180,6 +211,8 @@
                 account,
                 deadline_s=deadline_s - left_s * (1 - _RATE_WAIT_FRACTION),
             )
+            waited_s = left_s - (deadline_s - time.monotonic())
+            self._traffic.add_time('rate', waited_s)
         service = state.services[route.next_service()]
         rank = profile.rank
         if account is not None and account.rank is not None:
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -72,6 +72,7 @@
     may_have_run: bool = False
     has_waited: bool = False
     wait_s: float = 0.0
+    rejection: str = ''
     tried: set[str] = field(default_factory=set)
 
     @property
@@ -107,6 +108,8 @@
         Log of failed attempts and changed splits.
     sharers : KnownGateways
         Gateways that share the request rates of cold targets.
+    pool : ConnectionPool
+        Connections to targets.
     """
 
     def __init__(
@@ -116,10 +119,11 @@
         log: RateLimitedLog,
         *,
         sharers: KnownGateways,
+        pool: ConnectionPool,
     ) -> None:
         """Start without connections."""
         settings = kernel.settings.gateway
-        self.pool = ConnectionPool(settings, dialect.request_id)
+        self.pool = pool
         self._dialect = dialect
         self._log = log
         self._sharers = sharers
@@ -214,7 +218,9 @@
             sharers=self._sharers,
         )
         candidate = placement.candidate
-        if candidate is not None:
+        if candidate is None:
+            routed.rejection = placement.describe(needs)
+        else:
             health = candidate.health
             routed.has_waited = health.busy(now_s) >= health.slots
             note_placed(candidate, routed.object_key, now_s)
@@ -434,7 +440,7 @@
         return not_run_refusal(
             f'service_{reason}',
             f'no target of {routed.service.name!r} can take the request: '
-            f'{reason}, expected wait {int(routed.wait_s * 1000)} ms',
+            f'{routed.rejection or reason}',
             retry_after_s=return_after_s(
                 routed.wait_s,
                 routed.route.profile.latency_objective_s,
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -11,6 +11,7 @@
 from ..core.metrics import EVENTS
 from .messages import Header, TargetFailure, TargetResponse
 from .response_budget import ResponseBudget
+from .traffic import TrafficMeter
 
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = frozenset((204, 304))
@@ -30,12 +31,18 @@
         Header in which the target echoes the request id.
     budget : ResponseBudget
         Bounds what the target may send.
+    traffic : TrafficMeter
+        Counts the bytes.
     """
 
     def __init__(
-        self, request_id_header: bytes, budget: ResponseBudget
+        self,
+        request_id_header: bytes,
+        budget: ResponseBudget,
+        traffic: TrafficMeter,
     ) -> None:
         """Start idle."""
+        self._traffic = traffic
         self._id_header = request_id_header
         self._budget = budget
         self._meter = budget.start()
@@ -83,6 +90,7 @@
         self._is_head = is_head
         self._meter = self._budget.start()
         self._waiter = asyncio.get_running_loop().create_future()
+        self._traffic.add_bytes('to_targets', len(encoded))
         self._transport.write(encoded)
         return self._waiter
 
@@ -104,6 +112,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; close on bytes outside of a request."""
+        self._traffic.add_bytes('from_targets', len(data))
         if self._waiter is None:
             self.close()
             return
--- /dev/null
+++ b/oleanderpin/gateway/traffic.py
@@ -0,0 +1,92 @@
+"""Bytes and times of a gateway's requests, by leg and by part.
+
+Tells a full link from a slow target and from a wait for a token of the rate:
+an instance is short of a different resource in each case.
+"""
+
+import logging
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Literal
+
+from ..core.metrics import GATEWAY_BYTES, REQUEST_PART_S
+
+_LOG = logging.getLogger(__name__)
+_LOG_INTERVAL_S = 2.0
+
+Leg = Literal['from_callers', 'to_callers', 'from_targets', 'to_targets']
+Part = Literal['rate', 'connect', 'target']
+
+
+@dataclass(slots=True)
+class TrafficMeter:
+    """Counts bytes by leg, times by part and responses by status.
+
+    Not thread-safe; used on the event loop only.
+    """
+
+    total_bytes: defaultdict[str, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
+    _part_s: defaultdict[str, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
+    _part_counts: defaultdict[str, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
+    _statuses: defaultdict[int, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )
+    _logged_bytes: dict[str, int] = field(default_factory=dict)
+    _logged_s: float = field(default_factory=time.monotonic)
+
+    def add_bytes(self, leg: Leg, count: int) -> None:
+        """Count bytes that were read, or handed to the kernel, on a leg."""
+        self.total_bytes[leg] += count
+        GATEWAY_BYTES.labels(leg).inc(count)
+
+    def add_time(self, part: Part, duration_s: float) -> None:
+        """Count the time that a request spent in one part."""
+        self._part_s[part] += duration_s
+        self._part_counts[part] += 1
+        REQUEST_PART_S.labels(part).observe(duration_s)
+
+    def add_response(self, status: int) -> None:
+        """Count a response to a caller."""
+        self._statuses[status] += 1
+
+    def log_if_due(self, **fields: object) -> None:
+        """Write the counts since the last line, every two seconds."""
+        now_s = time.monotonic()
+        elapsed_s = now_s - self._logged_s
+        if elapsed_s < _LOG_INTERVAL_S:
+            return
+        if self._statuses or self._part_counts:
+            self._write(elapsed_s, fields)
+        self._logged_s = now_s
+        self._logged_bytes = dict(self.total_bytes)
+        self._part_s.clear()
+        self._part_counts.clear()
+        self._statuses.clear()
+
+    def _write(self, elapsed_s: float, fields: dict[str, object]) -> None:
+        bytes_per_s = {
+            leg: int((count - self._logged_bytes.get(leg, 0)) / elapsed_s)
+            for leg, count in self.total_bytes.items()
+        }
+        mean_ms = {
+            part: int(total_s * 1000 / self._part_counts[part])
+            for part, total_s in self._part_s.items()
+        }
+        _LOG.info(
+            'traffic',
+            extra={
+                'interval_ms': int(elapsed_s * 1000),
+                'responses': dict(self._statuses),
+                'bytes_per_s': bytes_per_s,
+                'mean_ms': mean_ms,
+                'counts': dict(self._part_counts),
+                **fields,
+            },
+        )
