Watch two sources of the control state that fail independently

Callers saw a revoked key accepted for more than 2.5 s. Cause: an instance watched one source and asked the next one only after a time-out (1.5 s, then 1 s each), so sources that fell silent together were waited for in turn.

Change: a second watch, on another path than the first: relays of other failure domains for most instances, control instances for relays, none for control instances, so that confirmations cannot go round in a circle. Confirmations are reported to both sources, by a thread each. After the first relay a control instance is tried, then the second relay.

The test of the order is replaced by one that is stricter about control instances: the first one comes second now, not third, because the relays of a failure domain often fail together; both relays still precede all others.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -1,8 +1,13 @@
-"""The threads that watch a source and report confirmations to it."""
+"""The threads that watch sources and report confirmations to them.
+
+An instance watches two sources that fail independently, so that a change does
+not wait until a silent one is given up.
+"""
 
 import logging
 import random
 import threading
+from dataclasses import dataclass
 from typing import Any
 
 from ..core.errors import UnavailableError
@@ -13,7 +18,7 @@
 from ..wire.network import PeerNetwork
 from .confirmations import Confirmations
 from .log import ControlLog
-from .sources import configured_members, sources
+from .sources import configured_members, sources, standby_sources
 from .view import ControlView
 
 _LOG = logging.getLogger(__name__)
@@ -29,10 +34,32 @@
 _LEADER_INTERVAL_S = 0.2
 _MIN_BACKOFF_S = 2.0
 _MAX_BACKOFF_S = 30.0
+# A held request ends with a change, so a long hold time only delays the
+# discovery that the standby source is silent.
+_STANDBY_HOLD_S = 2.0
+
+
+@dataclass(slots=True)
+class SourceWatch:
+    """One of the sources that an instance watches at the same time.
+
+    Parameters
+    ----------
+    is_standby : bool
+        Whether this is the second source, on another path than the first.
+    source : str
+        Peer address of the source; empty while there is none.
+    reported_revision : int
+        Confirmed revision that the source was told last.
+    """
+
+    is_standby: bool = False
+    source: str = ''
+    reported_revision: int = 0
 
 
 class Follower:
-    """Updates the control view from the preferred source that responds.
+    """Updates the control view from two sources that respond.
 
     Parameters
     ----------
@@ -52,15 +79,26 @@
         self._started_s = kernel.clock.now_s()
         self._backoffs: dict[str, tuple[float, float]] = {}
         self._hinted_leader = ''
-        self._reported_revision = 0
         self._start_id = random.getrandbits(31)
-        self.source = ''
+        self._first = SourceWatch()
+        self._standby = SourceWatch(is_standby=True)
+
+    @property
+    def source(self) -> str:
+        """Peer address of the preferred source; empty while there is none."""
+        return self._first.source
 
     def start(self) -> None:
-        """Start the threads that watch a source and report confirmations."""
-        for loop in (self._watch_loop, self._report_loop):
+        """Start the threads that watch sources and report confirmations."""
+        threads = (
+            (self._watch_loop, ()),
+            (self._standby_loop, ()),
+            (self._report_loop, (self._first,)),
+            (self._report_loop, (self._standby,)),
+        )
+        for loop, arguments in threads:
             threading.Thread(
-                target=loop, name='control-watch', daemon=True
+                target=loop, args=arguments, name='control-watch', daemon=True
             ).start()
 
     def check_leadership(self) -> bool:
@@ -76,7 +114,9 @@
             self._view.note_fresh(now_s)
         return is_leader
 
-    def watch_once(self, address: str, *, hold_s: float) -> WatchReply:
+    def watch_once(
+        self, address: str, *, hold_s: float, watch: SourceWatch | None = None
+    ) -> WatchReply:
         """Send one watch request to a source and apply the reply.
 
         Parameters
@@ -85,13 +125,15 @@
             Peer address of the source.
         hold_s : float
             How long the source holds the request while there are no changes.
+        watch : SourceWatch, optional
+            Which of the two sources this is; by default the preferred one.
 
         Raises
         ------
         UnavailableError
             If the source did not reply.
         """
-        request = self._watch_request(hold_s)
+        request = self._watch_request(hold_s, watch or self._first)
         requested_s = self._kernel.clock.now_s()
         reply = self._network.call(
             address,
@@ -117,27 +159,39 @@
             )
         return reply
 
-    def ordered_sources(self) -> list[str]:
-        """Return the sources by preference, those in back-off last."""
+    def ordered_sources(self, *, is_standby: bool = False) -> list[str]:
+        """Return the sources by preference, those in back-off last.
+
+        Parameters
+        ----------
+        is_standby : bool
+            Return those of the second watch, without the one of the first.
+        """
         control = [self._hinted_leader, *self._control_addresses()]
         if self._kernel.has(ControlLog):
             leadership = self._kernel.plugin(ControlLog).leadership()
             control.insert(0, leadership.leader_address)
-        known = sources(
-            self._peers.own(),
-            self._peers.alive(),
-            [address for address in control if address],
-        )
+        candidates = standby_sources if is_standby else sources
+        other = self._first if is_standby else self._standby
+        known = [
+            address
+            for address in candidates(
+                self._peers.own(),
+                self._peers.alive(),
+                [address for address in control if address],
+            )
+            if not is_standby or address != other.source
+        ]
         now_s = self._kernel.clock.now_s()
         # Sorting is stable and keeps the order of preference.
         return sorted(
             known, key=lambda address: self._backoff_end_s(address, now_s)
         )
 
-    def _watch_request(self, hold_s: float) -> WatchRequest:
+    def _watch_request(self, hold_s: float, watch: SourceWatch) -> WatchRequest:
         revision = self._view.revision
         confirmed = self._confirmations.lowest_confirmed_revision(revision)
-        self._reported_revision = confirmed
+        watch.reported_revision = confirmed
         return WatchRequest(
             instance=self._kernel.settings.instance.name,
             revision=revision,
@@ -163,34 +217,47 @@
                 if not was_leader:
                     is_first = self._view.revision == 0
                     self._confirmations.begin_leadership(is_first=is_first)
-                self.source = ''
+                self._first.source = ''
                 self._kernel.wait_while_running(_LEADER_INTERVAL_S)
             else:
                 self._confirmations.end_leadership()
                 self.follow_step()
             was_leader = is_leader
 
-    def follow_step(self) -> None:
-        """Watch the preferred source once; back off from it on failure."""
-        known = self.ordered_sources()
+    def _standby_loop(self) -> None:
+        while not self._kernel.stopping.is_set():
+            self.follow_step(self._standby)
+
+    def follow_step(self, watch: SourceWatch | None = None) -> None:
+        """Watch the best source once; back off from it on failure.
+
+        Parameters
+        ----------
+        watch : SourceWatch, optional
+            Which of the two sources to watch; by default the preferred one.
+        """
+        watch = watch or self._first
+        known = self.ordered_sources(is_standby=watch.is_standby)
         if not known:
+            watch.source = ''
             self._kernel.wait_while_running(_RETRY_DELAY_S)
             return
         address = known[0]
-        is_new = address != self.source
+        is_new = address != watch.source
         if is_new:
             _LOG.info(
                 'control state source changed',
                 extra={
                     'source': address,
-                    'previous': self.source,
+                    'previous': watch.source,
+                    'is_standby': watch.is_standby,
                     'freshness_age_ms': age_ms(self._view.freshness_age_s()),
                 },
             )
-        self.source = address
+        watch.source = address
         # A new source is asked to reply at once, to show that it works.
-        hold_s = 0 if is_new else self._kernel.settings.control.watch_hold_s
-        if self._try_watch(address, hold_s):
+        hold_s = 0 if is_new else self._hold_s(watch)
+        if self._try_watch(watch, hold_s):
             self._backoffs.pop(address, None)
             return
         self._back_off(address)
@@ -199,12 +266,17 @@
         if all(self._backoff_end_s(each, now_s) for each in known):
             self._kernel.wait_while_running(_RETRY_DELAY_S)
 
-    def _try_watch(self, address: str, hold_s: float) -> bool:
+    def _hold_s(self, watch: SourceWatch) -> float:
+        hold_s = self._kernel.settings.control.watch_hold_s
+        return max(hold_s, _STANDBY_HOLD_S) if watch.is_standby else hold_s
+
+    def _try_watch(self, watch: SourceWatch, hold_s: float) -> bool:
         """Watch once; return whether the source replied and is fresh enough."""
+        address = watch.source
         if self._kernel.stopping.is_set():
             return True
         try:
-            reply = self.watch_once(address, hold_s=hold_s)
+            reply = self.watch_once(address, hold_s=hold_s, watch=watch)
         except UnavailableError as error:
             if not self._kernel.stopping.is_set():
                 EVENTS.labels('control', 'watch_failed').inc()
@@ -256,35 +328,36 @@
             *(member.address for member in configured),
         ]
 
-    def _report_loop(self) -> None:
+    def _report_loop(self, watch: SourceWatch) -> None:
         """Report confirmations at once, even while a watch request is held."""
         changed = self._confirmations.changed
         while not self._kernel.stopping.is_set():
             with changed:
-                if not self.has_unreported_revision():
-                    changed.wait(self._kernel.settings.control.watch_hold_s)
-            if self.has_unreported_revision():
-                self._send_confirmation(self.source)
+                if not self.has_unreported_revision(watch):
+                    changed.wait(self._hold_s(watch))
+            if self.has_unreported_revision(watch):
+                self._send_confirmation(watch)
 
-    def has_unreported_revision(self) -> bool:
-        """Return whether there is a confirmed revision to report to the source.
+    def has_unreported_revision(self, watch: SourceWatch | None = None) -> bool:
+        """Return whether there is a confirmed revision to report to a source.
 
         A leader has no source and nothing to report.
         """
-        if not self.source:
+        watch = watch or self._first
+        if not watch.source:
             return False
         confirmed = self._confirmations.lowest_confirmed_revision(
             self._view.revision
         )
-        return confirmed > self._reported_revision
+        return confirmed > watch.reported_revision
 
-    def _send_confirmation(self, address: str) -> None:
+    def _send_confirmation(self, watch: SourceWatch) -> None:
         try:
             self._network.call(
-                address,
+                watch.source,
                 'Control',
                 'confirm',
-                self._watch_request(0),
+                self._watch_request(0, watch),
                 timeout_s=_CALL_MARGIN_S,
             )
         except UnavailableError:
--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -123,14 +123,55 @@
             *fallback_addresses[:_MAX_FALLBACKS],
         ]
     else:
-        # Relays of a domain often fail together with its other instances.
-        ordered = [
-            *relay_addresses,
-            *_alternate(control, fallback_addresses[:_MAX_FALLBACKS]),
-        ]
+        # Instances of a failure domain often fail together.
+        near = [*relay_addresses[1:], *fallback_addresses[:_MAX_FALLBACKS]]
+        ordered = [*relay_addresses[:1], *_alternate(control, near)]
+    return _without_own(ordered, own)
+
+
+def standby_sources(
+    own: Peer, peers: Iterable[Peer], control_addresses: Iterable[str]
+) -> list[str]:
+    """Return the addresses for a second watch, the preferred one first.
+
+    Its path is independent of the first one: relays of other failure domains
+    for most instances, control instances for relays. Control instances have
+    none, so that confirmations never go round in a circle.
+
+    Parameters
+    ----------
+    own : Peer
+        The watching instance.
+    peers : iterable of Peer
+        Live instances, ``own`` included.
+    control_addresses : iterable of str
+        Control instances, the preferred one first.
+    """
+    if 'control' in own.roles:
+        return []
+    peers = list(peers)
+    control = list(control_addresses)
+    own_relays = relays(own.failure_domain, peers)
+    if own.name in {peer.name for peer in own_relays}:
+        return _without_own(control, own)
+    distant = [
+        relay
+        for domain in {peer.failure_domain for peer in peers}
+        if domain != own.failure_domain
+        for relay in relays(domain, peers)
+        if 'control' not in relay.roles
+    ]
+    distant.sort(key=lambda peer: rendezvous_hash(own.name, peer.name))
+    first = [peer.peer_address for peer in distant if peer.region == own.region]
+    last = [peer.peer_address for peer in distant if peer.region != own.region]
+    ordered = [*first[:_MAX_FALLBACKS], *control, *last[:_MAX_FALLBACKS]]
+    return _without_own(ordered, own)
+
+
+def _without_own(addresses: Iterable[str], own: Peer) -> list[str]:
     return [
         address
-        for address in dict.fromkeys(ordered)
+        for address in dict.fromkeys(addresses)
         if address != own.peer_address
     ]
 
--- a/oleanderpin/testing/fleet.py
+++ b/oleanderpin/testing/fleet.py
@@ -1,6 +1,7 @@
 """Several instances in one process on loopback, with link fault injection."""
 
 import configparser
+import threading
 from collections.abc import Sequence
 from typing import Any
 
@@ -25,6 +26,9 @@
         """Intercept the peer calls and datagrams that the instance sends."""
         self._cut_addresses: set[str] = set()
         self._silent_addresses: set[str] = set()
+        self._hung_addresses: set[str] = set()
+        self._restored = threading.Event()
+        self.hung_calls = 0
         self._clock = kernel.clock
         network: Any = kernel.plugin(PeerNetwork)
         datagrams: Any = kernel.plugin(PeerDatagrams)
@@ -43,10 +47,17 @@
             each.settings.listen.peer for each in kernels
         }
 
+    def hang(self, *kernels: Kernel) -> None:
+        """Hold calls to ``kernels`` without a time-out until `restore`."""
+        self._restored.clear()
+        self._hung_addresses |= {each.settings.listen.peer for each in kernels}
+
     def restore(self) -> None:
         """Restore all links."""
         self._cut_addresses.clear()
         self._silent_addresses.clear()
+        self._hung_addresses.clear()
+        self._restored.set()
 
     def call(self, address: str, *arguments: Any, timeout_s: float) -> Any:
         """Make a peer call, or fail if the link is cut.
@@ -58,6 +69,10 @@
         if address in self._silent_addresses:
             self._clock.sleep(timeout_s)
             raise PeerCallError(f'{address} is silent', sent=True)
+        if address in self._hung_addresses:
+            self.hung_calls += 1
+            self._restored.wait()
+            raise PeerCallError(f'{address} hung', sent=True)
         return self._call(address, *arguments, timeout_s=timeout_s)
 
     def send(self, address: str, payload: bytes) -> None:
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -12,7 +12,7 @@
 from ...control.confirmations import Confirmations, WatcherId
 from ...control.distribution import Distribution
 from ...control.log import ControlLog, Leadership
-from ...control.sources import relays, sources
+from ...control.sources import relays, sources, standby_sources
 from ...control.state import Service
 from ...control.view import ControlView
 from ...core.errors import Refusal
@@ -23,6 +23,7 @@
 from ...testing.fleet import LinkFaults, build_fleet
 from ...wire.generated.control.ttypes import Entry, WatchRequest
 from ...wire.server import PeerServer
+from .group import wait_until
 
 LIMIT_S = 6.0
 KEY_HASH = 'a' * 64
@@ -367,6 +368,58 @@
     assert leaf.seconds_until(revision, left_out=relay) <= 2.0
 
 
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[list[Kernel]]:
+    """Two failure domains that follow the leader with their own threads."""
+    kernels = build_fleet(
+        ['north-a'] * 5 + ['north-b'] * 2, data_dir=str(tmp_path)
+    )
+    log: Any = LeaderLog(kernels[0])
+    kernels[0]._plugins[ControlLog] = log
+    for kernel in kernels:
+        for other in kernels:
+            own = other.plugin(Peers).table.own
+            kernel.plugin(Peers).table.merge(as_alive(own))
+        kernel.plugin(PeerServer).start()
+    for kernel in kernels:
+        kernel.plugin(Distribution).start()
+    yield kernels
+    for kernel in kernels:
+        kernel.stopping.set()
+        kernel.plugin(PeerServer).stop()
+
+
+def test_change_does_not_wait_for_silent_relays(fleet: list[Kernel]) -> None:
+    """Guards against sources that are asked one after the other.
+
+    A key that had been revoked was accepted for 2.5 s, because two relays fell
+    silent and each was given up only after its time-out.
+    """
+    alive = fleet[0].plugin(Peers).alive()
+    chosen = {each.name for each in relays('north-a', alive)}
+    own_relays = [
+        each for each in fleet if each.settings.instance.name in chosen
+    ]
+    leaf = next(each for each in fleet[1:5] if each not in own_relays)
+    wait_until('leaf is fresh', leaf.plugin(ControlView).is_fresh)
+    faults = LinkFaults(leaf)
+    faults.hang(*own_relays)
+    wait_until('leaf asks a silent relay', lambda: faults.hung_calls)
+    change = Change(
+        request_id='request-1',
+        command='profile.put',
+        arguments={'name': 'counter'},
+    )
+    revision = fleet[0].plugin(Distribution).propose(change).revision
+    try:
+        wait_until(
+            'change at the leaf',
+            lambda: leaf.plugin(ControlView).revision >= revision,
+        )
+    finally:
+        faults.restore()
+
+
 def test_proposal_reaches_the_leader_through_others(chain: Chain) -> None:
     """Guards against failed proposals while the link to the leader is cut."""
     chain.share_membership()
@@ -403,16 +456,36 @@
     assert [each.name for each in relays('c', draining)] == ['d']
 
 
-def test_control_is_tried_right_after_the_relays() -> None:
-    """Guards against a change that waits for many lost peers in turn.
+def test_control_is_tried_right_after_the_first_relay() -> None:
+    """Guards against a change that waits for several lost peers in turn.
 
-    A gateway whose relays had lost power tried three other instances of its
-    failure domain, which had lost power too, before a control instance.
+    A gateway whose relays had lost power tried the second relay and three other
+    instances of its failure domain, which had lost power too, before a control
+    instance.
     """
     peers = [peer(f'a{number}', 'a') for number in range(9)]
     chosen = relays('a', peers)
     own = next(each for each in peers if each not in chosen)
     ordered = sources(own, peers, ['c1', 'c2', 'c3'])
-    assert set(ordered[:2]) == {each.peer_address for each in chosen}
-    assert ordered[2] == 'c1'
-    assert ordered.index('c2') <= 4
+    addresses = {each.peer_address for each in chosen}
+    assert {ordered[0], ordered[2]} == addresses
+    assert ordered[1] == 'c1'
+    assert ordered.index('c2') <= 3
+
+
+def test_standby_source_does_not_fail_with_the_first() -> None:
+    """Guards against two sources that one loss of power silences together."""
+    peers = [peer(f'a{number}', 'a') for number in range(6)]
+    peers += [peer(f'b{number}', 'b') for number in range(6)]
+    chosen = relays('a', peers)
+    own = next(each for each in peers if each not in chosen)
+    near = {each.peer_address for each in relays('b', peers)}
+    assert set(standby_sources(own, peers, ['c1'])) == {*near, 'c1'}
+    assert standby_sources(own, peers, ['c1'])[0] in near
+    assert standby_sources(chosen[0], peers, ['c1', 'c2']) == ['c1', 'c2']
+
+
+def test_control_instances_have_no_standby_source() -> None:
+    """Guards against confirmations that go round in a circle of sources."""
+    own = peer('c', 'a', roles=('control',))
+    assert not standby_sources(own, [own, peer('b', 'b')], ['c1', 'c2'])
