Ask sources that replied before silent ones while the copy is outdated

Cause: two control instances lost power at 9.5 s, one of them the leader. A gateway asked all others while a new leader was elected, found them outdated, and backed off from each for 2 s and longer, as from a silent one. When they were current again it asked only the two lost ones, 1 s each, until 15.05 s.

Change: while the own copy is outdated, sources that replied come before silent ones, in the order of their last reply. The class is a back-off that does not tell a peer that waits for something itself from one that is gone.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -8,7 +8,7 @@
 import random
 import threading
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Literal
 
 from ..core.errors import UnavailableError
 from ..core.logs import age_ms
@@ -32,6 +32,7 @@
 _RETRY_DELAY_S = 0.2
 # Interval at which a leader renews its own freshness.
 _LEADER_INTERVAL_S = 0.2
+# Back-off from a source that failed, doubled for each further failure.
 _MIN_BACKOFF_S = 2.0
 _MAX_BACKOFF_S = 30.0
 # A held request ends with a change, so a long hold time only delays the
@@ -39,6 +40,40 @@
 _STANDBY_HOLD_S = 2.0
 
 
+_WatchResult = Literal['fresh', 'outdated', 'silent']
+
+
+@dataclass(frozen=True, slots=True)
+class _BackOff:
+    """Why and for how long other sources are preferred to one."""
+
+    result: _WatchResult
+    failed_s: float
+    duration_s: float
+
+    def preference(
+        self, now_s: float, *, needs_fresh: bool
+    ) -> tuple[int, float]:
+        """Return the sort key of the source; lower ones are asked first.
+
+        While the instance needs a fresh copy, sources that replied precede
+        those that were silent, even if all of them were outdated: they are
+        current again once there is a leader, and a silent one takes a time-out.
+
+        Parameters
+        ----------
+        now_s : float
+            Time on the monotonic clock.
+        needs_fresh : bool
+            Whether the instance's own copy is outdated.
+        """
+        is_over = now_s >= self.failed_s + self.duration_s
+        is_silent = self.result == 'silent'
+        if is_over and not (is_silent and needs_fresh):
+            return (0, 0.0)
+        return (2 if is_silent else 1, self.failed_s)
+
+
 @dataclass(slots=True)
 class SourceWatch:
     """One of the sources that an instance watches at the same time.
@@ -77,8 +112,10 @@
         self._peers = kernel.plugin(Peers)
         self._confirmations = confirmations
         self._started_s = kernel.clock.now_s()
-        self._backoffs: dict[str, tuple[float, float]] = {}
+        self._backoffs: dict[str, _BackOff] = {}
         self._hinted_leader = ''
+        limit_s = kernel.settings.control.freshness_limit_s
+        self._outdated_s = limit_s * OUTDATED_FRACTION
         self._start_id = random.getrandbits(31)
         self._first = SourceWatch()
         self._standby = SourceWatch(is_standby=True)
@@ -183,10 +220,16 @@
             if not is_standby or address != other.source
         ]
         now_s = self._kernel.clock.now_s()
+        needs_fresh = self._view.freshness_age_s() > self._outdated_s
+
+        def preference(address: str) -> tuple[int, float]:
+            backoff = self._backoffs.get(address)
+            if backoff is None:
+                return (0, 0.0)
+            return backoff.preference(now_s, needs_fresh=needs_fresh)
+
         # Sorting is stable and keeps the order of preference.
-        return sorted(
-            known, key=lambda address: self._backoff_end_s(address, now_s)
-        )
+        return sorted(known, key=preference)
 
     def _watch_request(self, hold_s: float, watch: SourceWatch) -> WatchRequest:
         revision = self._view.revision
@@ -257,36 +300,35 @@
         watch.source = address
         # A new source is asked to reply at once, to show that it works.
         hold_s = 0 if is_new else self._hold_s(watch)
-        if self._try_watch(watch, hold_s):
+        result = self._try_watch(watch, hold_s)
+        if result == 'fresh':
             self._backoffs.pop(address, None)
             return
-        self._back_off(address)
+        self._back_off(address, result)
         now_s = self._kernel.clock.now_s()
         # A change may be waiting at the next source.
-        if all(self._backoff_end_s(each, now_s) for each in known):
+        if all(self._is_in_backoff(each, now_s) for each in known):
             self._kernel.wait_while_running(_RETRY_DELAY_S)
 
     def _hold_s(self, watch: SourceWatch) -> float:
         hold_s = self._kernel.settings.control.watch_hold_s
         return max(hold_s, _STANDBY_HOLD_S) if watch.is_standby else hold_s
 
-    def _try_watch(self, watch: SourceWatch, hold_s: float) -> bool:
+    def _try_watch(self, watch: SourceWatch, hold_s: float) -> _WatchResult:
         """Watch once; return whether the source replied and is fresh enough."""
         address = watch.source
         if self._kernel.stopping.is_set():
-            return True
+            return 'fresh'
         try:
             reply = self.watch_once(address, hold_s=hold_s, watch=watch)
         except UnavailableError as error:
             if not self._kernel.stopping.is_set():
                 EVENTS.labels('control', 'watch_failed').inc()
                 _LOG.warning('control state watch failed: %s', error)
-            return False
+            return 'silent'
         if reply.leader_address:
             self._hinted_leader = reply.leader_address
-        limit_s = self._kernel.settings.control.freshness_limit_s
-        outdated_s = limit_s * OUTDATED_FRACTION
-        is_fresh = 0 <= reply.freshness_age_ms / 1000 <= outdated_s
+        is_fresh = 0 <= reply.freshness_age_ms / 1000 <= self._outdated_s
         if not is_fresh:
             EVENTS.labels('control', 'source_outdated').inc()
             _LOG.warning(
@@ -296,19 +338,20 @@
                     'source_age_ms': reply.freshness_age_ms,
                 },
             )
-        return is_fresh
+        return 'fresh' if is_fresh else 'outdated'
 
-    def _back_off(self, address: str) -> None:
-        _until_s, last_s = self._backoffs.get(address, (0.0, 0.0))
+    def _back_off(self, address: str, result: _WatchResult) -> None:
+        last = self._backoffs.get(address)
+        last_s = last.duration_s if last else 0.0
         duration_s = min(max(last_s * 2, _MIN_BACKOFF_S), _MAX_BACKOFF_S)
-        until_s = self._kernel.clock.now_s() + duration_s
-        self._backoffs[address] = (until_s, duration_s)
+        now_s = self._kernel.clock.now_s()
+        self._backoffs[address] = _BackOff(result, now_s, duration_s)
         if address == self._hinted_leader:
             self._hinted_leader = ''
 
-    def _backoff_end_s(self, address: str, now_s: float) -> float:
-        until_s, _duration_s = self._backoffs.get(address, (0.0, 0.0))
-        return until_s if until_s > now_s else 0.0
+    def _is_in_backoff(self, address: str, now_s: float) -> bool:
+        found = self._backoffs.get(address)
+        return found is not None and now_s < found.failed_s + found.duration_s
 
     def _control_addresses(self) -> list[str]:
         own = self._peers.own()
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -39,9 +39,10 @@
     def __init__(self, kernel: Kernel) -> None:
         self._view = kernel.plugin(ControlView)
         self._address = kernel.settings.listen.peer
+        self.is_leading = True
 
     def has_lease(self) -> bool:
-        return True
+        return self.is_leading
 
     def leadership(self) -> Leadership:
         return Leadership(self._address, is_self=True)
@@ -54,17 +55,16 @@
 class Chain:
     """A leader, two chained relays and a last instance, on a manual clock."""
 
-    def __init__(self, data_dir: str) -> None:
+    def __init__(self, data_dir: str, *, size: int = 4) -> None:
         self.clock = ManualClock()
         self.kernels = build_fleet(
-            ['north-a', 'north-a', 'north-a', 'north-a'],
-            data_dir=data_dir,
-            clock=self.clock,
+            ['north-a'] * size, data_dir=data_dir, clock=self.clock
         )
         for kernel in self.kernels:
             kernel.plugin(PeerServer).start()
         log: Any = LeaderLog(self.kernels[0])
         self.kernels[0]._plugins[ControlLog] = log
+        self.log = log
         # Ages are rounded up to milliseconds.
         self.clock.advance(0.1)
 
@@ -328,7 +328,9 @@
                     leader, hold_s=0
                 )
 
-    def seconds_until(self, revision: int, *, left_out: Kernel) -> float:
+    def seconds_until(
+        self, revision: int, *, left_out: Kernel | None = None
+    ) -> float:
         """Return how long it takes until the leaf has a revision."""
         clock = self.chain.clock
         started_s = clock.now_s()
@@ -420,6 +422,31 @@
         faults.restore()
 
 
+@pytest.mark.parametrize('election_s', [2.0, 6.0, 10.0])
+def test_outdated_sources_are_asked_again_soon(
+    tmp_path: Path, election_s: float
+) -> None:
+    """Guards against a back-off from sources that only wait for a leader.
+
+    While a new leader was elected, an instance found all sources outdated and
+    backed off from each for 2 s, then 4 s, then 8 s. Later it asked only those
+    that had lost power, and accepted a revoked key for 3.8 s.
+    """
+    chain = Chain(str(tmp_path), size=7)
+    leaf = Leaf(chain)
+    chain.log.is_leading = False
+    LinkFaults(leaf.kernel).silence(*leaf.others)
+    lost_s = chain.clock.now_s()
+    while chain.clock.now_s() - lost_s < election_s:
+        leaf.follower.follow_step()
+        chain.clock.advance(0.1)
+    chain.log.is_leading = True
+    revision = chain.change('profile.put', name='counter')
+    delay_s = leaf.seconds_until(revision)
+    chain.stop()
+    assert delay_s <= 2.0
+
+
 def test_proposal_reaches_the_leader_through_others(chain: Chain) -> None:
     """Guards against failed proposals while the link to the leader is cut."""
     chain.share_membership()
