Find the version in use of every service; restart failed background threads

Cause: the log line about the first service whose version was found used the field name 'name', which the logging module refuses with a KeyError. That ended the thread; no other service got a version until the next leader, and its targets of any version got requests before a move.

Change: the field is called 'service'. The class is a task that an unexpected error ends without notice: loops of plug-ins run in background_thread, which logs the error and runs them again. The threads of the replicated log keep their own handling, since they must not go on after a failed write.

Result: test_every_service_adopts_a_version failed before (KeyError, no version within 60 s) and passes; test_background.py passes.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -6,10 +6,10 @@
 
 import logging
 import random
-import threading
 from dataclasses import dataclass
 from typing import Any, Literal
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.logs import age_ms
 from ..core.metrics import EVENTS
@@ -134,8 +134,8 @@
             (self._report_loop, (self._standby,)),
         )
         for loop, arguments in threads:
-            threading.Thread(
-                target=loop, args=arguments, name='control-watch', daemon=True
+            background_thread(
+                self._kernel, loop, *arguments, name='control-watch'
             ).start()
 
     def check_leadership(self) -> bool:
--- a/oleanderpin/forwarding/idempotency_store.py
+++ b/oleanderpin/forwarding/idempotency_store.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -156,8 +157,8 @@
     def start(self) -> None:
         """Start the thread that copies the records of the other voters."""
         self._has_held = self._marker_path().exists()
-        threading.Thread(
-            target=self._follow_membership, name='idempotency-copy', daemon=True
+        background_thread(
+            self.kernel, self._follow_membership, name='idempotency-copy'
         ).start()
 
     def claim(self, record: Record) -> ClaimReply:
--- a/oleanderpin/gateway/load_reports.py
+++ b/oleanderpin/gateway/load_reports.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -51,8 +52,8 @@
 
     def start(self) -> None:
         """Start the reporting thread."""
-        threading.Thread(
-            target=self._report_loop, name='load-reports', daemon=True
+        background_thread(
+            self.kernel, self._report_loop, name='load-reports'
         ).start()
 
     def note_sample(self, in_flight: Mapping[LoadKey, int]) -> None:
--- a/oleanderpin/limits/holder_registrar.py
+++ b/oleanderpin/limits/holder_registrar.py
@@ -14,6 +14,7 @@
 from ..control.change import Change
 from ..control.commands import SHARE_HOLDERS_ADD
 from ..control.log import ControlLog
+from ..core.background import background_thread
 from ..core.metrics import EVENTS
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 
@@ -46,8 +47,8 @@
 
     def start(self) -> None:
         """Start the thread that proposes the changes."""
-        threading.Thread(
-            target=self._run, name='holder-registrar', daemon=True
+        background_thread(
+            self._kernel, self._run, name='holder-registrar'
         ).start()
 
     def add(self, name: str) -> None:
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -10,6 +10,7 @@
 from ..control.leader import LeaderClient
 from ..control.state import Account
 from ..control.view import ControlView
+from ..core.background import background_thread
 from ..core.errors import Refusal, RefusalDetails, UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -100,8 +101,8 @@
         self._last_renewal_s = float('-inf')
         self._is_cut_off = False
         self._accounts: Mapping[str, Account] = {}
-        self._thread = threading.Thread(
-            target=self._renew_loop, name='share-renewal', daemon=True
+        self._thread = background_thread(
+            self.kernel, self._renew_loop, name='share-renewal'
         )
 
     @property
--- a/oleanderpin/lookup/blocks.py
+++ b/oleanderpin/lookup/blocks.py
@@ -16,6 +16,7 @@
 
 from ..control.state import Block, ControlState
 from ..control.view import ControlView
+from ..core.background import background_thread
 from ..core.plugin import Plugin, plugins
 
 _LOG = logging.getLogger(__name__)
@@ -200,9 +201,7 @@
 
     def start(self) -> None:
         """Start the thread that builds the index."""
-        threading.Thread(
-            target=self._run, name='client-blocks', daemon=True
-        ).start()
+        background_thread(self.kernel, self._run, name='client-blocks').start()
 
     def stop(self) -> None:
         """Wake the thread, so that it sees that the instance stops."""
--- a/oleanderpin/membership/probing.py
+++ b/oleanderpin/membership/probing.py
@@ -10,6 +10,7 @@
 import time
 from typing import Any
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..wire.generated.membership.ttypes import MemberUpdate
@@ -57,9 +58,7 @@
 
     def start(self) -> None:
         """Start the probing thread."""
-        threading.Thread(
-            target=self._probe_loop, name='probe', daemon=True
-        ).start()
+        background_thread(self._kernel, self._probe_loop, name='probe').start()
 
     def notify(self, status: Status) -> None:
         """Tell some members directly that this instance drains or leaves."""
--- a/oleanderpin/moves/baseline.py
+++ b/oleanderpin/moves/baseline.py
@@ -6,7 +6,6 @@
 
 import logging
 import secrets
-import threading
 import time
 from collections import Counter
 from collections.abc import Iterable
@@ -17,6 +16,7 @@
 from ..control.log import ControlLog
 from ..control.state import Service
 from ..control.view import ControlView
+from ..core.background import background_thread
 from ..core.errors import OleanderpinError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -70,8 +70,8 @@
 
     def start(self) -> None:
         """Start the checking thread."""
-        threading.Thread(
-            target=self._check_loop, name='version-baseline', daemon=True
+        background_thread(
+            self.kernel, self._check_loop, name='version-baseline'
         ).start()
 
     def step(self) -> None:
@@ -112,7 +112,12 @@
         )
         _LOG.info(
             'proposed version in use for service',
-            extra={**arguments, 'outcome': outcome.kind},
+            extra={
+                'service': service.name,
+                'version': version,
+                'previous': service.version,
+                'outcome': outcome.kind,
+            },
         )
 
     def _check_loop(self) -> None:
--- a/oleanderpin/moves/controller.py
+++ b/oleanderpin/moves/controller.py
@@ -17,6 +17,7 @@
 from ..control.log import ControlLog
 from ..control.state import ControlState, Move, Profile
 from ..control.view import ControlView
+from ..core.background import background_thread
 from ..core.errors import OleanderpinError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -29,8 +30,8 @@
 from .plan import (
     LAST_STAGE_PERCENT,
     StagePace,
-    next_stage_percent,
     compute_pace,
+    next_stage_percent,
     requests_needed,
 )
 from .stats import is_same_move
@@ -179,8 +180,8 @@
 
     def start(self) -> None:
         """Start the controlling thread."""
-        threading.Thread(
-            target=self._control_loop, name='move-controller', daemon=True
+        background_thread(
+            self.kernel, self._control_loop, name='move-controller'
         ).start()
 
     def take_reports(self, reports: list[MoveReport]) -> None:
--- a/oleanderpin/moves/reporting.py
+++ b/oleanderpin/moves/reporting.py
@@ -5,12 +5,12 @@
 """
 
 import logging
-import threading
 from dataclasses import dataclass
 from typing import Any
 
 from ..control.leader import LeaderClient
 from ..control.state import Move
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -52,8 +52,8 @@
 
     def start(self) -> None:
         """Start the reporting thread."""
-        threading.Thread(
-            target=self._report_loop, name='move-reports', daemon=True
+        background_thread(
+            self.kernel, self._report_loop, name='move-reports'
         ).start()
 
     def take_reports(self) -> list[MoveReport]:
--- a/oleanderpin/routing/lending.py
+++ b/oleanderpin/routing/lending.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..control.view import ControlView
+from ..core.background import background_thread
 from ..core.clock import Clock
 from ..core.plugin import Plugin, plugins
 from ..limits.allocator import ShareAllocator
@@ -147,8 +148,8 @@
 
     def start(self) -> None:
         """Start the update thread."""
-        threading.Thread(
-            target=self._update_loop, name='region-spare', daemon=True
+        background_thread(
+            self.kernel, self._update_loop, name='region-spare'
         ).start()
 
     def update(self) -> None:
--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -75,8 +76,8 @@
 
     def start(self) -> None:
         """Start pulling the records of peers and pushing own ones."""
-        threading.Thread(
-            target=self._update_loop, name='exchange', daemon=True
+        background_thread(
+            self.kernel, self._update_loop, name='exchange'
         ).start()
 
     def stop(self) -> None:
--- a/oleanderpin/targets/pusher.py
+++ b/oleanderpin/targets/pusher.py
@@ -1,8 +1,8 @@
 """The thread that pushes records to one peer."""
 
-import threading
 from typing import TYPE_CHECKING, Any
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..membership.peers import Peer
@@ -50,7 +50,7 @@
 
     def start(self) -> None:
         """Start the thread; it ends once the peer is no longer recently alive."""
-        threading.Thread(target=self._run, name='push', daemon=True).start()
+        background_thread(self._kernel, self._run, name='push').start()
 
     def note_alive(self, peer: Peer) -> None:
         """Record that the peer is alive, with its address and roles."""
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
+from ..core.background import background_thread
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
 from ..wire.generated.exchange.ttypes import SoftRecord
@@ -51,8 +52,8 @@
 
     def start(self) -> None:
         """Start the thread that expires leases."""
-        threading.Thread(
-            target=self._expire_loop, name='target-leases', daemon=True
+        background_thread(
+            self.kernel, self._expire_loop, name='target-leases'
         ).start()
 
     def announce(self, announcement: Announcement) -> Target:
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -331,14 +331,15 @@
     kernel = Kernel(build_settings(gateway_settings(ports, folder)))
     kernel.start()
     try:
-        _configure(kernel, change)
+        configure(kernel, change)
         yield GatewayFixture(kernel, ports[0])
     finally:
         kernel.drain(timeout_s=0)
         kernel.stop()
 
 
-def _configure(kernel: Kernel, change: ConfigurationReplace) -> None:
+def configure(kernel: Kernel, change: ConfigurationReplace) -> None:
+    """Put a configuration in force on a gateway that leads its group."""
     actions = kernel.plugin(OperatorActions)
     deadline_s = time.monotonic() + _READY_TIMEOUT_S
     while time.monotonic() < deadline_s:
