--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -177,6 +177,8 @@
     # How long callers may keep using an earlier look-up response.
     lookup_ttl_s: Annotated[float, Field(ge=0, le=300)] = 2.0
     serves_when_cut_off: bool = False
+    # Rate of the instance's own link in each direction.
+    link_mbit_per_s: Annotated[float, Field(gt=0, le=1000000)] = 1000.0
 
 
 class LogSettings(_Section):
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -72,6 +72,7 @@
         """Wait for the first request."""
         self._listener = listener
         self._transport: Any = None
+        self._caller_host = ''
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingRequest] = deque()
         self._request: CallerRequest | None = None
@@ -104,6 +105,8 @@
     def connection_made(self, transport: Any) -> None:
         """Register with the listener and start the idle time-out."""
         self._transport = transport
+        peer = transport.get_extra_info('peername')
+        self._caller_host = str(peer[0]) if peer else ''
         self._listener.connections.add(self)
         self._start_timer(self._listener.limits().idle_timeout_s)
 
@@ -155,6 +158,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._request = CallerRequest(b'', b'', [], time.monotonic())
+        self._request.caller_host = self._caller_host
         self._body = []
         self._body_bytes = 0
         self._in_headers = True
--- a/oleanderpin/gateway/load_reports.py
+++ b/oleanderpin/gateway/load_reports.py
@@ -6,8 +6,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-import xxhash
-
 from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
@@ -16,6 +14,7 @@
 from ..routing.region_loads import (
     FleetLoad,
     LoadKey,
+    aggregator_address,
     decode_loads,
     encode_loads,
 )
@@ -49,6 +48,8 @@
         self._fleet = FleetLoad()
         self._fleet_received_s = float('-inf')
         self._is_report_accepted = True
+        # Set by the gateway: fraction of its link that it uses.
+        self.link_load = 0.0
 
     def start(self) -> None:
         """Start the reporting thread."""
@@ -79,12 +80,15 @@
 
     def report_once(self) -> None:
         """Send a report to the aggregator and store the sums it returns."""
-        address = self._aggregator_address()
+        address = aggregator_address(self._peers.alive())
         if address is None:
             return
-        own_name = self.kernel.settings.instance.name
+        instance = self.kernel.settings.instance
         report = LoadReport(
-            instance=own_name, loads=encode_loads(self._take_means())
+            instance=instance.name,
+            loads=encode_loads(self._take_means()),
+            failure_domain=instance.failure_domain,
+            link_load=self.link_load,
         )
         try:
             sums = self._network.call(
@@ -110,24 +114,6 @@
             self._sums = defaultdict(float)
         return {key: total / samples for key, total in sums.items()}
 
-    def _aggregator_address(self) -> str | None:
-        """Return the address of the control instance that adds up the reports.
-
-        Rendezvous hashing chooses the same live instance on all gateways.
-        """
-        control = [
-            peer for peer in self._peers.alive() if 'control' in peer.roles
-        ]
-        if not control:
-            return None
-        aggregator = min(
-            control,
-            key=lambda peer: xxhash.xxh3_64_intdigest(
-                f'loads/{peer.name}'.encode()
-            ),
-        )
-        return aggregator.peer_address
-
     def _report_loop(self) -> None:
         while self.kernel.wait_while_running(REPORT_INTERVAL_S):
             try:
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -27,7 +27,7 @@
 
     ``received_s`` is the monotonic time at which its first byte was read.
     ``must_finish`` is set during an attempt that must not be cancelled when
-    the caller disconnects.
+    the caller disconnects. ``caller_host`` is the caller's IP address.
     """
 
     method: bytes
@@ -38,6 +38,7 @@
     keeps_alive: bool = True
     must_finish: bool = False
     caller_disconnected: bool = False
+    caller_host: str = ''
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if there is none."""
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -154,17 +154,20 @@
                 self._known_gateways.add(self._live_gateways())
                 self._forwarder.run_maintenance()
                 self._rate_limiter.run_maintenance()
-                self._log_traffic()
+                self._note_traffic()
             except Exception:
                 # Retried in the next round; if the task ended, idle connections
                 # would accumulate.
                 _LOG.exception('periodic maintenance failed')
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
-    def _log_traffic(self) -> None:
+    def _note_traffic(self) -> None:
+        load = self._traffic.link_load(self._settings.link_mbit_per_s)
+        self._forwarder.report_link_load(load)
         self._traffic.log_if_due(
             connections=len(self.listener.connections),
             unsent_bytes=self.listener.unsent_bytes(),
+            link_load=round(load, 2),
         )
 
     def _live_gateways(self) -> list[str]:
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -151,6 +151,10 @@
         for candidate in self._directory.possibly_restarted():
             self._probes.start(candidate)
 
+    def report_link_load(self, load: float) -> None:
+        """Send the load of this gateway's link with the next report."""
+        self._directory.reporter.link_load = load
+
     async def forward(self, routed: RoutedRequest) -> Response:
         """Return the final response of a target.
 
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -160,7 +160,7 @@
         self._drains = kernel.plugin(Drains)
         self._view = kernel.plugin(ControlView)
         self._instance = kernel.settings.instance
-        self._reporter = kernel.plugin(LoadReporter)
+        self.reporter = kernel.plugin(LoadReporter)
         self._services: dict[str, ServiceTargets] = {}
         self._health: dict[tuple[str, str, str], TargetHealth] = {}
         self._drained: set[tuple[str, str, str]] = set()
@@ -203,14 +203,14 @@
             Services whose shares changed noticeably, and their splits.
         """
         now_s = time.monotonic()
-        self._reporter.note_sample(
+        self.reporter.note_sample(
             {
                 LoadKey(name, region): count
                 for name, service in self._services.items()
                 for region, count in service.in_flight().items()
             }
         )
-        fleet = self._reporter.fleet()
+        fleet = self.reporter.fleet()
         for name, service in self._services.items():
             service.update_split(_loads_of_service(fleet, name), now_s)
         return [
--- a/oleanderpin/gateway/traffic.py
+++ b/oleanderpin/gateway/traffic.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -14,6 +15,9 @@
 
 _LOG = logging.getLogger(__name__)
 _LOG_INTERVAL_S = 2.0
+_LOAD_INTERVAL_S = 0.5
+_LOAD_TIME_CONSTANT_S = 1.5
+_BYTES_PER_MBIT = 125_000
 
 Leg = Literal['from_callers', 'to_callers', 'from_targets', 'to_targets']
 Part = Literal['rate', 'connect', 'target']
@@ -29,6 +33,9 @@
     total_bytes: defaultdict[str, int] = field(
         default_factory=lambda: defaultdict(int)
     )
+    _load_bytes: dict[str, int] = field(default_factory=dict)
+    _load_s: float = field(default_factory=time.monotonic)
+    _link_load: float = 0.0
     _part_s: defaultdict[str, float] = field(
         default_factory=lambda: defaultdict(float)
     )
@@ -56,6 +63,34 @@
         """Count a response to a caller."""
         self._statuses[status] += 1
 
+    def link_load(self, link_mbit_per_s: float) -> float:
+        """Return the fraction of the link used, in the busier direction.
+
+        Parameters
+        ----------
+        link_mbit_per_s : float
+            Rate of the link in each direction.
+        """
+        now_s = time.monotonic()
+        elapsed_s = now_s - self._load_s
+        if elapsed_s < _LOAD_INTERVAL_S:
+            return self._link_load
+        sent = 0
+        received = 0
+        for leg, count in self.total_bytes.items():
+            change = count - self._load_bytes.get(leg, 0)
+            if leg.startswith('to_'):
+                sent += change
+            else:
+                received += change
+        bytes_per_s = link_mbit_per_s * _BYTES_PER_MBIT
+        load = max(sent, received) / elapsed_s / bytes_per_s
+        weight = 1 - math.exp(-elapsed_s / _LOAD_TIME_CONSTANT_S)
+        self._link_load += (load - self._link_load) * weight
+        self._load_s = now_s
+        self._load_bytes = dict(self.total_bytes)
+        return self._link_load
+
     def log_if_due(self, **fields: object) -> None:
         """Write the counts since the last line, every two seconds."""
         now_s = time.monotonic()
--- a/oleanderpin/routing/region_loads.py
+++ b/oleanderpin/routing/region_loads.py
@@ -12,9 +12,17 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+import xxhash
+
 from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peer
 from ..wire.generated.loads import Loads
-from ..wire.generated.loads.ttypes import LoadReport, LoadSums, RegionLoad
+from ..wire.generated.loads.ttypes import (
+    DomainLoad,
+    LoadReport,
+    LoadSums,
+    RegionLoad,
+)
 from ..wire.server import PeerServer
 
 # A gateway that misses three report intervals is considered gone.
@@ -46,10 +54,30 @@
     in_flight: dict[LoadKey, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class LinkLoad:
+    """Load of a gateway's link.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain of the gateway; empty if it reported none.
+    load : float
+        Fraction of the link that is used in the busier direction.
+    """
+
+    failure_domain: str = ''
+    load: float = 0.0
+
+
+_NO_LINK = LinkLoad()
+
+
 @dataclass(frozen=True, slots=True)
 class _Report:
     received_s: float
     in_flight: Mapping[LoadKey, float]
+    link: LinkLoad
 
 
 class ReportedLoads:
@@ -62,13 +90,18 @@
         self._sums: defaultdict[LoadKey, float] = defaultdict(float)
 
     def record_report(
-        self, gateway: str, in_flight: Mapping[LoadKey, float], now_s: float
+        self,
+        gateway: str,
+        in_flight: Mapping[LoadKey, float],
+        now_s: float,
+        *,
+        link: LinkLoad = _NO_LINK,
     ) -> None:
         """Replace a gateway's previous report."""
         last = self._reports.pop(gateway, None)
         if last is not None:
             self._subtract(last)
-        self._reports[gateway] = _Report(now_s, in_flight)
+        self._reports[gateway] = _Report(now_s, in_flight, link)
         for key, count in in_flight.items():
             self._sums[key] += count
 
@@ -82,6 +115,15 @@
             self._subtract(oldest)
         return FleetLoad(len(self._reports), dict(self._sums))
 
+    def links(self, now_s: float) -> dict[str, list[float]]:
+        """Return the link loads of the gateways by failure domain."""
+        self.sums(now_s)
+        found: defaultdict[str, list[float]] = defaultdict(list)
+        for report in self._reports.values():
+            if report.link.failure_domain:
+                found[report.link.failure_domain].append(report.link.load)
+        return dict(found)
+
     def _subtract(self, report: _Report) -> None:
         for key, count in report.in_flight.items():
             self._sums[key] -= count
@@ -100,12 +142,25 @@
     def report(self, report: LoadReport) -> LoadSums:
         """Record a gateway's report and return the sums."""
         sums = self._aggregator.record_report(
-            report.instance, decode_loads(report.loads)
+            report.instance,
+            decode_loads(report.loads),
+            link=LinkLoad(report.failure_domain or '', report.link_load or 0.0),
         )
         return LoadSums(
             reporters=sums.reporters, loads=encode_loads(sums.in_flight)
         )
 
+    def domains(self) -> list[DomainLoad]:
+        """Return the mean link load of each failure domain."""
+        return [
+            DomainLoad(
+                failure_domain=domain,
+                reporters=len(loads),
+                link_load=sum(loads) / len(loads),
+            )
+            for domain, loads in self._aggregator.links().items()
+        ]
+
 
 @plugins.register('region-loads')
 class RegionLoadAggregator(Plugin):
@@ -123,14 +178,37 @@
         )
 
     def record_report(
-        self, gateway: str, in_flight: dict[LoadKey, float]
+        self, gateway: str, in_flight: dict[LoadKey, float], *, link: LinkLoad
     ) -> FleetLoad:
         """Record a report and return the sums."""
         now_s = self.kernel.clock.now_s()
         with self._lock:
-            self._reports.record_report(gateway, in_flight, now_s)
+            self._reports.record_report(gateway, in_flight, now_s, link=link)
             return self._reports.sums(now_s)
 
+    def links(self) -> dict[str, list[float]]:
+        """Return the link loads of the gateways by failure domain."""
+        with self._lock:
+            return self._reports.links(self.kernel.clock.now_s())
+
+
+def aggregator_address(peers: Iterable[Peer]) -> str | None:
+    """Return the address of the control instance that adds up the reports.
+
+    Rendezvous hashing chooses the same live instance everywhere; None if there
+    is none.
+    """
+    control = [peer for peer in peers if 'control' in peer.roles]
+    if not control:
+        return None
+    aggregator = min(
+        control,
+        key=lambda peer: xxhash.xxh3_64_intdigest(
+            f'loads/{peer.name}'.encode()
+        ),
+    )
+    return aggregator.peer_address
+
 
 def encode_loads(in_flight: dict[LoadKey, float]) -> list[RegionLoad]:
     """Return loads as Thrift structures."""
--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Iterator, Sequence
 
+from ..membership.peers import Peer
+
 _FIRST_PORT = 10000
 _LAST_PORT = 32000
 _PORTS_PER_PROCESS = 97
@@ -46,6 +48,24 @@
 _CANDIDATES = _candidates()
 
 
+def make_peers(failure_domain: str, count: int) -> list[Peer]:
+    """Return gateways of a failure domain; its region precedes the dash."""
+    return [
+        Peer(
+            name=f'{failure_domain}-{number}',
+            region=failure_domain.partition('-')[0],
+            failure_domain=failure_domain,
+            site=failure_domain,
+            caller_address=f'{failure_domain}-{number}:80',
+            admin_address='',
+            peer_address='',
+            incarnation=1,
+            roles=('gateway',),
+        )
+        for number in range(count)
+    ]
+
+
 def settings_text(
     *,
     name: str,
--- a/oleanderpin/tests/gateway/test_load_reports.py
+++ b/oleanderpin/tests/gateway/test_load_reports.py
@@ -16,7 +16,9 @@
     """Stands in for kernel, peers and network of one gateway."""
 
     def __init__(self, name: str, fleet: 'Fleet') -> None:
-        self.settings = SimpleNamespace(instance=SimpleNamespace(name=name))
+        self.settings = SimpleNamespace(
+            instance=SimpleNamespace(name=name, failure_domain='north-a')
+        )
         self.clock = fleet.clock
         self._fleet = fleet
 
--- a/oleanderpin/wire/loads.thrift
+++ b/oleanderpin/wire/loads.thrift
@@ -11,6 +11,17 @@
 struct LoadReport {
   1: string instance,
   2: list<RegionLoad> loads,
+  /** Failure domain of the gateway. */
+  3: optional string failure_domain,
+  /** Fraction of its link that the gateway uses in the busier direction. */
+  4: optional double link_load,
+}
+
+/** Mean over the gateways of a failure domain that have reported lately. */
+struct DomainLoad {
+  1: string failure_domain,
+  2: i32 reporters,
+  3: double link_load,
 }
 
 /** Sums over all gateways that have reported lately. */
@@ -21,4 +32,5 @@
 
 service Loads {
   LoadSums report(1: LoadReport report),
+  list<DomainLoad> domains(),
 }
