Do not lose complete responses behind a missing one when a gateway stops

Change: at the end of a drain the missing response is given up as one that may have run, and the complete ones are written. While draining, no request is taken behind others on a connection; callers send these again.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -201,7 +201,7 @@
         request = self._request
         self._request = None
         self._header_bytes = 0
-        if request is None or self._is_closing:
+        if request is None or self._is_closing or self._closes_soon():
             return
         request.body = b''.join(self._body)
         self._body = []
@@ -213,11 +213,39 @@
         if len(self._pending) >= _MAX_PIPELINED_REQUESTS:
             self._transport.pause_reading()
 
+    def give_up_blocking(self) -> None:
+        """Give up requests whose missing response holds back complete ones.
+
+        Called at the end of a drain: responses are written in the order of the
+        requests, and those that are complete would be lost.
+        """
+        complete = [
+            number
+            for number, pending in enumerate(self._pending)
+            if pending.response is not None
+        ]
+        if not complete:
+            return
+        for pending in list(self._pending)[: complete[-1]]:
+            if pending.response is None:
+                pending.response = Response(HTTPStatus.GATEWAY_TIMEOUT)
+                if pending.task is not None:
+                    pending.task.cancel()
+        self._write_completed()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self.is_idle:
             self._close()
 
+    def _closes_soon(self) -> bool:
+        """Return whether the connection closes after the pending responses.
+
+        Callers send requests again that were not read when a connection closes;
+        taking them would keep a busy connection open until the drain ends.
+        """
+        return self._listener.is_draining and bool(self._pending)
+
     async def _handle(self, pending: _PendingRequest) -> None:
         pending.response = await self._listener.serve(pending.request)
         self._write_completed()
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -79,6 +79,11 @@
         """Return the bytes of responses that the kernel has not taken yet."""
         return sum(each.unsent_bytes for each in self.connections)
 
+    def give_up_blocking(self) -> None:
+        """Give up requests whose missing response holds back complete ones."""
+        for connection in list(self.connections):
+            connection.give_up_blocking()
+
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections):
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -97,7 +97,7 @@
         while self.kernel.clock.now_s() < limit_s and self.listener.connections:
             self._loop.run(self._close_idle())
             self.kernel.clock.sleep(_DRAIN_POLL_S)
-        self._loop.run(self._log_unfinished())
+        self._loop.run(self._end_drain())
 
     async def serve(self, request: CallerRequest) -> Response:
         """Return the response to a caller's request."""
@@ -136,7 +136,8 @@
     async def _close_idle(self) -> None:
         self.listener.close_idle()
 
-    async def _log_unfinished(self) -> None:
+    async def _end_drain(self) -> None:
+        self.listener.give_up_blocking()
         for connection in self.listener.connections:
             _LOG.warning(
                 'drain ended before a connection',
