Divide the limit that a target names among the gateways

Cause: nothing read the header.

Change: each response of a target tells its limit, or that there is none; the gateways share that with the reports of their loads, of which only changes are sent. As for cold targets, all gateways choose the same few of them for each limited target by rendezvous hashing, without messages, so that the bound holds at any fleet size and on both sides of a cut. A target at its limit is passed over, also for one of another region; if all are, the request is refused at once with the time until the next one.

Weighed: shares of each target's limit lent by the control leader. They would follow the demand, but cost a message before a request, cost the leader work for each gateway and target, and end when it cannot be reached.

--- a/oleanderpin/gateway/dialect.py
+++ b/oleanderpin/gateway/dialect.py
@@ -34,6 +34,9 @@
     cold_ms : bytes
         Header in health responses with the milliseconds that the target stays
         cold.
+    limit_per_s : bytes
+        Header in which a target names the requests a second that it takes from
+        all instances together.
     seal : bytes
         Header that marks a successful response as complete; empty if targets
         set none.
@@ -52,6 +55,7 @@
     load: bytes
     target_id: bytes
     cold_ms: bytes
+    limit_per_s: bytes
     seal: bytes = b''
     has_retry_fractions: bool = False
 
@@ -77,5 +81,6 @@
         load=b'x-target-load',
         target_id=b'x-target-id',
         cold_ms=b'x-target-cold-ms',
+        limit_per_s=b'x-target-limit',
     )
 )
--- a/oleanderpin/gateway/known_gateways.py
+++ b/oleanderpin/gateway/known_gateways.py
@@ -1,4 +1,4 @@
-"""Divides the request rate of cold targets among the gateways.
+"""Divides the request rates of cold and of limited targets among the gateways.
 
 Load pattern: targets return cold to a fleet of many gateways. If each gateway
 might send to a cold target at a low rate, the first requests of all would
@@ -20,6 +20,13 @@
 _COLD_RATE_FRACTION = 0.8
 # So many gateways are chosen that each may send about one request in this time.
 _SEND_INTERVAL_S = 1.0
+# Fraction of a target's limit that is used; the rest covers gateways that do
+# not know each other yet.
+_LIMIT_FRACTION = 0.8
+# Gateways chosen for a target, for each request a second of its limit. Each may
+# send one request at once and then its part of the rate: together the requests
+# of about six seconds in any four.
+_GATEWAYS_PER_LIMIT = 2.5
 
 
 class KnownGateways:
@@ -77,6 +84,29 @@
             return math.inf
         return gateway_count / usable_per_s
 
+    def limit_interval_s(self, target_id: str, limit_per_s: float) -> float:
+        """Return the minimum time between requests to a limited target.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        limit_per_s : float
+            Requests a second that it takes from all gateways together.
+
+        Returns
+        -------
+        float
+            Seconds; infinite if other gateways are chosen for this target.
+        """
+        usable_per_s = limit_per_s * _LIMIT_FRACTION
+        gateway_count = max(1, int(limit_per_s * _GATEWAYS_PER_LIMIT))
+        if gateway_count >= self.count:
+            return self.count / usable_per_s
+        if not self._is_chosen(target_id, gateway_count):
+            return math.inf
+        return gateway_count / usable_per_s
+
     def _is_chosen(self, target_id: str, gateway_count: int) -> bool:
         key = (target_id, gateway_count)
         found = self._chosen.get(key)
--- a/oleanderpin/gateway/load_reports.py
+++ b/oleanderpin/gateway/load_reports.py
@@ -18,6 +18,7 @@
     decode_loads,
     encode_loads,
 )
+from ..routing.target_limits import TargetLimits
 from ..wire.generated.loads.ttypes import LoadReport
 from ..wire.network import PeerNetwork
 
@@ -50,6 +51,7 @@
         self._is_report_accepted = True
         # Set by the gateway: fraction of its link that it uses.
         self.link_load = 0.0
+        self.limits = TargetLimits()
 
     def start(self) -> None:
         """Start the reporting thread."""
@@ -84,11 +86,14 @@
         if address is None:
             return
         instance = self.kernel.settings.instance
+        asked_s = self.kernel.clock.now_s()
         report = LoadReport(
             instance=instance.name,
             loads=encode_loads(self._take_means()),
             failure_domain=instance.failure_domain,
             link_load=self.link_load,
+            limits=self.limits.take_observed(asked_s) or None,
+            limits_version=self.limits.version,
         )
         try:
             sums = self._network.call(
@@ -103,6 +108,7 @@
         if not self._is_report_accepted:
             _LOG.info('loads of the fleet are known again')
         self._is_report_accepted = True
+        self.limits.merge(sums.limits or [], sums.limits_version or 0, asked_s)
         self._fleet = FleetLoad(sums.reporters, decode_loads(sums.loads))
         self._fleet_received_s = self.kernel.clock.now_s()
 
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -8,6 +8,7 @@
 the object; waiting for one of many slots usually takes less time.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Literal
@@ -37,7 +38,7 @@
 # traffic between failure domains and between regions is charged for.
 _DISTANCE_PENALTY_S = (0.0, 0.03, 0.06)
 
-RejectReason = Literal['no_target', 'ejected', 'busy', 'cold']
+RejectReason = Literal['no_target', 'ejected', 'busy', 'cold', 'limited']
 
 
 @dataclass(slots=True)
@@ -187,6 +188,8 @@
         search.compare(group, is_home=not number)
     best = search.best
     if best is None:
+        if search.limit_wait_s < math.inf:
+            return Placement(None, 'limited', search.limit_wait_s)
         return Placement(None, search.reject_reason)
     compared = search.compared
     wait_s = best.health.wait_s(needs.usual_s or _DEFAULT_WORK_S, now_s)
@@ -210,6 +213,8 @@
     best_s: float = float('inf')
     compared: int = 0
     reject_reason: RejectReason = 'no_target'
+    # Time until this gateway may send a request to a target at its limit.
+    limit_wait_s: float = float('inf')
 
     def compare(self, group: Sequence[Candidate], *, is_home: bool) -> None:
         """Compare the first usable candidates of a group."""
@@ -231,6 +236,8 @@
             return 'ejected'
         if self._is_too_cold(candidate):
             return 'cold'
+        if self._is_over_limit(candidate):
+            return 'limited'
         if health.is_full(self.now_s):
             return 'busy'
         is_degraded = health.is_failing() or (
@@ -251,6 +258,19 @@
         )
         return self.now_s < candidate.health.cold_sent_s + interval_s
 
+    def _is_over_limit(self, candidate: Candidate) -> bool:
+        health = candidate.health
+        if not health.limit_per_s:
+            return False
+        interval_s = self.sharers.limit_interval_s(
+            candidate.target.target_id, health.limit_per_s
+        )
+        wait_s = health.sent_s + interval_s - self.now_s
+        if wait_s <= 0:
+            return False
+        self.limit_wait_s = min(self.limit_wait_s, wait_s)
+        return True
+
     def _consider(self, candidate: Candidate, *, is_preferred: bool) -> None:
         health = candidate.health
         is_recent = is_preferred or health.has_recent_object(
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -200,8 +200,9 @@
         if routed.tried:
             groups = _without_tried(groups, routed.tried)
         home = groups[0][0].target.region if groups else ''
+        near = groups
         if not targets.split.may_leave(now_s, home=home):
-            groups = groups[:1]
+            near = groups[:1]
         needs = Needs(
             key=routed.object_key,
             left_s=routed.left_s(),
@@ -218,13 +219,10 @@
                 routed.route.route.name
             ),
         )
-        placement = place(
-            groups,
-            needs,
-            replicas=self._replicas,
-            now_s=now_s,
-            sharers=self._sharers,
-        )
+        placement = self._place_in(near, needs, now_s)
+        if placement.reject_reason == 'limited':
+            # What the targets of the home region may not take goes elsewhere.
+            placement = self._place_in(groups, needs, now_s)
         candidate = placement.candidate
         if candidate is None:
             routed.rejection = placement.describe(needs)
@@ -237,6 +235,17 @@
             )
         return placement
 
+    def _place_in(
+        self, groups: list[list[Candidate]], needs: Needs, now_s: float
+    ) -> Placement:
+        return place(
+            groups,
+            needs,
+            replicas=self._replicas,
+            now_s=now_s,
+            sharers=self._sharers,
+        )
+
     def _version(self, service: Service, targets: ServiceTargets) -> str:
         weights = self._split.weights(service)
         versions = [
@@ -300,6 +309,7 @@
         now_s = time.monotonic()
         health = candidate.health
         self._note_load(candidate, response, now_s)
+        self._note_limit(candidate, response)
         if self._is_not_run(response):
             if response.status == HTTPStatus.MISDIRECTED_REQUEST:
                 health.ejected_until_s = now_s + _MISDIRECTED_EJECTION_S
@@ -382,6 +392,20 @@
         if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
             candidate.health.note_load(int(parts[0]), int(parts[1]), now_s)
 
+    def _note_limit(
+        self, candidate: Candidate, response: TargetResponse
+    ) -> None:
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another target responded.
+            return
+        header = response.header(self._dialect.limit_per_s)
+        if self._directory.observe_limit(candidate, header):
+            self._log.write(
+                'limit of a target changed',
+                target=candidate.target.target_id,
+                limit_per_s=candidate.health.limit_per_s,
+            )
+
     def _note_failure(
         self, routed: RoutedRequest, candidate: Candidate, result: str
     ) -> None:
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -9,6 +9,7 @@
 from ..moves.drains import Drains
 from ..moves.split import ANY_VERSION
 from ..routing.region_loads import LoadKey
+from ..routing.target_limits import TargetLimits, parse_limit_per_s
 from ..targets.announcement import Target
 from ..targets.table import TargetTable
 from .load_reports import LoadReporter
@@ -90,6 +91,16 @@
             self._orders[order_key] = found
         return found
 
+    def update_limits(self, limits: TargetLimits, now_s: float) -> None:
+        """Apply the limits that targets named, and the slots they leave."""
+        self.slots = dict.fromkeys(self.slots, 0.0)
+        for each in self.candidates:
+            each.health.limit_per_s = limits.limit_per_s(
+                each.target.target_id, now_s
+            )
+            slots = each.health.usable_slots(self.usual_s)
+            self.slots[each.target.region] += slots
+
     def versions(self) -> set[str]:
         """Return the versions of the candidates."""
         return {each.target.version for each in self.candidates}
@@ -185,6 +196,29 @@
             self._services[service] = found
         return found
 
+    def observe_limit(self, candidate: Candidate, header: bytes | None) -> bool:
+        """Record the limit that a response named, if any.
+
+        Parameters
+        ----------
+        candidate : Candidate
+            Target that responded.
+        header : bytes or None
+            Value of the header that names a limit.
+
+        Returns
+        -------
+        bool
+            Whether the limit begins or ends with this response.
+        """
+        limit_per_s = parse_limit_per_s(header)
+        if limit_per_s is None:
+            return False
+        candidate.health.limit_per_s = limit_per_s
+        return self.reporter.limits.observe(
+            candidate.target.target_id, limit_per_s, time.monotonic()
+        )
+
     def possibly_restarted(self) -> list[Candidate]:
         """Return usable targets that may have restarted undetected."""
         now_s = time.monotonic()
@@ -214,6 +248,7 @@
         )
         fleet = self.reporter.fleet()
         for name, service in self._services.items():
+            service.update_limits(self.reporter.limits, now_s)
             service.update_split(_loads_of_service(fleet, name), now_s)
         return [
             (name, service.split)
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -45,7 +45,8 @@
     ``may_have_restarted`` is set when the target may have restarted
     undetected; it counts as cold until it has been probed. ``expected_busy``
     is the average load of a target in its region, used while its own reported
-    load is outdated.
+    load is outdated. ``limit_per_s`` is the rate that the target takes from all
+    instances together, 0 without a limit.
     """
 
     slots: int
@@ -68,6 +69,7 @@
     cold_until_s: float = float('-inf')
     may_have_restarted: bool = False
     expected_busy: float = 0.0
+    limit_per_s: float = 0.0
     _recent_objects: OrderedDict[str, float] = field(
         default_factory=OrderedDict
     )
@@ -88,6 +90,12 @@
         waiting = self.busy(now_s) + 1 - self.slots
         return max(0, waiting) * work_s / max(1, self.slots)
 
+    def usable_slots(self, usual_s: float) -> float:
+        """Return the slots that requests within the target's limit occupy."""
+        if not self.limit_per_s or not usual_s:
+            return self.slots
+        return min(self.slots, self.limit_per_s * usual_s)
+
     def is_full(self, now_s: float) -> bool:
         """Return whether the target just shed a request or has a full queue."""
         max_busy = self.slots * (1 + _MAX_WAITING_PER_SLOT)
--- a/oleanderpin/routing/region_loads.py
+++ b/oleanderpin/routing/region_loads.py
@@ -22,8 +22,10 @@
     LoadReport,
     LoadSums,
     RegionLoad,
+    TargetLimit,
 )
 from ..wire.server import PeerServer
+from .target_limits import SharedLimits
 
 # A gateway that misses three report intervals is considered gone.
 REPORT_VALID_S = 3.0
@@ -146,8 +148,14 @@
             decode_loads(report.loads),
             link=LinkLoad(report.failure_domain or '', report.link_load or 0.0),
         )
+        limits, version = self._aggregator.exchange_limits(
+            report.limits or [], report.limits_version or 0
+        )
         return LoadSums(
-            reporters=sums.reporters, loads=encode_loads(sums.in_flight)
+            reporters=sums.reporters,
+            loads=encode_loads(sums.in_flight),
+            limits=limits or None,
+            limits_version=version,
         )
 
     def domains(self) -> list[DomainLoad]:
@@ -173,6 +181,7 @@
         super().__init__(kernel)
         self._lock = threading.Lock()
         self._reports = ReportedLoads()
+        self._limits = SharedLimits()
         kernel.plugin(PeerServer).register(
             'Loads', Loads.Processor(LoadsHandler(self))
         )
@@ -186,6 +195,16 @@
             self._reports.record_report(gateway, in_flight, now_s, link=link)
             return self._reports.sums(now_s)
 
+    def exchange_limits(
+        self, limits: list[TargetLimit], version: int
+    ) -> tuple[list[TargetLimit], int]:
+        """Record limits of targets; return those changed since a version."""
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            self._limits.record(limits, now_s)
+            changed = self._limits.changed_since(version, now_s)
+            return changed, self._limits.version
+
     def links(self) -> dict[str, list[float]]:
         """Return the link loads of the gateways by failure domain."""
         with self._lock:
--- a/oleanderpin/wire/loads.thrift
+++ b/oleanderpin/wire/loads.thrift
@@ -7,6 +7,14 @@
   3: double in_flight,
 }
 
+/** What a target said of its limit, and how long ago. */
+struct TargetLimit {
+  1: string target_id,
+  /** Requests a second from all gateways together; 0 when it named none. */
+  2: double limit_per_s,
+  3: i32 age_ms,
+}
+
 /** What one gateway has sent; the mean since its last report. */
 struct LoadReport {
   1: string instance,
@@ -15,6 +23,10 @@
   3: optional string failure_domain,
   /** Fraction of its link that the gateway uses in the busier direction. */
   4: optional double link_load,
+  /** Limits that the gateway has learnt from targets since its last report. */
+  5: optional list<TargetLimit> limits,
+  /** Version of the limits that the last reply told. */
+  6: optional i64 limits_version,
 }
 
 /** Mean over the gateways of a failure domain that have reported lately. */
@@ -28,6 +40,9 @@
 struct LoadSums {
   1: i32 reporters,
   2: list<RegionLoad> loads,
+  /** Limits that have changed since the version in the report. */
+  3: optional list<TargetLimit> limits,
+  4: optional i64 limits_version,
 }
 
 service Loads {
