Let a limited target keep the part of its objects that its limit serves

Cause: all objects kept their order of targets, so that each request beyond a limit loaded its object again at another target, where it took 3.3 times as long and displaced others.

Change: the weight of a limited target in the order of objects follows its limit (weighted rendezvous hashing), in steps so that gateways agree; only its own objects move, and return with the end of the limit. Each chosen gateway may send two requests at once, since half of those that arrive at random find a single one used up.

--- a/oleanderpin/gateway/known_gateways.py
+++ b/oleanderpin/gateway/known_gateways.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import xxhash
 
@@ -22,11 +23,29 @@
 _SEND_INTERVAL_S = 1.0
 # Fraction of a target's limit that is used; the rest covers gateways that do
 # not know each other yet.
-_LIMIT_FRACTION = 0.8
-# Gateways chosen for a target, for each request a second of its limit. Each may
-# send one request at once and then its part of the rate: together the requests
-# of about six seconds in any four.
-_GATEWAYS_PER_LIMIT = 2.5
+_LIMIT_FRACTION = 0.95
+# Requests that all gateways together may send at once to a target, beside its
+# rate: the users allow one and a half times the limit in 4 s, and 5 requests.
+_BURST_PER_LIMIT = 2.2
+_MIN_BURST = 5.0
+# Requests that each gateway chosen for a limited target may send at once. With
+# a single one, half of those that arrive at random would find it used up.
+_GATEWAY_BURST = 2
+
+
+class RateShare(NamedTuple):
+    """Part of a target's limit that one gateway may use.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests a second; 0 if other gateways are chosen for the target.
+    burst : float
+        Requests at once.
+    """
+
+    rate_per_s: float
+    burst: float
 
 
 class KnownGateways:
@@ -84,8 +103,8 @@
             return math.inf
         return gateway_count / usable_per_s
 
-    def limit_interval_s(self, target_id: str, limit_per_s: float) -> float:
-        """Return the minimum time between requests to a limited target.
+    def limit_share(self, target_id: str, limit_per_s: float) -> RateShare:
+        """Return the part of a target's limit that this gateway may use.
 
         Parameters
         ----------
@@ -93,19 +112,15 @@
             The target.
         limit_per_s : float
             Requests a second that it takes from all gateways together.
-
-        Returns
-        -------
-        float
-            Seconds; infinite if other gateways are chosen for this target.
         """
         usable_per_s = limit_per_s * _LIMIT_FRACTION
-        gateway_count = max(1, int(limit_per_s * _GATEWAYS_PER_LIMIT))
+        burst = limit_per_s * _BURST_PER_LIMIT + _MIN_BURST
+        gateway_count = max(1, int(burst / _GATEWAY_BURST))
         if gateway_count >= self.count:
-            return self.count / usable_per_s
-        if not self._is_chosen(target_id, gateway_count):
-            return math.inf
-        return gateway_count / usable_per_s
+            gateway_count = self.count
+        elif not self._is_chosen(target_id, gateway_count):
+            return RateShare(0.0, 0.0)
+        return RateShare(usable_per_s / gateway_count, burst // gateway_count)
 
     def _is_chosen(self, target_id: str, gateway_count: int) -> bool:
         key = (target_id, gateway_count)
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -30,6 +30,8 @@
 # Duration assumed before the first response of a service.
 _DEFAULT_WORK_S = 0.2
 
+_HASH_RANGE = 2.0**64
+
 # Distances of a target from this instance.
 OWN_FAILURE_DOMAIN = 0
 OWN_REGION = 1
@@ -43,11 +45,16 @@
 
 @dataclass(slots=True)
 class Candidate:
-    """A target that may be chosen for a request."""
+    """A target that may be chosen for a request.
+
+    ``weight`` is the part of the objects that it gets, relative to targets
+    without a limit.
+    """
 
     target: Target
     health: TargetHealth
     distance: int
+    weight: float = 1.0
 
     @property
     def is_in_region(self) -> bool:
@@ -140,12 +147,7 @@
         Whether the request has a large body, which is kept in the own failure
         domain while targets there have spare capacity.
     """
-    ordered = sorted(
-        candidates,
-        key=lambda each: xxhash.xxh3_64_intdigest(
-            f'{key}/{each.target.target_id}'.encode()
-        ),
-    )
+    ordered = sorted(candidates, key=lambda each: _rank(key, each))
     if has_large_body:
         ordered.sort(key=_distance)
     home_group = [each for each in ordered if each.target.region == home]
@@ -155,6 +157,19 @@
     return [group for group in (home_group, own_group, other_group) if group]
 
 
+def _rank(key: str, candidate: Candidate) -> float:
+    """Return the place of a candidate in the order of an object.
+
+    The part of the objects that have a candidate first is proportional to its
+    weight (weighted rendezvous hashing), and a change of one weight moves only
+    objects of that candidate.
+    """
+    digest = xxhash.xxh3_64_intdigest(
+        f'{key}/{candidate.target.target_id}'.encode()
+    )
+    return -math.log1p(-digest / _HASH_RANGE) / candidate.weight
+
+
 def _distance(candidate: Candidate) -> int:
     return candidate.distance
 
@@ -259,17 +274,15 @@
         return self.now_s < candidate.health.cold_sent_s + interval_s
 
     def _is_over_limit(self, candidate: Candidate) -> bool:
-        health = candidate.health
-        if not health.limit_per_s:
+        limit = candidate.health.limit
+        if limit is None:
             return False
-        interval_s = self.sharers.limit_interval_s(
-            candidate.target.target_id, health.limit_per_s
+        share = self.sharers.limit_share(
+            candidate.target.target_id, limit.per_s
         )
-        wait_s = health.sent_s + interval_s - self.now_s
-        if wait_s <= 0:
-            return False
-        self.limit_wait_s = min(self.limit_wait_s, wait_s)
-        return True
+        wait_s = limit.wait_s(share, self.now_s)
+        self.limit_wait_s = min(self.limit_wait_s, wait_s or math.inf)
+        return wait_s > 0
 
     def _consider(self, candidate: Candidate, *, is_preferred: bool) -> None:
         health = candidate.health
@@ -288,6 +301,8 @@
     """Record that a request for an object is sent to a candidate."""
     health = candidate.health
     health.note_sent(key, now_s)
+    if health.limit is not None:
+        health.limit.take()
     if _is_cold(candidate, now_s):
         health.cold_sent_s = now_s
 
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -403,7 +403,7 @@
             self._log.write(
                 'limit of a target changed',
                 target=candidate.target.target_id,
-                limit_per_s=candidate.health.limit_per_s,
+                limit=header.decode('latin-1') if header else '',
             )
 
     def _note_failure(
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -1,5 +1,6 @@
 """Targets of each service, with the health that this instance observed."""
 
+import math
 import time
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -28,6 +29,11 @@
 # Weight of the newest response in the moving average of a service's duration.
 _AVERAGE_WEIGHT = 0.05
 
+# Load of a target by which its limit is weighed at least: an idle fleet leaves
+# room for all objects of a limited target.
+_MIN_WEIGHING_LOAD = 0.25
+_MIN_WEIGHT = 1 / 16
+
 _OrderKey = tuple[str, str, tuple[str, ...], str, bool]
 
 
@@ -92,14 +98,25 @@
         return found
 
     def update_limits(self, limits: TargetLimits, now_s: float) -> None:
-        """Apply the limits that targets named, and the slots they leave."""
+        """Apply the limits that targets named.
+
+        A limited target keeps the part of its objects that its limit leaves
+        room for. If all stayed, requests beyond the limit would load them again
+        at other targets, each time for one request.
+        """
         self.slots = dict.fromkeys(self.slots, 0.0)
+        has_moved = False
         for each in self.candidates:
-            each.health.limit_per_s = limits.limit_per_s(
-                each.target.target_id, now_s
-            )
-            slots = each.health.usable_slots(self.usual_s)
-            self.slots[each.target.region] += slots
+            target = each.target
+            each.health.set_limit(limits.limit_per_s(target.target_id, now_s))
+            usable = each.health.usable_slots(self.usual_s)
+            self.slots[target.region] += usable
+            load = max(self.split.load_of(target.region), _MIN_WEIGHING_LOAD)
+            weight = _rounded_weight(usable / (each.health.slots * load))
+            has_moved = has_moved or weight != each.weight
+            each.weight = weight
+        if has_moved:
+            self._orders.clear()
 
     def versions(self) -> set[str]:
         """Return the versions of the candidates."""
@@ -214,7 +231,7 @@
         limit_per_s = parse_limit_per_s(header)
         if limit_per_s is None:
             return False
-        candidate.health.limit_per_s = limit_per_s
+        candidate.health.set_limit(limit_per_s)
         return self.reporter.limits.observe(
             candidate.target.target_id, limit_per_s, time.monotonic()
         )
@@ -309,6 +326,18 @@
         }
 
 
+def _rounded_weight(weight: float) -> float:
+    """Return a weight in steps, so that gateways come to the same one.
+
+    Parameters
+    ----------
+    weight : float
+        Relative capacity of a target; 1 or more without a limit that binds.
+    """
+    bounded = min(1.0, max(weight, _MIN_WEIGHT))
+    return 2.0 ** round(math.log2(bounded))
+
+
 def _loads_of_service(
     fleet: Mapping[LoadKey, float] | None, name: str
 ) -> dict[str, float] | None:
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from .limit_bucket import LimitBucket
+
 # Weight of the newest response in the moving averages.
 _AVERAGE_WEIGHT = 0.2
 # Duration of the first ejection, doubled for each further one.
@@ -45,8 +47,7 @@
     ``may_have_restarted`` is set when the target may have restarted
     undetected; it counts as cold until it has been probed. ``expected_busy``
     is the average load of a target in its region, used while its own reported
-    load is outdated. ``limit_per_s`` is the rate that the target takes from all
-    instances together, 0 without a limit.
+    load is outdated. ``limit`` is None while the target has named no limit.
     """
 
     slots: int
@@ -69,7 +70,7 @@
     cold_until_s: float = float('-inf')
     may_have_restarted: bool = False
     expected_busy: float = 0.0
-    limit_per_s: float = 0.0
+    limit: LimitBucket | None = None
     _recent_objects: OrderedDict[str, float] = field(
         default_factory=OrderedDict
     )
@@ -92,9 +93,18 @@
 
     def usable_slots(self, usual_s: float) -> float:
         """Return the slots that requests within the target's limit occupy."""
-        if not self.limit_per_s or not usual_s:
+        if self.limit is None or not usual_s:
             return self.slots
-        return min(self.slots, self.limit_per_s * usual_s)
+        return min(self.slots, self.limit.per_s * usual_s)
+
+    def set_limit(self, limit_per_s: float) -> None:
+        """Set the limit that the target names, 0 for none."""
+        if not limit_per_s:
+            self.limit = None
+        elif self.limit is None:
+            self.limit = LimitBucket(limit_per_s)
+        else:
+            self.limit.per_s = limit_per_s
 
     def is_full(self, now_s: float) -> bool:
         """Return whether the target just shed a request or has a full queue."""
