--- a/oleanderpin/gateway/limit_bucket.py
+++ b/oleanderpin/gateway/limit_bucket.py
@@ -5,6 +5,12 @@
 
 from .known_gateways import RateShare
 
+# A new limit takes full effect after this time, so that the objects that leave
+# the target are not all loaded at other targets at once.
+_RAMP_S = 2.0
+# Multiple of the limit that is used when it begins.
+_FIRST_FACTOR = 3.0
+
 
 @dataclass(slots=True)
 class LimitBucket:
@@ -14,12 +20,20 @@
     ----------
     per_s : float
         Requests a second that the target takes from all gateways together.
+    started_s : float
+        Monotonic time at which the limit became known.
     """
 
     per_s: float
+    started_s: float
     tokens: float = 1.0
     refilled_s: float = -math.inf
 
+    def usable_per_s(self, now_s: float) -> float:
+        """Return the requests a second that all gateways may use now."""
+        left = max(0.0, 1 - (now_s - self.started_s) / _RAMP_S)
+        return self.per_s * (1 + (_FIRST_FACTOR - 1) * left)
+
     def wait_s(self, share: RateShare, now_s: float) -> float:
         """Return the time until a request may be sent.
 
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -278,7 +278,7 @@
         if limit is None:
             return False
         share = self.sharers.limit_share(
-            candidate.target.target_id, limit.per_s
+            candidate.target.target_id, limit.usable_per_s(self.now_s)
         )
         wait_s = limit.wait_s(share, self.now_s)
         self.limit_wait_s = min(self.limit_wait_s, wait_s or math.inf)
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -108,8 +108,9 @@
         has_moved = False
         for each in self.candidates:
             target = each.target
-            each.health.set_limit(limits.limit_per_s(target.target_id, now_s))
-            usable = each.health.usable_slots(self.usual_s)
+            limit_per_s = limits.limit_per_s(target.target_id, now_s)
+            each.health.set_limit(limit_per_s, now_s)
+            usable = each.health.usable_slots(self.usual_s, now_s)
             self.slots[target.region] += usable
             load = max(self.split.load_of(target.region), _MIN_WEIGHING_LOAD)
             weight = _rounded_weight(usable / (each.health.slots * load))
@@ -231,9 +232,10 @@
         limit_per_s = parse_limit_per_s(header)
         if limit_per_s is None:
             return False
-        candidate.health.set_limit(limit_per_s)
+        now_s = time.monotonic()
+        candidate.health.set_limit(limit_per_s, now_s)
         return self.reporter.limits.observe(
-            candidate.target.target_id, limit_per_s, time.monotonic()
+            candidate.target.target_id, limit_per_s, now_s
         )
 
     def possibly_restarted(self) -> list[Candidate]:
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -91,18 +91,18 @@
         waiting = self.busy(now_s) + 1 - self.slots
         return max(0, waiting) * work_s / max(1, self.slots)
 
-    def usable_slots(self, usual_s: float) -> float:
+    def usable_slots(self, usual_s: float, now_s: float) -> float:
         """Return the slots that requests within the target's limit occupy."""
         if self.limit is None or not usual_s:
             return self.slots
-        return min(self.slots, self.limit.per_s * usual_s)
+        return min(self.slots, self.limit.usable_per_s(now_s) * usual_s)
 
-    def set_limit(self, limit_per_s: float) -> None:
+    def set_limit(self, limit_per_s: float, now_s: float) -> None:
         """Set the limit that the target names, 0 for none."""
         if not limit_per_s:
             self.limit = None
         elif self.limit is None:
-            self.limit = LimitBucket(limit_per_s)
+            self.limit = LimitBucket(limit_per_s, now_s)
         else:
             self.limit.per_s = limit_per_s
 
--- a/oleanderpin/tests/gateway/test_target_limits.py
+++ b/oleanderpin/tests/gateway/test_target_limits.py
@@ -108,7 +108,8 @@
         gateway = self.random.choice(self.gateways)
         for each in gateway.candidates:
             each.health.set_limit(
-                gateway.limits.limit_per_s(each.target.target_id, self.now_s)
+                gateway.limits.limit_per_s(each.target.target_id, self.now_s),
+                self.now_s,
             )
         (group,) = order_candidates('o', gateway.candidates, home='north')
         group.sort(key=lambda each: each.target.target_id)
