--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -45,16 +45,11 @@
 
 @dataclass(slots=True)
 class Candidate:
-    """A target that may be chosen for a request.
-
-    ``weight`` is the part of the objects that it gets, relative to targets
-    without a limit.
-    """
+    """A target that may be chosen for a request."""
 
     target: Target
     health: TargetHealth
     distance: int
-    weight: float = 1.0
 
     @property
     def is_in_region(self) -> bool:
@@ -167,7 +162,7 @@
     digest = xxhash.xxh3_64_intdigest(
         f'{key}/{candidate.target.target_id}'.encode()
     )
-    return -math.log1p(-digest / _HASH_RANGE) / candidate.weight
+    return -math.log1p(-digest / _HASH_RANGE) / candidate.health.weight
 
 
 def _distance(candidate: Candidate) -> int:
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -114,8 +114,8 @@
             self.slots[target.region] += usable
             load = max(self.split.load_of(target.region), _MIN_WEIGHING_LOAD)
             weight = _rounded_weight(usable / (each.health.slots * load))
-            has_moved = has_moved or weight != each.weight
-            each.weight = weight
+            has_moved = has_moved or weight != each.health.weight
+            each.health.weight = weight
         if has_moved:
             self._orders.clear()
 
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -47,7 +47,8 @@
     ``may_have_restarted`` is set when the target may have restarted
     undetected; it counts as cold until it has been probed. ``expected_busy``
     is the average load of a target in its region, used while its own reported
-    load is outdated. ``limit`` is None while the target has named no limit.
+    load is outdated. ``limit`` is None while the target has named no limit;
+    ``weight`` is the part of the objects that it gets, relative to others.
     """
 
     slots: int
@@ -71,6 +72,7 @@
     may_have_restarted: bool = False
     expected_busy: float = 0.0
     limit: LimitBucket | None = None
+    weight: float = 1.0
     _recent_objects: OrderedDict[str, float] = field(
         default_factory=OrderedDict
     )
--- a/oleanderpin/tests/gateway/test_load_reports.py
+++ b/oleanderpin/tests/gateway/test_load_reports.py
@@ -6,7 +6,12 @@
 from ...core.errors import UnavailableError
 from ...gateway.load_reports import LoadReporter
 from ...membership.peers import Peers
-from ...routing.region_loads import LoadKey, LoadsHandler, RegionLoadAggregator
+from ...routing.region_loads import (
+    LoadKey,
+    LoadsHandler,
+    RegionLoadAggregator,
+    aggregator_address,
+)
 from ...testing.clock import ManualClock
 
 NORTH = LoadKey('desk', 'north')
@@ -42,7 +47,8 @@
     def __init__(self, gateways: int) -> None:
         self.clock = ManualClock()
         self.names = [f'g{number}' for number in range(gateways)]
-        self.reachable = {'c0', 'c1', 'c2'}
+        self.control = ['c0', 'c1', 'c2']
+        self.reachable = set(self.control)
         self.aggregators = {}
         for address in sorted(self.reachable):
             aggregator = RegionLoadAggregator(Kernel(address, self))
@@ -51,7 +57,7 @@
 
     def alive(self) -> list[Any]:
         """Return all instances."""
-        control = [_peer(name, 'control') for name in ('c0', 'c1', 'c2')]
+        control = [_peer(name, 'control') for name in self.control]
         return [*(_peer(name, 'gateway') for name in self.names), *control]
 
 
@@ -95,3 +101,51 @@
     assert reporter.fleet() == {NORTH: 3}
     fleet.clock.advance(2.0)
     assert reporter.fleet() is None
+
+
+def test_limit_of_a_target_reaches_all_gateways() -> None:
+    """Guards against a limit that only the gateways it was told to know."""
+    fleet = Fleet(3)
+    first, *others = fleet.reporters
+    now_s = fleet.clock.now_s()
+    assert first.limits.observe('t1', 6.0, now_s)
+    for reporter in fleet.reporters:
+        reporter.report_once()
+    assert [each.limits.limit_per_s('t1', now_s) for each in others] == [6, 6]
+    fleet.clock.advance(1.0)
+    now_s = fleet.clock.now_s()
+    others[0].limits.observe('t1', 0.0, now_s)
+    for reporter in (others[0], first, others[1]):
+        reporter.report_once()
+    assert not any(
+        each.limits.limit_per_s('t1', now_s) for each in fleet.reporters
+    )
+
+
+def test_new_aggregator_is_told_apart() -> None:
+    """Guards against a limit that is missed when control instances change."""
+    fleet = Fleet(2)
+    first, second = fleet.reporters
+    for reporter in fleet.reporters:
+        reporter.report_once()
+    lost = aggregator_address(fleet.alive())
+    fleet.control = [name for name in fleet.control if name != lost]
+    now_s = fleet.clock.now_s()
+    first.limits.observe('t1', 6.0, now_s)
+    first.report_once()
+    second.report_once()
+    assert second.limits.limit_per_s('t1', now_s) == 6
+
+
+def test_limit_is_forgotten_when_nobody_hears_of_the_target() -> None:
+    """Guards against targets that are gone and fill the memory."""
+    fleet = Fleet(2)
+    first, second = fleet.reporters
+    first.limits.observe('t1', 6.0, fleet.clock.now_s())
+    first.report_once()
+    second.report_once()
+    fleet.clock.advance(61.0)
+    first.report_once()
+    second.report_once()
+    now_s = fleet.clock.now_s()
+    assert not second.limits.limit_per_s('t1', now_s)
