Lend tokens of small accounts through one control instance of each region

Cause: an account whose burst gives each of 66 gateways less than a token has no floors, and each gateway borrows each token from one leader; the pause between its renewals grows with the number of gateways (0.13 s with 66, 1.06 s with 530).

Change: accounts without floors are lent through one control instance of the gateway's region, chosen for each account by rendezvous hashing. It borrows for all gateways of the region like any holder, so that the leader has as many holders of an account as there are regions, at any fleet size, and each of them enough requests to hold tokens. Gateways take tokens in batches, one call at a time, and use them at once, so that a lost answer loses tokens and creates none. If the lender fails or cannot reach the leader, the gateway borrows for itself as before. Lenders do not count among the instances that divide floors.

Weighed: lenders on gateways (their links are the full ones); floors of each failure domain (they need leases among its gateways to stay within the rate).

Tests of limits and gateway pass.

--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -73,7 +73,7 @@
     has_waited: bool = False
     wait_s: float = 0.0
     rejection: str = ''
-    rate_token: Literal['', 'floor', 'share'] = ''
+    rate_token: Literal['', 'floor', 'share', 'lender'] = ''
     tried: set[str] = field(default_factory=set)
 
     @property
