--- a/oleanderpin/gateway/tokens.py
+++ b/oleanderpin/gateway/tokens.py
@@ -179,6 +179,8 @@
         self._instance = kernel.settings.instance
         self._executor = ThreadPoolExecutor(_MAX_THREADS, 'token-loan')
         self._clients: dict[str, _LenderClient] = {}
+        self._alive: tuple[Peer, ...] = ()
+        self._addresses: dict[str, str | None] = {}
 
     async def take(self, account: str, *, deadline_s: float) -> TokenResult:
         """Take one token of an account.
@@ -232,9 +234,7 @@
 
     def _client(self, account: str) -> _LenderClient | None:
         """Return the client of the account's lender; None while it fails."""
-        address = lender_address(
-            self._peers.alive(), self._instance.region, account
-        )
+        address = self._address(account)
         if address is None or address == self._peers.own().peer_address:
             return None
         client = self._clients.get(address)
@@ -244,3 +244,14 @@
         if time.monotonic() - client.failed_s < _BACKOFF_S:
             return None
         return client
+
+    def _address(self, account: str) -> str | None:
+        alive = self._peers.alive()
+        if alive is not self._alive:
+            self._alive = alive
+            self._addresses.clear()
+        if account not in self._addresses:
+            self._addresses[account] = lender_address(
+                alive, self._instance.region, account
+            )
+        return self._addresses[account]
