Decide about requests with large bodies before the bodies are read

Cause: the gateway's link, 3 Mbit/s, was full of bodies of requests that it then refused: 260 to 288 KB/s from callers, 1 KB/s to targets, for 9 s. All its questions to other instances timed out, seven sources in turn on each of two watches, so that no change reached it, and no report of its load the look-ups.

Change: for a body of 16 KiB or more, route, key, rate and targets are checked when the head has been read, and reading waits for the result. A refusal is sent at once and the connection closed after a second, so that the caller can read it; 100 Continue is sent after the decision. The class is work accepted before it is decided whether it is wanted.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -13,6 +13,12 @@
 from .traffic import TrafficMeter
 
 _MAX_PIPELINED_REQUESTS = 256
+# A body of this size takes long enough on a slow link to decide about the
+# request first.
+_LARGE_BODY_BYTES = 16384
+# A connection with unread bytes is reset when it is closed; the caller has this
+# long to read the response.
+_LINGER_S = 1.0
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
@@ -42,6 +48,8 @@
 
     # Handles a request; cancelled when the caller disconnects.
     serve: Callable[[CallerRequest], Awaitable[Response]]
+    # Decides about a request before its body is read; None if there is no need.
+    admit: Callable[[CallerRequest], Awaitable[Response | None]] | None
 
     def has_buffer_space(self, size_bytes: int) -> bool:
         """Return whether a body of this size fits in the body buffer."""
@@ -121,6 +129,8 @@
             pending.request.caller_disconnected = True
             if pending.task is not None and not pending.request.must_finish:
                 pending.task.cancel()
+        if self._request is not None and self._request.admission is not None:
+            self._request.admission.cancel()
         self._pending.clear()
 
     def eof_received(self) -> bool:
@@ -183,11 +193,17 @@
         self._header_bytes = 0
         request.method = self._parser.get_method()
         request.keeps_alive = self._parser.should_keep_alive()
-        if request.header(b'expect') and not self._pending:
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         length = request.header(b'content-length')
         if length is not None and length.isdigit():
+            request.declared_body_bytes = int(length)
             self._check_size(int(length))
+        if self._needs_early_admission(request, length):
+            self._transport.pause_reading()
+            request.admission = asyncio.get_running_loop().create_task(
+                self._admit_early(request)
+            )
+        else:
+            self._expect_body(request)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body and check the size limits."""
@@ -213,6 +229,46 @@
         if len(self._pending) >= _MAX_PIPELINED_REQUESTS:
             self._transport.pause_reading()
 
+    def _needs_early_admission(
+        self, request: CallerRequest, length: bytes | None
+    ) -> bool:
+        if self._listener.admit is None or self._pending or self._is_closing:
+            return False
+        if length is None:
+            return request.header(b'transfer-encoding') is not None
+        return length.isdigit() and int(length) >= _LARGE_BODY_BYTES
+
+    async def _admit_early(self, request: CallerRequest) -> Response | None:
+        """Decide about a request before its body takes up the link."""
+        if self._listener.admit is None:
+            return None
+        refused = await self._listener.admit(request)
+        if self._is_closing:
+            return refused
+        if refused is None:
+            self._expect_body(request)
+            self._transport.resume_reading()
+        elif self._request is request:
+            self._refuse_unread(request, refused)
+        return refused
+
+    def _expect_body(self, request: CallerRequest) -> None:
+        is_first = not self._pending and not self._is_closing
+        if request.header(b'expect') and is_first:
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _refuse_unread(self, request: CallerRequest, refused: Response) -> None:
+        """Respond to a request without reading the rest of its body."""
+        self._request = None
+        self._body = []
+        self._is_closing = True
+        self._adjust_buffered(-self._body_bytes)
+        self._write(refused, closes=True)
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_LINGER_S, self._transport.abort)
+
     def give_up_blocking(self) -> None:
         """Give up requests whose missing response holds back complete ones.
 
@@ -247,7 +303,12 @@
         return self._listener.is_draining and bool(self._pending)
 
     async def _handle(self, pending: _PendingRequest) -> None:
-        pending.response = await self._listener.serve(pending.request)
+        request = pending.request
+        if request.admission is not None:
+            # Its body was complete before the decision.
+            pending.response = await request.admission
+        if pending.response is None:
+            pending.response = await self._listener.serve(request)
         self._write_completed()
 
     def _write_completed(self) -> None:
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -24,6 +24,7 @@
 
 
 Serve = Callable[[CallerRequest], Awaitable[Response]]
+Admit = Callable[[CallerRequest], Awaitable[Response | None]]
 
 
 class HttpListener:
@@ -39,6 +40,9 @@
         Limit on the bytes of bodies buffered for all connections.
     meter : TrafficMeter, optional
         Counts the bytes of the connections.
+    admit : callable, optional
+        Decides about a request with a large body before the body is read;
+        returns the response if it is refused, else None.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         limits: Callable[[], Any] = StaticLimits,
         max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
         meter: TrafficMeter | None = None,
+        admit: Admit | None = None,
     ) -> None:
         """Prepare the listener; `listen` opens the address."""
         self.buffered_bytes = 0
@@ -56,6 +61,7 @@
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.serve = serve
+        self.admit = admit
         self.limits = limits
         self._server: asyncio.Server | None = None
 
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -1,6 +1,8 @@
 """HTTP requests of callers and responses of targets."""
 
+import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 Header = tuple[bytes, bytes]
 
@@ -28,6 +30,8 @@
     ``received_s`` is the monotonic time at which its first byte was read.
     ``must_finish`` is set during an attempt that must not be cancelled when
     the caller disconnects. ``caller_host`` is the caller's IP address.
+    ``admission`` is the task that decides about the request before its body is
+    read, and ``admitted`` its result for the handler.
     """
 
     method: bytes
@@ -39,6 +43,14 @@
     must_finish: bool = False
     caller_disconnected: bool = False
     caller_host: str = ''
+    declared_body_bytes: int = 0
+    admission: 'asyncio.Task[Response | None] | None' = None
+    admitted: Any = None
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body, also while it has not been read."""
+        return max(len(self.body), self.declared_body_bytes)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if there is none."""
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -11,7 +11,7 @@
 from ..core.errors import Refusal, RefusalDetails
 from ..core.event_loop import EventLoop
 from ..core.logs import age_ms
-from ..core.metrics import REQUEST_DURATION_S, REQUESTS
+from ..core.metrics import EVENTS, REQUEST_DURATION_S, REQUESTS
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
 from .connection_pool import ConnectionPool
@@ -75,6 +75,7 @@
             limits=self._limits,
             max_buffered_bytes=self._settings.max_buffered_bytes,
             meter=self._traffic,
+            admit=self.admit,
         )
         self.response_budget = self._forwarder.pool.budget
         self._readiness_listener = HttpListener(self._serve_readiness)
@@ -107,12 +108,11 @@
         request_key = request_id(request, self._dialect)
         service = ''
         try:
-            routed = await self._admit(request, request_key)
+            routed = request.admitted or await self._admit(request, request_key)
             service = routed.service.name
             response = await self._forward(routed)
         except Refusal as refusal:
-            self._log_refusal(request, request_key, refusal)
-            response = refusal_response(refusal, request_key, self._dialect)
+            response = self._refuse(request, request_key, refusal)
         except Exception:
             _LOG.exception(
                 'request failed', extra={'request_id': request_key.decode()}
@@ -126,12 +126,51 @@
         )
         return response
 
+    async def admit(self, request: CallerRequest) -> Response | None:
+        """Decide about a request before its body is read.
+
+        Returns
+        -------
+        Response or None
+            The response to a refused request, None for one that is admitted.
+        """
+        request_key = request_id(request, self._dialect)
+        try:
+            await self._admit_without_body(request, request_key)
+        except Refusal as refusal:
+            response = self._refuse(request, request_key, refusal)
+            EVENTS.labels('gateway', 'refused_before_body').inc()
+            self._traffic.add_response(response.status)
+            return response
+        return None
+
+    async def _admit_without_body(
+        self, request: CallerRequest, request_key: bytes
+    ) -> None:
+        routed = await self._admit(request, request_key)
+        try:
+            self._forwarder.require_target(routed)
+        except Refusal:
+            self._give_back_token(routed)
+            raise
+        request.admitted = routed
+
+    def _give_back_token(self, routed: RoutedRequest) -> None:
+        if routed.account is not None:
+            self._rate_limiter.give_back(routed.account, routed.rate_token)
+
+    def _refuse(
+        self, request: CallerRequest, request_key: bytes, refusal: Refusal
+    ) -> Response:
+        self._log_refusal(request, request_key, refusal)
+        return refusal_response(refusal, request_key, self._dialect)
+
     async def _forward(self, routed: RoutedRequest) -> Response:
         try:
             return await self._forwarder.forward(routed)
         except Refusal:
-            if routed.account is not None and not routed.attempts:
-                self._rate_limiter.give_back(routed.account, routed.rate_token)
+            if not routed.attempts:
+                self._give_back_token(routed)
             raise
 
     async def _start(self) -> None:
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -96,6 +96,15 @@
         return is_allowed and is_useful and self.attempts < max_attempts
 
 
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """A candidate for a request, and the home region of its object."""
+
+    candidate: Candidate
+    targets: ServiceTargets
+    home: str
+
+
 class RequestForwarder:
     """Chooses targets, sends requests and updates target health.
 
@@ -176,26 +185,38 @@
             if response is not None:
                 return response
 
+    def require_target(self, routed: RoutedRequest) -> None:
+        """Check that a target can take a request whose body is not read yet.
+
+        Raises
+        ------
+        Refusal
+            If no target can take it now.
+        """
+        self._find(routed)
+
     def _choose(self, routed: RoutedRequest) -> Candidate:
+        found = self._find(routed)
+        now_s = time.monotonic()
+        health = found.candidate.health
+        routed.has_waited = health.busy(now_s) >= health.slots
+        note_placed(found.candidate, routed.object_key, now_s)
+        found.targets.split.note_placed(
+            now_s, leaves=found.candidate.target.region != found.home
+        )
+        return found.candidate
+
+    def _find(self, routed: RoutedRequest) -> _Found:
         if routed.left_s() < _MIN_ATTEMPT_TIME_S:
             raise self._final_refusal(routed, 'deadline')
-        targets = self._directory.for_service(routed.service.name)
-        placement = self._place(routed, targets)
-        if placement.candidate is None:
-            routed.wait_s = placement.wait_s
-            raise self._final_refusal(routed, placement.reject_reason)
-        return placement.candidate
-
-    def _place(
-        self, routed: RoutedRequest, targets: ServiceTargets
-    ) -> Placement:
         now_s = time.monotonic()
+        targets = self._directory.for_service(routed.service.name)
         version = self._version(routed.service, targets)
         groups = targets.ordered(
             routed.object_key,
             version,
             routed.regions,
-            has_large_body=len(routed.request.body) >= _LARGE_BODY_BYTES,
+            has_large_body=routed.request.body_bytes >= _LARGE_BODY_BYTES,
         )
         if routed.tried:
             groups = _without_tried(groups, routed.tried)
@@ -223,17 +244,11 @@
         if placement.reject_reason == 'limited':
             # What the targets of the home region may not take goes elsewhere.
             placement = self._place_in(groups, needs, now_s)
-        candidate = placement.candidate
-        if candidate is None:
+        if placement.candidate is None:
             routed.rejection = placement.describe(needs)
-        else:
-            health = candidate.health
-            routed.has_waited = health.busy(now_s) >= health.slots
-            note_placed(candidate, routed.object_key, now_s)
-            targets.split.note_placed(
-                now_s, leaves=candidate.target.region != home
-            )
-        return placement
+            routed.wait_s = placement.wait_s
+            raise self._final_refusal(routed, placement.reject_reason)
+        return _Found(placement.candidate, targets, home)
 
     def _place_in(
         self, groups: list[list[Candidate]], needs: Needs, now_s: float
