Give back the token of a caller that leaves during its body

Cause: since requests with large bodies are admitted before the body, a caller that leaves meanwhile had used a token of its account.

Change: the listener tells the gateway of an admitted request whose body will not come.

Result: test_caller_that_leaves_during_the_body_uses_no_token fails without it (a request is refused before its body for want of a token) and passes.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -50,6 +50,8 @@
     serve: Callable[[CallerRequest], Awaitable[Response]]
     # Decides about a request before its body is read; None if there is no need.
     admit: Callable[[CallerRequest], Awaitable[Response | None]] | None
+    # Told of an admitted request whose body will not come.
+    abandon: Callable[[CallerRequest], None] | None
 
     def has_buffer_space(self, size_bytes: int) -> bool:
         """Return whether a body of this size fits in the body buffer."""
@@ -129,8 +131,8 @@
             pending.request.caller_disconnected = True
             if pending.task is not None and not pending.request.must_finish:
                 pending.task.cancel()
-        if self._request is not None and self._request.admission is not None:
-            self._request.admission.cancel()
+        if self._request is not None:
+            self._abandon(self._request)
         self._pending.clear()
 
     def eof_received(self) -> bool:
@@ -252,6 +254,12 @@
             self._refuse_unread(request, refused)
         return refused
 
+    def _abandon(self, request: CallerRequest) -> None:
+        if request.admission is not None:
+            request.admission.cancel()
+        if self._listener.abandon is not None:
+            self._listener.abandon(request)
+
     def _expect_body(self, request: CallerRequest) -> None:
         is_first = not self._pending and not self._is_closing
         if request.header(b'expect') and is_first:
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -43,6 +43,8 @@
     admit : callable, optional
         Decides about a request with a large body before the body is read;
         returns the response if it is refused, else None.
+    abandon : callable, optional
+        Told of an admitted request whose body will not come.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
         meter: TrafficMeter | None = None,
         admit: Admit | None = None,
+        abandon: Callable[[CallerRequest], None] | None = None,
     ) -> None:
         """Prepare the listener; `listen` opens the address."""
         self.buffered_bytes = 0
@@ -62,6 +65,7 @@
         self.is_draining = False
         self.serve = serve
         self.admit = admit
+        self.abandon = abandon
         self.limits = limits
         self._server: asyncio.Server | None = None
 
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -76,6 +76,7 @@
             max_buffered_bytes=self._settings.max_buffered_bytes,
             meter=self._traffic,
             admit=self.admit,
+            abandon=self.abandon,
         )
         self.response_budget = self._forwarder.pool.budget
         self._readiness_listener = HttpListener(self._serve_readiness)
@@ -144,6 +145,11 @@
             return response
         return None
 
+    def abandon(self, request: CallerRequest) -> None:
+        """Give back the token of a request whose body will not come."""
+        if request.admitted is not None:
+            self._give_back_token(request.admitted)
+
     async def _admit_without_body(
         self, request: CallerRequest, request_key: bytes
     ) -> None:
--- a/oleanderpin/tests/gateway/test_large_bodies.py
+++ b/oleanderpin/tests/gateway/test_large_bodies.py
@@ -120,3 +120,24 @@
         response = read_message(connection, bytearray())
     assert status_of(response) == 503
     assert header_of(response, b'retry-after')
+
+
+def test_caller_that_leaves_during_the_body_uses_no_token(
+    tmp_path: Path,
+) -> None:
+    """Guards against rates used up by requests that never reach a target."""
+    change = configuration(profile=ONCE, rate_per_s=2.0)
+    request = request_bytes(method='POST', body=BODY, deadline_ms=1000)
+    with started_gateway(tmp_path, change) as gateway:
+        gateway.announce(ScriptedHttpTarget().start(), 't1')
+        wait_until(
+            'a share of the rate',
+            lambda: status_of(gateway.ask(request_bytes())[0]) == 200,
+        )
+        for _each in range(10):
+            with gateway.connect() as connection:
+                connection.sendall(request[:-1])
+                wait_until('the body', gateway.buffered_bytes)
+            wait_until('free memory', lambda: not gateway.buffered_bytes())
+        (response,) = gateway.ask(request_bytes(deadline_ms=1000))
+    assert status_of(response) == 200
