Ask a silent source again although others reply with outdated copies

Cause, by the state of its follower: the two sources were a follower that was outdated itself and watched this instance, and the new leader, which had been silent once. Since outdated sources precede silent ones while the copy is outdated, the leader was never asked again.

Change: a silent source whose back-off is over is asked at least every 2 s, and one that others name as the leader 1 s after it was silent.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -35,6 +35,12 @@
 # Back-off from a source that failed, doubled for each further failure.
 _MIN_BACKOFF_S = 2.0
 _MAX_BACKOFF_S = 30.0
+# Interval at which a silent source is asked although others reply, with an
+# outdated copy: it may be the only one that is current again.
+_SILENT_INTERVAL_S = 2.0
+# A source that others name as the leader is asked again this long after it was
+# silent.
+_LEADER_RETRY_S = 1.0
 # A held request ends with a change, so a long hold time only delays the
 # discovery that the standby source is silent.
 _STANDBY_HOLD_S = 2.0
@@ -65,7 +71,8 @@
         now_s : float
             Time on the monotonic clock.
         needs_fresh : bool
-            Whether the instance's own copy is outdated.
+            Whether the instance's own copy is outdated, and a silent source was
+            asked a short time ago.
         """
         is_over = now_s >= self.failed_s + self.duration_s
         is_silent = self.result == 'silent'
@@ -113,6 +120,7 @@
         self._confirmations = confirmations
         self._started_s = kernel.clock.now_s()
         self._backoffs: dict[str, _BackOff] = {}
+        self._silent_asked_s = float('-inf')
         self._hinted_leader = ''
         limit_s = kernel.settings.control.freshness_limit_s
         self._outdated_s = limit_s * OUTDATED_FRACTION
@@ -205,9 +213,11 @@
             Return those of the second watch, without the one of the first.
         """
         control = [self._hinted_leader, *self._control_addresses()]
+        leader = self._hinted_leader
         if self._kernel.has(ControlLog):
             leadership = self._kernel.plugin(ControlLog).leadership()
-            control.insert(0, leadership.leader_address)
+            leader = leadership.leader_address or leader
+            control.insert(0, leader)
         candidates = standby_sources if is_standby else sources
         other = self._first if is_standby else self._standby
         known = [
@@ -220,12 +230,18 @@
             if not is_standby or address != other.source
         ]
         now_s = self._kernel.clock.now_s()
-        needs_fresh = self._view.freshness_age_s() > self._outdated_s
+        needs_fresh = (
+            self._view.freshness_age_s() > self._outdated_s
+            and now_s - self._silent_asked_s < _SILENT_INTERVAL_S
+        )
 
         def preference(address: str) -> tuple[int, float]:
             backoff = self._backoffs.get(address)
             if backoff is None:
                 return (0, 0.0)
+            is_retry_due = now_s - backoff.failed_s >= _LEADER_RETRY_S
+            if address == leader and is_retry_due:
+                return (0, 0.0)
             return backoff.preference(now_s, needs_fresh=needs_fresh)
 
         # Sorting is stable and keeps the order of preference.
@@ -300,7 +316,10 @@
         watch.source = address
         # A new source is asked to reply at once, to show that it works.
         hold_s = 0 if is_new else self._hold_s(watch)
+        last = self._backoffs.get(address)
         result = self._try_watch(watch, hold_s)
+        if last is not None and last.result == 'silent':
+            self._silent_asked_s = self._kernel.clock.now_s()
         if result == 'fresh':
             self._backoffs.pop(address, None)
             return
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -447,6 +447,28 @@
     assert delay_s <= 2.0
 
 
+def test_silent_source_is_asked_again_although_others_reply(
+    chain: Chain,
+) -> None:
+    """Guards against instances that only ask each other for the leader's state.
+
+    A control instance lost its disk, asked another one that was outdated, and
+    never again the new leader, which had been silent once.
+    """
+    leaf = Leaf(chain)
+    faults = LinkFaults(leaf.kernel)
+    faults.silence(chain.kernels[0])
+    started_s = chain.clock.now_s()
+    while chain.clock.now_s() - started_s < LIMIT_S:
+        leaf.follower.follow_step()
+        chain.clock.advance(0.1)
+    faults.restore()
+    revision = chain.change('profile.put', name='counter')
+    # Nobody else follows the leader.
+    leaf.others = []
+    assert leaf.seconds_until(revision) < LIMIT_S
+
+
 def test_proposal_reaches_the_leader_through_others(chain: Chain) -> None:
     """Guards against failed proposals while the link to the leader is cut."""
     chain.share_membership()
