--- a/oleanderpin/limits/floors.py
+++ b/oleanderpin/limits/floors.py
@@ -15,7 +15,7 @@
 
 
 # Prefix of the names of share holders that lend to others and have no floors.
-LENDER_PREFIX = 'lender.'
+LENDER_PREFIX = 'lender/'
 
 
 def floor_instance_count(state: ControlState) -> int:
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -42,9 +42,6 @@
 # for the gateways of their region.
 _SERVING_ROLES = frozenset(('entry', 'gateway'))
 
-# Names of instances, and so of holders, are at most this long.
-_MAX_NAME_LENGTH = 63
-
 AcquireResult = Literal['ok', 'exhausted', 'crowded', 'timeout']
 
 
@@ -143,9 +140,7 @@
 
     def _holder_name(self) -> str:
         name = self.kernel.settings.instance.name
-        if not self._is_lender:
-            return name
-        return f'{LENDER_PREFIX}{name}'[:_MAX_NAME_LENGTH]
+        return f'{LENDER_PREFIX}{name}' if self._is_lender else name
 
     def acquire(self, resource: str, *, deadline_s: float) -> AcquireResult:
         """Take one unit, requesting more from the leader when none is left.
--- a/oleanderpin/tests/limits/test_lender.py
+++ b/oleanderpin/tests/limits/test_lender.py
@@ -23,7 +23,7 @@
         self.ledger = Ledger(clock=self.clock, lease_s=4.0, possible_holders=())
         self.ledger.set_whole('account/shop', Quota(2.0, BURST))
         self.holder = Holder(
-            clock=self.clock, name='lender.c1', incarnation=1, lease_s=4.0
+            clock=self.clock, name='lender/c1', incarnation=1, lease_s=4.0
         )
         self.is_cut_off = False
         self.lender = TokenLender(self)
