--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -11,9 +11,8 @@
 from ..limits.allocator import account_resource
 from ..limits.floors import Floors, floor_instance_count
 from ..limits.shares import ShareHolder
-from .tokens import RegionTokens
 
-TokenSource = Literal['', 'floor', 'share', 'lender']
+TokenSource = Literal['', 'floor', 'share']
 
 # A reply of the leader in another region arrives within two intervals.
 _POLL_INTERVAL_S = 0.02
@@ -40,7 +39,6 @@
         self._shares = kernel.plugin(ShareHolder)
         self._random = random.Random()
         self._floors = Floors(kernel.settings.limits.floor_percent)
-        self._tokens = RegionTokens(kernel)
 
     def run_maintenance(self) -> None:
         """Divide the floors, once this instance is registered as a holder."""
@@ -76,20 +74,6 @@
         if self._floors.take(account, time.monotonic()):
             return 'floor'
         resource = account_resource(account.name)
-        if not self._floors.covers(account):
-            result: Any = await self._tokens.take(
-                account.name, deadline_s=deadline_s
-            )
-            if result == 'ok':
-                return 'lender'
-            if result != 'unavailable':
-                raise self._refusal(account, resource, result)
-        await self._take_from_share(account, resource, deadline_s)
-        return 'share'
-
-    async def _take_from_share(
-        self, account: Account, resource: str, deadline_s: float
-    ) -> None:
         holder = self._shares.holder
         holder.note_arrival(resource)
         result = self._shares.take_now(resource)
@@ -101,6 +85,7 @@
                 holder.note_waiting(resource, -1)
         if result != 'ok':
             raise self._refusal(account, resource, result)
+        return 'share'
 
     def give_back(self, account: Account, source: TokenSource) -> None:
         """Return the token of a request that no target was sent.
@@ -114,8 +99,6 @@
         """
         if source == 'floor':
             self._floors.give_back(account)
-        elif source == 'lender':
-            self._tokens.give_back(account.name)
         elif source == 'share':
             self._shares.holder.give_back(account_resource(account.name))
 
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -73,7 +73,7 @@
     has_waited: bool = False
     wait_s: float = 0.0
     rejection: str = ''
-    rate_token: Literal['', 'floor', 'share', 'lender'] = ''
+    rate_token: Literal['', 'floor', 'share'] = ''
     tried: set[str] = field(default_factory=set)
 
     @property
--- a/oleanderpin/limits/floors.py
+++ b/oleanderpin/limits/floors.py
@@ -14,18 +14,9 @@
 _MIN_INSTANCE_COUNT = 8
 
 
-# Prefix of the names of share holders that lend to others and have no floors.
-LENDER_PREFIX = 'lender/'
-
-
 def floor_instance_count(state: ControlState) -> int:
     """Return the number of instances among which floors are divided."""
-    holders = [
-        name
-        for name in state.share_holders
-        if not name.startswith(LENDER_PREFIX)
-    ]
-    return max(len(holders), _MIN_INSTANCE_COUNT)
+    return max(len(state.share_holders), _MIN_INSTANCE_COUNT)
 
 
 def has_floor(burst: float, fraction: float, instance_count: float) -> bool:
@@ -76,12 +67,6 @@
         """Record the number of instances; lower counts are ignored."""
         self._instance_count = max(self._instance_count, count)
 
-    def covers(self, account: Account) -> bool:
-        """Return whether this instance has a floor of an account."""
-        return bool(self._instance_count) and has_floor(
-            account.burst, self._fraction, self._instance_count
-        )
-
     def take(self, account: Account, now_s: float) -> bool:
         """Take one token of an account; return whether there was one."""
         if not self._fraction or not self._instance_count:
--- a/oleanderpin/limits/pool.py
+++ b/oleanderpin/limits/pool.py
@@ -12,7 +12,7 @@
 _BASE_FRACTION = 0.25
 _BASE_MIN_HOLDERS = 4
 # A reserve of fewer tokens than this often runs out before a renewal.
-_MIN_RESERVE_TOKENS = 2.5
+_MIN_RESERVE_TOKENS = 3.0
 # Demand from this fraction of the rate on counts as exhausting the rate.
 _EXHAUSTED_FRACTION = 0.95
 # Bursts of a caller within its rate must not look like exhausting demand.
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -17,7 +17,6 @@
 from ..membership.peers import Peers
 from .allocator import account_resource
 from .codec import decode_grants, encode_renewal
-from .floors import LENDER_PREFIX
 from .holder import Holder
 
 _LOG = logging.getLogger(__name__)
@@ -38,8 +37,8 @@
 # Validity of the leader's answer that it has nothing to lend.
 EXHAUSTED_VALID_S = 0.25
 
-# Callers' requests come to these roles; control instances without them borrow
-# for the gateways of their region.
+# Callers' requests come to these roles only; shares of other instances would
+# stay unused.
 _SERVING_ROLES = frozenset(('entry', 'gateway'))
 
 AcquireResult = Literal['ok', 'exhausted', 'crowded', 'timeout']
@@ -90,7 +89,7 @@
         self._leader = kernel.plugin(LeaderClient)
         self._holder = Holder(
             clock=kernel.clock,
-            name=self._holder_name(),
+            name=kernel.settings.instance.name,
             incarnation=kernel.plugin(Peers).own().incarnation,
             lease_s=kernel.settings.limits.lease_s,
         )
@@ -117,8 +116,8 @@
         return self._is_cut_off
 
     def start(self) -> None:
-        """Start renewing, if this instance serves callers or lends."""
-        if self._is_serving or self._is_lender:
+        """Start renewing, if callers' requests come to this instance."""
+        if _SERVING_ROLES & set(self.kernel.settings.instance.roles):
             self._thread.start()
 
     def stop(self) -> None:
@@ -128,20 +127,6 @@
             self._thread.join(_CALL_TIMEOUT_S)
             self._renew(is_leaving=True)
 
-    @property
-    def _is_serving(self) -> bool:
-        return bool(_SERVING_ROLES & set(self.kernel.settings.instance.roles))
-
-    @property
-    def _is_lender(self) -> bool:
-        """Whether this instance borrows only for others."""
-        roles = self.kernel.settings.instance.roles
-        return 'control' in roles and not self._is_serving
-
-    def _holder_name(self) -> str:
-        name = self.kernel.settings.instance.name
-        return f'{LENDER_PREFIX}{name}' if self._is_lender else name
-
     def acquire(self, resource: str, *, deadline_s: float) -> AcquireResult:
         """Take one unit, requesting more from the leader when none is left.
 
@@ -276,7 +261,7 @@
             if self._is_renewal_needed():
                 self._renew()
             gap_s = early_gap_s(
-                0 if self._is_lender else len(self._view.state.share_holders),
+                len(self._view.state.share_holders),
                 self.kernel.clock.now_s() - self._last_renewal_s,
             )
             if self.kernel.wait_while_running(gap_s):
@@ -329,8 +314,7 @@
             return
         limited = _rate_limited(accounts)
         previous = _rate_limited(self._accounts)
-        # Lenders track the accounts that gateways ask them for.
-        for name in () if self._is_lender else limited - previous:
+        for name in limited - previous:
             self._holder.track(account_resource(name))
         for name in previous - limited:
             self._holder.untrack(account_resource(name))
