Apply limits of targets only while there are any

Cause: the limits of all targets were applied four times a second also without any, about 300 targets at each gateway, and beyond a load of 1.4 of a region its targets got a weight below 1, which cleared all cached orders of objects.

Change: the pass is left out while no target has named a limit, and targets without a limit have a weight of 1.

--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -45,6 +45,7 @@
     candidates: list[Candidate] = field(default_factory=list)
     usual_s: float = 0.0
     slots: dict[str, float] = field(init=False)
+    _is_limited: bool = False
     _orders: dict[_OrderKey, list[list[Candidate]]] = field(
         default_factory=dict
     )
@@ -53,6 +54,8 @@
         """Add up the slots of each region."""
         self.slots = {}
         for each in self.candidates:
+            # Limits outlive the list of candidates.
+            self._is_limited = self._is_limited or each.health.limit is not None
             region = each.target.region
             self.slots[region] = self.slots.get(region, 0) + each.health.slots
 
@@ -104,6 +107,10 @@
         room for. If all stayed, requests beyond the limit would load them again
         at other targets, each time for one request.
         """
+        is_limited = limits.has_limits
+        if not is_limited and not self._is_limited:
+            return
+        self._is_limited = is_limited
         self.slots = dict.fromkeys(self.slots, 0.0)
         has_moved = False
         for each in self.candidates:
@@ -112,13 +119,21 @@
             each.health.set_limit(limit_per_s, now_s)
             usable = each.health.usable_slots(self.usual_s, now_s)
             self.slots[target.region] += usable
-            load = max(self.split.load_of(target.region), _MIN_WEIGHING_LOAD)
-            weight = _rounded_weight(usable / (each.health.slots * load))
+            weight = self._weight(each, usable)
             has_moved = has_moved or weight != each.health.weight
             each.health.weight = weight
         if has_moved:
             self._orders.clear()
 
+    def _weight(self, candidate: Candidate, usable_slots: float) -> float:
+        """Return the part of the objects of a candidate, relative to others."""
+        health = candidate.health
+        if health.limit is None:
+            return 1.0
+        load = self.split.load_of(candidate.target.region)
+        used = health.slots * min(1.0, max(load, _MIN_WEIGHING_LOAD))
+        return _rounded_weight(usable_slots / used)
+
     def versions(self) -> set[str]:
         """Return the versions of the candidates."""
         return {each.target.version for each in self.candidates}
--- a/oleanderpin/routing/target_limits.py
+++ b/oleanderpin/routing/target_limits.py
@@ -75,6 +75,11 @@
         self._observed: dict[str, LimitEvidence] = {}
         self.version = 0
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any target has named a limit a short time ago."""
+        return bool(self._known)
+
     def limit_per_s(self, target_id: str, now_s: float) -> float:
         """Return the limit of a target, 0 if it has none."""
         found = self._known.get(target_id)
--- a/oleanderpin/tests/gateway/test_limited_objects.py
+++ b/oleanderpin/tests/gateway/test_limited_objects.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ...gateway.placement import OWN_FAILURE_DOMAIN, Candidate
-from ...gateway.region_split import RegionSplit
+from ...gateway.region_split import RegionCapacity, RegionSplit
 from ...gateway.service_targets import ServiceTargets
 from ...gateway.target_health import TargetHealth
 from ...routing.target_limits import TargetLimits
@@ -78,3 +78,15 @@
     targets = service(count=1)
     limited(targets, 4.0)
     assert targets.slots['north'] == pytest.approx(4.0 * USUAL_S)
+
+
+def test_overload_without_limits_moves_no_objects() -> None:
+    """Guards against orders that are computed anew while a region is busy."""
+    targets = service()
+    limited(targets, 4.0)
+    busy = RegionCapacity(slots=10, in_flight=30)
+    for now_s in range(20):
+        targets.split.update({'north': busy}, float(now_s))
+    limited(targets, 4.0)
+    weights = {each.health.weight for each in targets.candidates[1:]}
+    assert weights == {1.0}
