Compare limits of targets only as they are reported

Each report of a gateway copied all known limits, also when it named none. Now only the reported ones are compared with what they replace, and nothing is searched for a gateway that knows the newest version.

--- a/oleanderpin/routing/target_limits.py
+++ b/oleanderpin/routing/target_limits.py
@@ -158,13 +158,9 @@
 
     def record(self, limits: Iterable[TargetLimit], now_s: float) -> None:
         """Add what a gateway has learnt, where it is newer."""
-        before = {
-            target_id: evidence.limit_per_s
-            for target_id, evidence in self._known.items()
-        }
-        for target_id in _add_newer(self._known, limits, now_s):
+        for target_id, last in _add_newer(self._known, limits, now_s):
             limit_per_s = self._known[target_id].limit_per_s
-            if before.get(target_id) != limit_per_s:
+            if last is None or last.limit_per_s != limit_per_s:
                 self.version += 1
                 self._changed[target_id] = self.version
         for target_id, evidence in list(self._known.items()):
@@ -174,6 +170,8 @@
 
     def changed_since(self, version: int, now_s: float) -> list[TargetLimit]:
         """Return the limits that have changed since a version."""
+        if version == self.version:
+            return []
         is_known = self._first_version <= version <= self.version
         return _encode(
             {
@@ -189,15 +187,15 @@
     known: dict[str, LimitEvidence],
     limits: Iterable[TargetLimit],
     now_s: float,
-) -> list[str]:
-    """Add newer evidence to ``known``; return the targets concerned."""
+) -> list[tuple[str, LimitEvidence | None]]:
+    """Add newer evidence; return the targets concerned and what it replaces."""
     added = []
     for limit in limits:
         seen_s = now_s - limit.age_ms / 1000
         last = known.get(limit.target_id)
         if last is None or seen_s > last.seen_s:
             known[limit.target_id] = LimitEvidence(limit.limit_per_s, seen_s)
-            added.append(limit.target_id)
+            added.append((limit.target_id, last))
     return added
 
 
