--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -241,7 +241,7 @@
             ),
         )
         placement = self._place_in(near, needs, now_s)
-        if placement.reject_reason == 'limited':
+        if placement.reject_reason == 'limited' and near is not groups:
             # What the targets of the home region may not take goes elsewhere.
             placement = self._place_in(groups, needs, now_s)
         if placement.candidate is None:
