Start no threads for a second source on control instances

They have none, so that two threads woke up five times a second for nothing. The sort key's option is called prefers_replies, after what it does: it is also off while a silent source is due.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -6,6 +6,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Literal
 
@@ -58,25 +59,24 @@
     duration_s: float
 
     def preference(
-        self, now_s: float, *, needs_fresh: bool
+        self, now_s: float, *, prefers_replies: bool
     ) -> tuple[int, float]:
         """Return the sort key of the source; lower ones are asked first.
 
-        While the instance needs a fresh copy, sources that replied precede
-        those that were silent, even if all of them were outdated: they are
-        current again once there is a leader, and a silent one takes a time-out.
+        Sources that replied, even if with an outdated copy, are current again
+        once there is a leader, and a silent one takes a time-out.
 
         Parameters
         ----------
         now_s : float
             Time on the monotonic clock.
-        needs_fresh : bool
-            Whether the instance's own copy is outdated, and a silent source was
-            asked a short time ago.
+        prefers_replies : bool
+            Whether sources that replied precede silent ones: the own copy is
+            outdated, and a silent source was asked a short time ago.
         """
         is_over = now_s >= self.failed_s + self.duration_s
         is_silent = self.result == 'silent'
-        if is_over and not (is_silent and needs_fresh):
+        if is_over and not (is_silent and prefers_replies):
             return (0, 0.0)
         return (2 if is_silent else 1, self.failed_s)
 
@@ -135,12 +135,14 @@
 
     def start(self) -> None:
         """Start the threads that watch sources and report confirmations."""
-        threads = (
+        threads: list[tuple[Callable[..., None], tuple[SourceWatch, ...]]] = [
             (self._watch_loop, ()),
-            (self._standby_loop, ()),
             (self._report_loop, (self._first,)),
-            (self._report_loop, (self._standby,)),
-        )
+        ]
+        # Control instances have no second source.
+        if 'control' not in self._kernel.settings.instance.roles:
+            threads.append((self._standby_loop, ()))
+            threads.append((self._report_loop, (self._standby,)))
         for loop, arguments in threads:
             background_thread(
                 self._kernel, loop, *arguments, name='control-watch'
@@ -230,7 +232,7 @@
             if not is_standby or address != other.source
         ]
         now_s = self._kernel.clock.now_s()
-        needs_fresh = (
+        prefers_replies = (
             self._view.freshness_age_s() > self._outdated_s
             and now_s - self._silent_asked_s < _SILENT_INTERVAL_S
         )
@@ -242,7 +244,7 @@
             is_retry_due = now_s - backoff.failed_s >= _LEADER_RETRY_S
             if address == leader and is_retry_due:
                 return (0, 0.0)
-            return backoff.preference(now_s, needs_fresh=needs_fresh)
+            return backoff.preference(now_s, prefers_replies=prefers_replies)
 
         # Sorting is stable and keeps the order of preference.
         return sorted(known, key=preference)
