--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -221,11 +221,12 @@
     def _note_traffic(self) -> None:
         load = self._traffic.link_load(self._settings.link_mbit_per_s)
         self._forwarder.report_link_load(load)
-        self._traffic.log_if_due(
-            connections=len(self.listener.connections),
-            unsent_bytes=self.listener.unsent_bytes(),
-            link_load=round(load, 2),
-        )
+        if self._traffic.is_log_due:
+            self._traffic.log(
+                connections=len(self.listener.connections),
+                unsent_bytes=self.listener.unsent_bytes(),
+                link_load=round(load, 2),
+            )
 
     def _update_known_gateways(self) -> None:
         self._known_gateways.add(self._live_gateways())
--- a/oleanderpin/gateway/traffic.py
+++ b/oleanderpin/gateway/traffic.py
@@ -51,7 +51,6 @@
     def add_bytes(self, leg: Leg, count: int) -> None:
         """Count bytes that were read, or handed to the kernel, on a leg."""
         self.total_bytes[leg] += count
-        GATEWAY_BYTES.labels(leg).inc(count)
 
     def add_time(self, part: Part, duration_s: float) -> None:
         """Count the time that a request spent in one part."""
@@ -79,6 +78,7 @@
         received = 0
         for leg, count in self.total_bytes.items():
             change = count - self._load_bytes.get(leg, 0)
+            GATEWAY_BYTES.labels(leg).inc(change)
             if leg.startswith('to_'):
                 sent += change
             else:
@@ -91,12 +91,15 @@
         self._load_bytes = dict(self.total_bytes)
         return self._link_load
 
-    def log_if_due(self, **fields: object) -> None:
-        """Write the counts since the last line, every two seconds."""
+    @property
+    def is_log_due(self) -> bool:
+        """Whether the last line is two seconds old."""
+        return time.monotonic() - self._logged_s >= _LOG_INTERVAL_S
+
+    def log(self, **fields: object) -> None:
+        """Write the counts since the last line."""
         now_s = time.monotonic()
         elapsed_s = now_s - self._logged_s
-        if elapsed_s < _LOG_INTERVAL_S:
-            return
         if self._statuses or self._part_counts:
             self._write(elapsed_s, fields)
         self._logged_s = now_s
