Own the rates of small accounts in parts at the control instances

Callers of small accounts waited 0.2 to 0.4 s for a token, and were refused while the control leader did not reply: each of 66 gateways borrowed each token from one leader, over its own link. The cause is a rate that is divided by the number of gateways; below a few tokens for each of them nothing is left to divide.

Control instances now own fixed parts of the rate and burst of such an account, without a leader, and draw tokens from each other where a part runs out. Floors need three tokens for each gateway instead of one.

--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Literal
 
 Header = tuple[bytes, bytes]
+# Where the rate token of a request comes from; empty if it needs none.
+TokenSource = Literal['', 'floor', 'share', 'part']
 
 HOP_BY_HOP = frozenset(
     (
--- /dev/null
+++ b/oleanderpin/gateway/part_client.py
@@ -0,0 +1,283 @@
+"""Tokens of small accounts, from the nearest control instance that replies."""
+
+import asyncio
+import logging
+import time
+from collections import Counter
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from typing import Any, Literal
+
+from ..control.sources import rendezvous_hash
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..membership.peers import Peer, Peers
+from ..wire.generated.parts.ttypes import Given, Need
+from ..wire.network import PeerNetwork
+
+_LOG = logging.getLogger(__name__)
+_CALL_TIMEOUT_S = 0.5
+_MAX_CALLS = 8
+# A control instance that did not reply in time is avoided for this time.
+_AVOID_S = 1.0
+# Multiple of the mean round trip after which another instance is asked, and its
+# bounds; on a full link the round trip takes some hundred milliseconds.
+_SLOW_FACTOR = 3.0
+_MIN_SLOW_S = 0.04
+_MAX_SLOW_S = 0.4
+_ROUND_TRIP_WEIGHT = 0.2
+# A timer of the event loop may end this much early.
+_TIMER_ERROR_S = 0.002
+
+TakeOutcome = Literal['ok', 'exhausted', 'short']
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What became of a request for a token.
+
+    ``wait_s`` is the time until a token is expected, in seconds.
+    """
+
+    outcome: TakeOutcome
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    """A request that waits for a token; ``call`` is the one that asks for it."""
+
+    account: str
+    deadline_s: float
+    result: asyncio.Future[Taken]
+    ask_at_s: float = 0.0
+    call: int = 0
+
+
+@dataclass(slots=True)
+class _Instance:
+    """What is known of a control instance."""
+
+    round_trip_s: float = 0.0
+    avoid_until_s: float = 0.0
+
+    @property
+    def slow_after_s(self) -> float:
+        """Time without a reply after which another instance is asked."""
+        expected_s = self.round_trip_s * _SLOW_FACTOR
+        return min(_MAX_SLOW_S, max(_MIN_SLOW_S, expected_s))
+
+    def note_reply(self, round_trip_s: float) -> None:
+        """Record that a call was answered."""
+        mean_s = self.round_trip_s or round_trip_s
+        change_s = (round_trip_s - mean_s) * _ROUND_TRIP_WEIGHT
+        self.round_trip_s = mean_s + change_s
+
+
+@dataclass(slots=True)
+class _Calls:
+    """Numbers of the calls, and how many are in flight."""
+
+    last: int = 0
+    in_flight: int = 0
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+
+class PartClient:
+    """Asks control instances for tokens, a few calls at a time.
+
+    Not thread-safe: used on the event loop. Calls run in threads of their own.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Provides the peers and the network.
+    """
+
+    def __init__(self, kernel: Any) -> None:
+        """Start without calls."""
+        self._peers = kernel.plugin(Peers)
+        self._network = kernel.plugin(PeerNetwork)
+        self._executor = ThreadPoolExecutor(
+            _MAX_CALLS, thread_name_prefix='rate-parts'
+        )
+        self._waiting: list[_Waiting] = []
+        self._calls = _Calls()
+        self._instances: dict[str, _Instance] = {}
+        self._returned: Counter[str] = Counter()
+
+    async def take(self, account: str, *, deadline_s: float) -> Taken:
+        """Take one token of an account.
+
+        Parameters
+        ----------
+        account : str
+            Name of an account that control instances own in parts.
+        deadline_s : float
+            Monotonic time until which the request may wait.
+
+        Returns
+        -------
+        Taken
+            ``ok``; ``exhausted`` if no token is expected before the deadline;
+            ``short`` if no control instance replied in time.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = _Waiting(account, deadline_s, loop.create_future())
+        self._waiting.append(waiting)
+        self._ask()
+        try:
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                return await waiting.result
+        except TimeoutError:
+            return Taken('short')
+        finally:
+            self._waiting.remove(waiting)
+
+    def give_back(self, account: str) -> None:
+        """Return a token that was not used with the next call."""
+        self._returned[account] += 1
+
+    def _ask(self) -> None:
+        """Ask for all requests that no call asks for, if a call is free."""
+        now_s = time.monotonic()
+        due = [
+            each
+            for each in self._waiting
+            if not each.call
+            and each.ask_at_s <= now_s + _TIMER_ERROR_S
+            and not each.result.done()
+        ]
+        if not due or self._calls.in_flight >= _MAX_CALLS:
+            return
+        address = self._nearest(now_s)
+        if address is None:
+            for waiting in due:
+                waiting.result.set_result(Taken('short'))
+            return
+        self._calls.last += 1
+        self._calls.in_flight += 1
+        for waiting in due:
+            waiting.call = self._calls.last
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._call(address, self._calls.last, due))
+        self._calls.tasks.add(task)
+        task.add_done_callback(self._calls.tasks.discard)
+
+    async def _call(
+        self, address: str, number: int, asked: list[_Waiting]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        instance = self._instances.setdefault(address, _Instance())
+        slow = loop.call_later(
+            instance.slow_after_s, self._note_slow, address, number
+        )
+        started_s = time.monotonic()
+        replies: list[Given] = []
+        try:
+            replies = await loop.run_in_executor(
+                self._executor, self._send, address, self._needs(asked)
+            )
+            instance.note_reply(time.monotonic() - started_s)
+        except UnavailableError as error:
+            self._avoid(address, str(error))
+        finally:
+            slow.cancel()
+            self._calls.in_flight -= 1
+        for reply in replies:
+            self._deliver(reply, number)
+        self._release(number)
+        self._ask()
+
+    def _needs(self, asked: Iterable[_Waiting]) -> list[Need]:
+        counts = Counter(waiting.account for waiting in asked)
+        return [
+            Need(
+                account=account,
+                count=count,
+                returned=self._returned.pop(account, None),
+            )
+            for account, count in counts.items()
+        ]
+
+    def _send(self, address: str, needs: list[Need]) -> Any:
+        return self._network.call(
+            address, 'Parts', 'take', needs, timeout_s=_CALL_TIMEOUT_S
+        )
+
+    def _deliver(self, reply: Given, number: int) -> None:
+        """Give tokens to requests, those that the call asked for first."""
+        waiting = [
+            each
+            for each in self._waiting
+            if each.account == reply.account and not each.result.done()
+        ]
+        waiting.sort(key=lambda each: each.call != number)
+        for each in waiting[: reply.count]:
+            each.result.set_result(Taken('ok'))
+        unused = reply.count - len(waiting)
+        if unused > 0:
+            self._returned[reply.account] += unused
+        wait_s = (reply.wait_ms or 0) / 1000
+        for each in waiting[reply.count :]:
+            if each.call == number:
+                self._postpone(each, wait_s, is_exhausted=reply.is_exhausted)
+
+    def _postpone(
+        self, waiting: _Waiting, wait_s: float, *, is_exhausted: bool | None
+    ) -> None:
+        waiting.call = 0
+        waiting.ask_at_s = time.monotonic() + wait_s
+        if waiting.ask_at_s >= waiting.deadline_s:
+            outcome: TakeOutcome = 'exhausted' if is_exhausted else 'short'
+            waiting.result.set_result(Taken(outcome, wait_s))
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_s, self._ask)
+
+    def _release(self, number: int) -> None:
+        """Let other calls ask for what a call did not bring."""
+        for each in self._waiting:
+            if each.call == number:
+                each.call = 0
+
+    def _note_slow(self, address: str, number: int) -> None:
+        self._avoid(address, 'no reply in time')
+        EVENTS.labels('limits', 'part_owner_slow').inc()
+        self._release(number)
+        self._ask()
+
+    def _avoid(self, address: str, problem: str) -> None:
+        now_s = time.monotonic()
+        instance = self._instances[address]
+        if instance.avoid_until_s < now_s - _AVOID_S:
+            _LOG.warning(
+                'control instance gives no tokens',
+                extra={'address': address, 'problem': problem},
+            )
+        instance.avoid_until_s = now_s + _AVOID_S
+
+    def _nearest(self, now_s: float) -> str | None:
+        """Return the address of the instance to ask; None if none is alive."""
+        peers = self._peers.alive()
+        candidates = [peer for peer in peers if 'control' in peer.roles]
+        if not candidates:
+            return None
+        nearest = min(
+            candidates,
+            key=lambda peer: self._preference(peer, peers[0], now_s),
+        )
+        return nearest.peer_address
+
+    def _preference(
+        self, peer: Peer, own: Peer, now_s: float
+    ) -> tuple[float, bool, bool, int]:
+        instance = self._instances.get(peer.peer_address)
+        avoid_s = instance.avoid_until_s - now_s if instance else 0.0
+        return (
+            max(0.0, avoid_s),
+            peer.failure_domain != own.failure_domain,
+            peer.region != own.region,
+            rendezvous_hash(own.name, peer.name),
+        )
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -18,9 +18,9 @@
 from .dialect import dialects
 from .known_gateways import KnownGateways
 from .listener import HttpListener
-from .messages import CallerRequest, Response, cookie
+from .messages import CallerRequest, Response, TokenSource, cookie
 from .rate_limited_log import RateLimitedLog
-from .rates import AccountRateLimiter, TokenSource
+from .rates import AccountRateLimiter
 from .refusals import not_run_refusal, refusal_response
 from .request_forwarder import RequestForwarder, RoutedRequest
 from .rewriting import request_id
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -3,16 +3,17 @@
 import asyncio
 import random
 import time
-from typing import Any, Literal
+from typing import Any
 
 from ..control.state import Account
 from ..control.view import ControlView
 from ..core.errors import Refusal, RefusalDetails
 from ..limits.allocator import account_resource
+from ..limits.division import is_owned_in_parts
 from ..limits.floors import Floors, floor_instance_count
 from ..limits.shares import ShareHolder
-
-TokenSource = Literal['', 'floor', 'share']
+from .messages import TokenSource
+from .part_client import PartClient
 
 # A reply of the leader in another region arrives within two intervals.
 _POLL_INTERVAL_S = 0.02
@@ -29,7 +30,8 @@
     Parameters
     ----------
     kernel : Kernel
-        Provides the rate shares of this instance.
+        Provides the rate shares of this instance, and the control instances
+        that own the rates of small accounts in parts.
     """
 
     def __init__(self, kernel: Any) -> None:
@@ -38,7 +40,9 @@
         self._own_name = kernel.settings.instance.name
         self._shares = kernel.plugin(ShareHolder)
         self._random = random.Random()
-        self._floors = Floors(kernel.settings.limits.floor_percent)
+        self._settings = kernel.settings.limits
+        self._floors = Floors(self._settings.floor_percent)
+        self._parts = PartClient(kernel)
 
     def run_maintenance(self) -> None:
         """Divide the floors, once this instance is registered as a holder."""
@@ -71,6 +75,9 @@
         """
         if account.rate_per_s <= 0:
             return ''
+        if is_owned_in_parts(account, self._view.state, self._settings):
+            await self._take_from_parts(account, deadline_s)
+            return 'part'
         if self._floors.take(account, time.monotonic()):
             return 'floor'
         resource = account_resource(account.name)
@@ -84,7 +91,8 @@
             finally:
                 holder.note_waiting(resource, -1)
         if result != 'ok':
-            raise self._refusal(account, resource, result)
+            next_s = self._shares.holder.next_unit_s(resource)
+            raise self._refusal(account, result, wait_s=next_s or 0.0)
         return 'share'
 
     def give_back(self, account: Account, source: TokenSource) -> None:
@@ -101,6 +109,15 @@
             self._floors.give_back(account)
         elif source == 'share':
             self._shares.holder.give_back(account_resource(account.name))
+        elif source == 'part':
+            self._parts.give_back(account.name)
+
+    async def _take_from_parts(
+        self, account: Account, deadline_s: float
+    ) -> None:
+        taken = await self._parts.take(account.name, deadline_s=deadline_s)
+        if taken.outcome != 'ok':
+            raise self._refusal(account, taken.outcome, wait_s=taken.wait_s)
 
     async def _wait_for_token(self, resource: str, deadline_s: float) -> Any:
         result: Any = 'short'
@@ -114,11 +131,12 @@
             result = self._shares.take_now(resource)
         return result
 
-    def _refusal(self, account: Account, resource: str, result: str) -> Refusal:
-        next_s = self._shares.holder.next_unit_s(resource)
+    def _refusal(
+        self, account: Account, result: str, *, wait_s: float
+    ) -> Refusal:
         details = RefusalDetails(
             status=429,
-            retry_after_s=max(next_s or 0.0, _MIN_RETRY_AFTER_S)
+            retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S)
             + self._random.uniform(0, _RETRY_JITTER_S),
         )
         if result == 'exhausted':
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -9,7 +9,7 @@
 import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any, Literal
+from typing import Any
 
 from ..control.state import Account, Service
 from ..core.errors import Refusal
@@ -21,7 +21,13 @@
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
 from .known_gateways import KnownGateways
-from .messages import CallerRequest, Response, TargetFailure, TargetResponse
+from .messages import (
+    CallerRequest,
+    Response,
+    TargetFailure,
+    TargetResponse,
+    TokenSource,
+)
 from .placement import Candidate, Needs, Placement, note_placed, place
 from .probes import Probes
 from .rate_limited_log import RateLimitedLog
@@ -73,7 +79,7 @@
     has_waited: bool = False
     wait_s: float = 0.0
     rejection: str = ''
-    rate_token: Literal['', 'floor', 'share'] = ''
+    rate_token: TokenSource = ''
     tried: set[str] = field(default_factory=set)
 
     @property
--- a/oleanderpin/limits/allocator.py
+++ b/oleanderpin/limits/allocator.py
@@ -13,16 +13,12 @@
 from ..wire.generated.shares import Shares as SharesService
 from ..wire.generated.shares.ttypes import RenewReply, RenewRequest
 from ..wire.server import PeerServer
-from .floors import floor_instance_count, has_floor
+from .division import is_owned_in_parts
 from .holder_registrar import HolderRegistrar
 from .codec import decode_renewal, encode_grants
 from .ledger import Ledger
 from .messages import Quota
 
-# Factor on the instance count that decides whether floors are in use: instances
-# that do not know the newest holders yet use their floors longer.
-_FLOOR_MARGIN_FACTOR = 0.8
-
 _ACCOUNT_PREFIX = 'account/'
 
 
@@ -155,10 +151,13 @@
             return
         previous = self._accounts or {}
         self._holder_count = len(state.share_holders)
+        settings = self.kernel.settings.limits
+        fraction = 1 - settings.floor_percent / 100
         for name, account in accounts.items():
             is_unchanged = has_same_holders and previous.get(name) == account
-            if account.rate_per_s > 0 and not is_unchanged:
-                fraction = self._lent_fraction(account)
+            if is_owned_in_parts(account, state, settings):
+                ledger.remove(account_resource(name))
+            elif account.rate_per_s > 0 and not is_unchanged:
                 ledger.set_whole(
                     account_resource(name),
                     Quota(
@@ -169,13 +168,3 @@
         for name in previous.keys() - accounts.keys():
             ledger.remove(account_resource(name))
         self._accounts = accounts
-
-    def _lent_fraction(self, account: Account) -> float:
-        """Return the fraction of an account's rate that is not floors."""
-        floor_fraction = self.kernel.settings.limits.floor_percent / 100
-        instance_count = (
-            floor_instance_count(self._view.state) * _FLOOR_MARGIN_FACTOR
-        )
-        if has_floor(account.burst, floor_fraction, instance_count):
-            return 1 - floor_fraction
-        return 1.0
--- a/oleanderpin/limits/floors.py
+++ b/oleanderpin/limits/floors.py
@@ -12,6 +12,8 @@
 # Divisor while fewer instances are registered; instances that have just started
 # are not registered yet.
 _MIN_INSTANCE_COUNT = 8
+# A floor of one token is empty after each request.
+_MIN_FLOOR_TOKENS = 3.0
 
 
 def floor_instance_count(state: ControlState) -> int:
@@ -20,10 +22,9 @@
 
 
 def has_floor(burst: float, fraction: float, instance_count: float) -> bool:
-    """Return whether every instance has at least one token of floor.
+    """Return whether every instance has a few tokens of floor.
 
-    Accounts with a smaller burst have no floors: one token for each instance
-    would exceed their burst.
+    Accounts with a smaller burst have no floors.
 
     Parameters
     ----------
@@ -34,7 +35,7 @@
     instance_count : float
         Number of instances.
     """
-    return burst * fraction >= instance_count
+    return burst * fraction >= _MIN_FLOOR_TOKENS * instance_count
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/oleanderpin/limits/part_owner.py
@@ -0,0 +1,280 @@
+"""Control instance as an owner of parts of small accounts' rates."""
+
+import logging
+import threading
+from collections import defaultdict, deque
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from ..control.state import Account, ControlState
+from ..control.view import ControlView
+from ..core.errors import UnavailableError
+from ..core.metrics import EVENTS
+from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
+from ..wire.generated.parts import Parts as PartsService
+from ..wire.generated.parts.ttypes import Drawn, Given, Need
+from ..wire.network import PeerNetwork
+from ..wire.server import PeerServer
+from .division import is_owned_in_parts
+from .parts import Parts
+
+_LOG = logging.getLogger(__name__)
+_CALL_TIMEOUT_S = 0.5
+# An owner that did not reply is not asked again for this time.
+_SILENT_S = 1.0
+_MAX_DRAWS = 8
+# Until its first reply, another owner is taken to be in another region.
+_FIRST_ROUND_TRIP_S = 0.12
+# Added to the mean round trip, so that a request does not ask too early.
+_ROUND_TRIP_MARGIN_S = 0.003
+_ROUND_TRIP_WEIGHT = 0.2
+# Wait for a draw that takes longer than usual or is about to end.
+_OVERDUE_WAIT_S = 0.005
+# An account that this instance does not know yet will be known soon.
+_UNKNOWN_WAIT_S = 0.1
+
+
+class _PartsHandler:
+    """Serves the Thrift service ``Parts``."""
+
+    def __init__(self, owner: 'PartOwner') -> None:
+        self._owner = owner
+
+    def take(self, needs: list[Need]) -> list[Given]:
+        return self._owner.give(needs)
+
+    def draw(self, account: str, count: int) -> Drawn:
+        return self._owner.give_owner(account, count)
+
+
+@plugins.register('part-owner')
+class PartOwner(Plugin):
+    """Gives tokens of its parts to gateways and to other owners."""
+
+    roles = frozenset(('control',))
+
+    def __init__(self, kernel: Any) -> None:
+        """Register the Thrift service."""
+        super().__init__(kernel)
+        self._view = kernel.plugin(ControlView)
+        self._peers = kernel.plugin(Peers)
+        self._network = kernel.plugin(PeerNetwork)
+        self._lock = threading.Lock()
+        self._parts = Parts(
+            clock=kernel.clock,
+            address=kernel.settings.listen.peer,
+            handover_s=kernel.settings.limits.lease_s,
+        )
+        self._tables: tuple[Any, ...] = ()
+        # Ends of the waits of requests that were told to ask again.
+        self._waits: dict[str, deque[float]] = defaultdict(deque)
+        self._draws_end_s: dict[str, float] = {}
+        self._round_trips_s: dict[str, float] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._executor = ThreadPoolExecutor(
+            _MAX_DRAWS, thread_name_prefix='token-draw'
+        )
+        kernel.plugin(PeerServer).register(
+            'Parts', PartsService.Processor(_PartsHandler(self))
+        )
+        self._view.subscribe(self._update)
+
+    def start(self) -> None:
+        """Read the accounts that are known at the start."""
+        self._update(self._view.state)
+
+    def stop(self) -> None:
+        """Stop drawing tokens from other owners."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def give(self, needs: list[Need]) -> list[Given]:
+        """Return tokens for requests at a gateway.
+
+        Parameters
+        ----------
+        needs : list of Need
+            Accounts, and how many requests wait for a token of each.
+
+        Returns
+        -------
+        list of Given
+            Whole tokens, and when to ask again for those that are missing.
+        """
+        with self._lock:
+            return [self._give(need) for need in needs]
+
+    def give_owner(self, account: str, count: int) -> Drawn:
+        """Return tokens for requests that wait at another owner."""
+        with self._lock:
+            if account not in self._parts:
+                return Drawn(count=0, left=0.0)
+            taken = self._parts.take(account, count)
+            return Drawn(count=taken, left=self._parts.left(account))
+
+    def _give(self, need: Need) -> Given:
+        name = need.account
+        if name not in self._parts:
+            wait_ms = int(_UNKNOWN_WAIT_S * 1000)
+            return Given(account=name, count=0, wait_ms=wait_ms)
+        self._parts.add(name, need.returned or 0)
+        taken = self._parts.take(name, need.count)
+        missing = need.count - taken
+        if missing <= 0:
+            if self._parts.is_low(name):
+                self._start_draw(name, 0)
+            return Given(account=name, count=taken)
+        EVENTS.labels('limits', 'part_empty').inc()
+        draw_s = self._draw_wait_s(name, missing)
+        wait_s = draw_s or self._earn_wait_s(name, missing)
+        return Given(
+            account=name,
+            count=taken,
+            wait_ms=int(wait_s * 1000) + 1,
+            is_exhausted=(draw_s is None and not self._is_any_silent()) or None,
+        )
+
+    def _is_any_silent(self) -> bool:
+        now_s = self.kernel.clock.now_s()
+        return any(until_s > now_s for until_s in self._silent_until_s.values())
+
+    def _earn_wait_s(self, name: str, missing: int) -> float:
+        """Return the time until tokens are earned for all that wait."""
+        now_s = self.kernel.clock.now_s()
+        waits = self._waits[name]
+        while waits and waits[0] <= now_s:
+            waits.popleft()
+        owner_per_s, _burst = self._parts.owner_rate(name)
+        first_s = self._parts.next_token_s(name)
+        wait_s = first_s + (len(waits) + missing - 1) / owner_per_s
+        waits.extend(now_s + wait_s for _request in range(missing))
+        return wait_s
+
+    def _draw_wait_s(self, name: str, missing: int) -> float | None:
+        """Return when drawn tokens arrive; None if no owner has any."""
+        if not self._start_draw(name, missing):
+            return None
+        left_s = self._draws_end_s[name] - self.kernel.clock.now_s()
+        return max(_OVERDUE_WAIT_S, left_s)
+
+    def _start_draw(self, name: str, missing: int) -> bool:
+        """Draw tokens unless this is in progress; False if no owner has any."""
+        if name in self._draws_end_s:
+            return True
+        owner = self._next_source(name)
+        if owner is None:
+            return False
+        count = self._parts.start_draw(name, missing)
+        end_s = self.kernel.clock.now_s() + self._round_trip_s(owner)
+        self._draws_end_s[name] = end_s
+        self._executor.submit(self._draw, name, count)
+        return True
+
+    def _round_trip_s(self, owner: str) -> float:
+        mean_s = self._round_trips_s.get(owner, _FIRST_ROUND_TRIP_S)
+        return mean_s + _ROUND_TRIP_MARGIN_S
+
+    def _next_source(self, name: str) -> str | None:
+        """Return the owner to draw from; None if none should have a token."""
+        now_s = self.kernel.clock.now_s()
+        silent = {
+            owner
+            for owner, until_s in self._silent_until_s.items()
+            if until_s > now_s
+        }
+        return self._parts.next_source(
+            name, near=self._addresses_in_region(), silent=silent
+        )
+
+    def _addresses_in_region(self) -> set[str]:
+        own = self._peers.own()
+        return {
+            peer.peer_address
+            for peer in self._peers.alive()
+            if peer.region == own.region
+        }
+
+    def _draw(self, name: str, count: int) -> None:
+        try:
+            self._draw_from_sources(name, count)
+        except Exception:
+            # The executor would keep the error to itself.
+            _LOG.exception('tokens were not drawn', extra={'account': name})
+        finally:
+            with self._lock:
+                self._draws_end_s.pop(name, None)
+
+    def _draw_from_sources(self, name: str, count: int) -> None:
+        """Ask owners in turn until one of them has tokens."""
+        while not self.kernel.stopping.is_set():
+            with self._lock:
+                owner = self._next_source(name) if name in self._parts else None
+                if owner is None:
+                    return
+                end_s = self.kernel.clock.now_s() + self._round_trip_s(owner)
+                self._draws_end_s[name] = end_s
+            if self._draw_from(owner, name, count):
+                return
+
+    def _draw_from(self, owner: str, name: str, count: int) -> int:
+        started_s = self.kernel.clock.now_s()
+        try:
+            drawn = self._network.call(
+                owner, 'Parts', 'draw', name, count, timeout_s=_CALL_TIMEOUT_S
+            )
+        except UnavailableError as error:
+            self._note_silent(owner, error)
+            return 0
+        now_s = self.kernel.clock.now_s()
+        EVENTS.labels('limits', 'tokens_drawn').inc(drawn.count)
+        with self._lock:
+            self._note_round_trip(owner, now_s - started_s)
+            self._parts.note_level(name, owner, drawn.left)
+            if name in self._parts:
+                self._parts.add(name, drawn.count)
+        return int(drawn.count)
+
+    def _note_round_trip(self, owner: str, round_trip_s: float) -> None:
+        mean_s = self._round_trips_s.get(owner, round_trip_s)
+        change_s = (round_trip_s - mean_s) * _ROUND_TRIP_WEIGHT
+        self._round_trips_s[owner] = mean_s + change_s
+        if self._silent_until_s.pop(owner, None) is not None:
+            _LOG.info('owner of rate parts replies again: %s', owner)
+
+    def _note_silent(self, owner: str, error: UnavailableError) -> None:
+        EVENTS.labels('limits', 'draw_failed').inc()
+        with self._lock:
+            is_new = owner not in self._silent_until_s
+            until_s = self.kernel.clock.now_s() + _SILENT_S
+            self._silent_until_s[owner] = until_s
+        if is_new:
+            _LOG.warning('owner of rate parts does not reply: %s', error)
+
+    def _update(self, state: ControlState) -> None:
+        tables = (state.accounts, state.members, state.share_holders)
+        with self._lock:
+            if _are_same(tables, self._tables):
+                return
+            self._tables = tables
+            owned, lent = self._divide(state)
+            members = [member.address for member in state.members.values()]
+            self._parts.update(owned, members, lent=lent)
+
+    def _divide(self, state: ControlState) -> tuple[list[Account], list[str]]:
+        """Return the accounts with parts, and the names of the others."""
+        settings = self.kernel.settings.limits
+        accounts: Mapping[str, Account] = state.accounts
+        owned = [
+            account
+            for account in accounts.values()
+            if is_owned_in_parts(account, state, settings)
+        ]
+        names = {account.name for account in owned}
+        return owned, [name for name in accounts if name not in names]
+
+
+def _are_same(tables: tuple[Any, ...], others: tuple[Any, ...]) -> bool:
+    return len(tables) == len(others) and all(
+        one is other for one, other in zip(tables, others, strict=True)
+    )
--- a/oleanderpin/limits/shares.py
+++ b/oleanderpin/limits/shares.py
@@ -8,15 +8,17 @@
 from typing import Any, Literal
 
 from ..control.leader import LeaderClient
-from ..control.state import Account
+from ..control.state import Account, ControlState
 from ..control.view import ControlView
 from ..core.background import background_thread
 from ..core.errors import Refusal, RefusalDetails, UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..core.settings import LimitsSettings
 from ..membership.peers import Peers
 from .allocator import account_resource
 from .codec import decode_grants, encode_renewal
+from .division import is_owned_in_parts
 from .holder import Holder
 
 _LOG = logging.getLogger(__name__)
@@ -101,6 +103,8 @@
         self._last_renewal_s = float('-inf')
         self._is_cut_off = False
         self._accounts: Mapping[str, Account] = {}
+        self._holder_count = 0
+        self._tracked: set[str] = set()
         self._thread = background_thread(
             self.kernel, self._renew_loop, name='share-renewal'
         )
@@ -309,23 +313,28 @@
                 queue.wake_first()
 
     def _track_accounts(self) -> None:
-        accounts = self._view.state.accounts
-        if accounts is self._accounts:
+        state = self._view.state
+        has_same_holders = len(state.share_holders) == self._holder_count
+        if state.accounts is self._accounts and has_same_holders:
             return
-        limited = _rate_limited(accounts)
-        previous = _rate_limited(self._accounts)
-        for name in limited - previous:
+        lent = _lent_accounts(state, self.kernel.settings.limits)
+        for name in lent - self._tracked:
             self._holder.track(account_resource(name))
-        for name in previous - limited:
+        for name in self._tracked - lent:
             self._holder.untrack(account_resource(name))
-        self._accounts = accounts
+        self._accounts = state.accounts
+        self._holder_count = len(state.share_holders)
+        self._tracked = lent
         self._holder.list_all()
 
 
-def _rate_limited(accounts: Mapping[str, Account]) -> set[str]:
-    """Return the names of the accounts with a rate limit."""
+def _lent_accounts(state: ControlState, settings: LimitsSettings) -> set[str]:
+    """Return the names of the accounts whose rate the leader lends."""
     return {
-        name for name, account in accounts.items() if account.rate_per_s > 0
+        name
+        for name, account in state.accounts.items()
+        if account.rate_per_s > 0
+        and not is_owned_in_parts(account, state, settings)
     }
 
 
