Start accounts empty that return from parts to the ledger

A raised burst moved an account from parts to the ledger, which began with the whole burst although its parts had just been used: 400 tokens instead of none in the new test, which failed before.

--- a/oleanderpin/limits/ledger.py
+++ b/oleanderpin/limits/ledger.py
@@ -147,6 +147,8 @@
 
     def remove(self, resource: str) -> None:
         """Take back all shares of a resource."""
+        # Its tokens may be in use elsewhere; it starts empty if it comes back.
+        self._known_resources.add(resource)
         pool = self._pools.get(resource)
         if pool is None:
             return
--- a/oleanderpin/tests/limits/test_ledger.py
+++ b/oleanderpin/tests/limits/test_ledger.py
@@ -429,3 +429,17 @@
     for _round in range(3):
         fleet.exchange(0)
     assert fleet.ledger.lent(PERMITS).burst == 0
+
+
+def test_resource_that_was_owned_in_parts_starts_empty() -> None:
+    """Guards against a burst that is lent after its parts were used.
+
+    The allocator removes accounts that control instances own in parts; a
+    raised burst returns them to the ledger.
+    """
+    clock = ManualClock(0.0)
+    ledger = Ledger(clock=clock, lease_s=4.0, possible_holders=())
+    ledger.remove('account/small')
+    clock.advance(10.0)
+    ledger.set_whole('account/small', Quota(400, 400))
+    assert ledger.tokens('account/small') == 0
