Bound waits, draws and polls at owners of rate parts

Found by review, each with a test that failed before. Refused requests lengthened the waits of later ones: 53 s instead of 1 s ten seconds after a flood. While all other owners were silent, a request asked 2,684 times in 0.6 s. A draw went on for as long as three owners were silent. An instance without a part drew more tokens than it kept, and two members at one address were counted as two.

Requests now name the longest wait that is of use, waits count only the owners that reply, and a draw asks each owner once.

--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 from collections import defaultdict, deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -12,7 +12,7 @@
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
-from ..membership.peers import Peers
+from ..membership.peers import Peer, Peers
 from ..wire.generated.parts import Parts as PartsService
 from ..wire.generated.parts.ttypes import Drawn, Given, Need
 from ..wire.network import PeerNetwork
@@ -30,10 +30,12 @@
 # Added to the mean round trip, so that a request does not ask too early.
 _ROUND_TRIP_MARGIN_S = 0.003
 _ROUND_TRIP_WEIGHT = 0.2
-# Wait for a draw that takes longer than usual or is about to end.
-_OVERDUE_WAIT_S = 0.005
-# An account that this instance does not know yet will be known soon.
-_UNKNOWN_WAIT_S = 0.1
+# Longest wait that is named; it is the time to come back after a refusal too.
+_MAX_WAIT_S = 5.0
+# Keeps a request from asking again all the time.
+_MIN_WAIT_S = 0.005
+# Wait for a draw that takes longer than usual; a held reply ends with the draw.
+_OVERDUE_WAIT_S = 0.05
 
 
 class _PartsHandler:
@@ -74,6 +76,7 @@
         self._draws_end_s: dict[str, float] = {}
         self._round_trips_s: dict[str, float] = {}
         self._silent_until_s: dict[str, float] = {}
+        self._near: tuple[tuple[Peer, ...], set[str]] = ((), set())
         self._executor = ThreadPoolExecutor(
             _MAX_DRAWS, thread_name_prefix='token-draw'
         )
@@ -130,8 +133,7 @@
     def _give(self, need: Need) -> Given:
         name = need.account
         if name not in self._parts:
-            wait_ms = int(_UNKNOWN_WAIT_S * 1000)
-            return Given(account=name, count=0, wait_ms=wait_ms)
+            return Given(account=name, count=0, is_unknown=True)
         taken = self._parts.take(name, need.count)
         missing = need.count - taken
         if missing <= 0:
@@ -140,7 +142,7 @@
             return Given(account=name, count=taken)
         EVENTS.labels('limits', 'part_empty').inc()
         draw_s = self._draw_wait_s(name, missing)
-        wait_s = draw_s or self._earn_wait_s(name, missing)
+        wait_s = draw_s or self._earn_wait_s(need, missing)
         return Given(
             account=name,
             count=taken,
@@ -149,20 +151,23 @@
         )
 
     def _is_any_silent(self) -> bool:
-        now_s = self.kernel.clock.now_s()
-        return any(until_s > now_s for until_s in self._silent_until_s.values())
+        return bool(self._silent_owners())
 
-    def _earn_wait_s(self, name: str, missing: int) -> float:
+    def _earn_wait_s(self, need: Need, missing: int) -> float:
         """Return the time until tokens are earned for all that wait."""
         now_s = self.kernel.clock.now_s()
-        waits = self._waits[name]
+        waits = self._waits[need.account]
         while waits and waits[0] <= now_s:
             waits.popleft()
-        owner_per_s, _burst = self._parts.owner_rate(name)
-        first_s = self._parts.next_token_s(name)
+        owner_per_s, _burst = self._parts.owner_rate(need.account)
+        first_s = self._parts.next_token_s(
+            need.account, silent=self._silent_owners()
+        )
         wait_s = first_s + (len(waits) + missing - 1) / owner_per_s
-        waits.extend(now_s + wait_s for _request in range(missing))
-        return wait_s
+        # Requests that cannot wait that long are refused and come back later.
+        if wait_s * 1000 < (need.max_wait_ms or 0):
+            waits.extend(now_s + wait_s for _request in range(missing))
+        return max(_MIN_WAIT_S, min(wait_s, _MAX_WAIT_S))
 
     def _draw_wait_s(self, name: str, missing: int) -> float | None:
         """Return when drawn tokens arrive; None if no owner has any."""
@@ -188,25 +193,36 @@
         mean_s = self._round_trips_s.get(owner, _FIRST_ROUND_TRIP_S)
         return mean_s + _ROUND_TRIP_MARGIN_S
 
-    def _next_source(self, name: str) -> str | None:
+    def _next_source(
+        self, name: str, *, asked: Collection[str] = ()
+    ) -> str | None:
         """Return the owner to draw from; None if none should have a token."""
+        return self._parts.next_source(
+            name,
+            near=self._addresses_in_region(),
+            silent=self._silent_owners().union(asked),
+        )
+
+    def _silent_owners(self) -> set[str]:
         now_s = self.kernel.clock.now_s()
-        silent = {
+        return {
             owner
             for owner, until_s in self._silent_until_s.items()
             if until_s > now_s
         }
-        return self._parts.next_source(
-            name, near=self._addresses_in_region(), silent=silent
-        )
 
     def _addresses_in_region(self) -> set[str]:
-        own = self._peers.own()
-        return {
-            peer.peer_address
-            for peer in self._peers.alive()
-            if peer.region == own.region
-        }
+        peers = self._peers.alive()
+        known, addresses = self._near
+        if known is not peers:
+            own = self._peers.own()
+            addresses = {
+                peer.peer_address
+                for peer in peers
+                if peer.region == own.region and 'control' in peer.roles
+            }
+            self._near = (peers, addresses)
+        return addresses
 
     def _draw(self, name: str, count: int) -> None:
         try:
@@ -217,18 +233,23 @@
         finally:
             with self._lock:
                 self._draws_end_s.pop(name, None)
+                self._lock.notify_all()
 
     def _draw_from_sources(self, name: str, count: int) -> None:
-        """Ask owners in turn until one of them has tokens."""
+        """Ask owners in turn, each once, until one of them has tokens."""
+        asked: list[str] = []
         while not self.kernel.stopping.is_set():
             with self._lock:
-                owner = self._next_source(name) if name in self._parts else None
+                if name not in self._parts:
+                    return
+                owner = self._next_source(name, asked=asked)
                 if owner is None:
                     return
                 end_s = self.kernel.clock.now_s() + self._round_trip_s(owner)
                 self._draws_end_s[name] = end_s
             if self._draw_from(owner, name, count):
                 return
+            asked.append(owner)
 
     def _draw_from(self, owner: str, name: str, count: int) -> int:
         started_s = self.kernel.clock.now_s()
@@ -246,8 +267,6 @@
             self._parts.note_level(name, owner, drawn.left)
             if name in self._parts:
                 self._parts.add(name, drawn.count)
-            if drawn.count:
-                self._lock.notify_all()
         return int(drawn.count)
 
     def _note_round_trip(self, owner: str, round_trip_s: float) -> None:
@@ -273,7 +292,7 @@
                 return
             self._tables = tables
             owned, lent = self._divide(state)
-            members = [member.address for member in state.members.values()]
+            members = {member.address for member in state.members.values()}
             self._parts.update(owned, members, lent=lent)
 
     def _divide(self, state: ControlState) -> tuple[list[Account], list[str]]:
--- a/oleanderpin/limits/parts.py
+++ b/oleanderpin/limits/parts.py
@@ -72,8 +72,8 @@
     """One account: tokens of the own part, and what other owners had.
 
     ``owner_per_s`` and ``owner_burst`` are what each owner has of the rate and
-    of the burst. An instance that is no owner earns nothing; it keeps one token
-    that it has drawn for a waiting request.
+    of the burst. An instance that is no owner earns nothing; it keeps what it
+    has drawn for waiting requests for a short time.
     """
 
     refilled_s: float
@@ -98,7 +98,7 @@
 
     def add(self, tokens: float) -> None:
         """Add tokens as far as there is room for them."""
-        limit = self.owner_burst if self.is_owner else 1.0
+        limit = self.owner_burst if self.is_owner else max(1, self.owner_burst)
         self.tokens += min(tokens, max(0.0, limit - self.tokens))
         self.drawn_s = self.refilled_s
 
@@ -184,7 +184,7 @@
             Names of the accounts that the leader lends. One that gets parts
             later earns its first token only after the hand-over time.
         """
-        self._members = tuple(members)
+        self._members = tuple(set(members))
         self._member_count = max(self._member_count, len(self._members))
         now_s = self._clock.now_s()
         self._accounts = {account.name: account for account in accounts}
@@ -280,12 +280,12 @@
             default=None,
         )
 
-    def next_token_s(self, name: str) -> float:
-        """Return the time until any owner may have a token, in seconds."""
+    def next_token_s(self, name: str, *, silent: Collection[str] = ()) -> float:
+        """Return the time until an owner that replies may have a token."""
         part = self._refilled(name)
         waits_s = [part.next_token_s()]
         for owner in part.owners:
-            if owner != self._address and part.owner_per_s > 0:
+            if owner != self._address and owner not in silent:
                 expected = part.expected(owner, self._clock.now_s())
                 missing = max(0.0, 1 - expected)
                 waits_s.append(missing / part.owner_per_s)
--- /dev/null
+++ b/oleanderpin/tests/limits/test_part_owner.py
@@ -0,0 +1,143 @@
+"""Control instances that give tokens of their parts and draw others."""
+
+import threading
+from collections.abc import Callable
+from types import MappingProxyType, SimpleNamespace
+from typing import Any
+
+from ...control.state import Account, ControlMember, ControlState
+from ...control.view import ControlView
+from ...core.errors import UnavailableError
+from ...core.settings import LimitsSettings
+from ...limits.part_owner import PartOwner
+from ...membership.peers import Peers
+from ...testing import ManualClock
+from ...wire.generated.parts.ttypes import Drawn, Need
+from ...wire.network import PeerNetwork
+
+ACCOUNT = 'small'
+RATE_PER_S = 6.0
+ADDRESSES = tuple(f'10.0.0.{number}:7220' for number in range(6))
+CALL_TIMEOUT_S = 0.5
+
+
+class ScriptedKernel:
+    """Plug-ins of one owner; calls to other owners are scripted."""
+
+    def __init__(self, call: Callable[[str], Drawn]) -> None:
+        self.clock = ManualClock(0.0)
+        self.stopping = threading.Event()
+        self.settings = SimpleNamespace(
+            listen=SimpleNamespace(peer=ADDRESSES[0]),
+            limits=LimitsSettings(floor_percent=75),
+        )
+        peers = [
+            SimpleNamespace(
+                peer_address=address,
+                region=f'r{number // 2}',
+                roles=('control',),
+            )
+            for number, address in enumerate(ADDRESSES)
+        ]
+        self.plugins: dict[Any, Any] = {
+            ControlView: SimpleNamespace(
+                state=control_state(), subscribe=lambda _callback: None
+            ),
+            Peers: SimpleNamespace(
+                own=lambda: peers[0], alive=lambda: tuple(peers)
+            ),
+            PeerNetwork: SimpleNamespace(
+                call=lambda address, *_rest, timeout_s: call(address)
+            ),
+        }
+
+    def plugin(self, wanted: Any) -> Any:
+        """Return a plug-in."""
+        empty = SimpleNamespace(register=lambda _name, _processor: None)
+        return self.plugins.get(wanted, empty)
+
+
+def control_state() -> ControlState:
+    """Return a state with six control instances and one small account."""
+    members = {
+        address: ControlMember(address, address, address, is_voter=True)
+        for address in ADDRESSES
+    }
+    limited = Account(ACCOUNT, rate_per_s=RATE_PER_S, burst=12)
+    return ControlState(
+        accounts=MappingProxyType({ACCOUNT: limited}),
+        members=MappingProxyType(members),
+    )
+
+
+def asked_wait_s(owner: PartOwner) -> float:
+    """Ask for one token; return the wait, 0 if there was one."""
+    given = owner.give([Need(account=ACCOUNT, count=1)])[0]
+    return 0.0 if given.count else given.wait_ms / 1000
+
+
+def note_all_empty(owner: PartOwner) -> None:
+    """Note that no other owner has a token."""
+    for address in ADDRESSES[1:]:
+        owner._parts.note_level(ACCOUNT, address, 0.0)
+
+
+def test_refused_requests_do_not_lengthen_later_waits() -> None:
+    """Guards against a wait for requests that were refused long ago.
+
+    An account sends five times its rate to all owners for twenty seconds. Ten
+    seconds later a request has to wait for one token of the part, which takes
+    a second.
+    """
+    kernel = ScriptedKernel(lambda _address: Drawn(count=0, left=0.0))
+    owner = PartOwner(kernel)
+    owner.start()
+    for _request in range(100):
+        kernel.clock.advance(0.2)
+        note_all_empty(owner)
+        asked_wait_s(owner)
+    kernel.clock.advance(10)
+    note_all_empty(owner)
+    waits_s = [asked_wait_s(owner) for _request in range(3)]
+    owner.stop()
+    assert waits_s[:2] == [0, 0]
+    assert waits_s[2] <= 2
+
+
+def test_request_does_not_ask_for_tokens_of_silent_owners() -> None:
+    """Guards against a request that asks again each millisecond in a cut.
+
+    The part is empty and earns its next token in a second.
+    """
+    kernel = ScriptedKernel(lambda _address: Drawn(count=0, left=0.0))
+    owner = PartOwner(kernel)
+    owner.start()
+    owner._silent_until_s = dict.fromkeys(ADDRESSES, float('inf'))
+    kernel.clock.advance(10)
+    waits_s = [asked_wait_s(owner) for _request in range(3)]
+    owner.stop()
+    assert waits_s[:2] == [0, 0]
+    assert waits_s[2] >= 0.9
+
+
+def test_draw_ends_while_most_owners_are_silent() -> None:
+    """Guards against a thread that asks silent owners for ever.
+
+    The time-outs of three owners in turn take longer than the time for which
+    the first one is not asked again.
+    """
+    asked: list[str] = []
+
+    def call(address: str) -> Drawn:
+        asked.append(address)
+        kernel.clock.advance(CALL_TIMEOUT_S)
+        if len(asked) >= 30:
+            kernel.stopping.set()
+        raise UnavailableError(f'{address} is silent')
+
+    kernel = ScriptedKernel(call)
+    owner = PartOwner(kernel)
+    owner.start()
+    owner._draw(ACCOUNT, 1)
+    owner.stop()
+    assert len(asked) <= len(ADDRESSES)
--- a/oleanderpin/wire/parts.thrift
+++ b/oleanderpin/wire/parts.thrift
@@ -6,6 +6,8 @@
   2: i32 count,
   /** Tokens of earlier replies that no request used. */
   3: optional i32 returned,
+  /** Longest time for which the requests may wait. */
+  4: optional i32 max_wait_ms,
 }
 
 struct Given {
@@ -17,6 +19,8 @@
   4: optional bool is_exhausted,
   /** Time for which the reply was held until tokens came. */
   5: optional i32 held_ms,
+  /** This instance does not know the account, or not that it has parts. */
+  6: optional bool is_unknown,
 }
 
 struct Drawn {
