Record refused waits for rate tokens, by kind of account

Cause: the wait for a token was counted only for requests that got one, so that mean_ms.rate left out all refused waits, and no line or metric told accounts with floors from those that control instances own in parts. Lines about refusals did not name the account.

Change: histogram oleanderpin_token_wait_seconds{kind,result} for every decided request of a limited account; `tokens` in the traffic line; refused waits in mean_ms.rate; account and account_kind in the lines refused: over_rate and refused: no_rate_share. No decision is changed. A request whose caller leaves during the wait has no result: it is in mean_ms.rate only.

--- a/oleanderpin/core/errors.py
+++ b/oleanderpin/core/errors.py
@@ -1,6 +1,7 @@
 """Typed errors; each message states the problem and its remedy."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 class OleanderpinError(Exception):
@@ -120,12 +121,15 @@
         Seconds after which a retry may succeed.
     suggest_instances : bool
         Whether other instances may be able to serve the request.
+    log_fields : mapping of str to str
+        Further fields of the log line; not sent to the caller.
     """
 
     status: int = 503
     not_run: bool = True
     retry_after_s: float | None = None
     suggest_instances: bool = False
+    log_fields: Mapping[str, str] = field(default_factory=dict)
 
 
 DEFAULT_DETAILS = RefusalDetails()
--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -29,6 +29,12 @@
     ['part'],
     buckets=(0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
 )
+TOKEN_WAIT_S = Histogram(
+    'oleanderpin_token_wait_seconds',
+    "Wait for a token of a limited account's rate, by kind of account.",
+    ['kind', 'result'],
+    buckets=(0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
+)
 GATEWAY_BYTES = Counter(
     'oleanderpin_gateway_bytes_total',
     'Bytes of requests and responses by leg.',
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -7,6 +7,9 @@
 Header = tuple[bytes, bytes]
 # Where the rate token of a request comes from; empty if it needs none.
 TokenSource = Literal['', 'floor', 'share', 'part']
+# Whether gateways and the leader divide the rate of a limited account, or
+# control instances own it in parts.
+AccountKind = Literal['divided', 'small']
 
 HOP_BY_HOP = frozenset(
     (
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -66,7 +66,7 @@
                 self._settings, self._dialect.request_id, self._traffic
             ),
         )
-        self._rate_limiter = AccountRateLimiter(kernel)
+        self._rate_limiter = AccountRateLimiter(kernel, self._traffic)
         self._routes = RouteTable(self._view.state)
         self._indexed_tables = (0, 0)
         self._started_s = kernel.clock.now_s()
@@ -276,12 +276,14 @@
         rate_token: TokenSource = ''
         if account is not None:
             left_s = deadline_s - time.monotonic()
-            rate_token = await self._rate_limiter.admit(
-                account,
-                deadline_s=deadline_s - left_s * (1 - _RATE_WAIT_FRACTION),
-            )
-            waited_s = left_s - (deadline_s - time.monotonic())
-            self._traffic.add_time('rate', waited_s)
+            try:
+                rate_token = await self._rate_limiter.admit(
+                    account,
+                    deadline_s=deadline_s - left_s * (1 - _RATE_WAIT_FRACTION),
+                )
+            finally:
+                waited_s = left_s - (deadline_s - time.monotonic())
+                self._traffic.add_time('rate', waited_s)
         service = state.services[route.next_service()]
         rank = profile.rank
         if account is not None and account.rank is not None:
@@ -368,6 +370,7 @@
             retry_after_s=details.retry_after_s,
             waited_ms=int((time.monotonic() - request.received_s) * 1000),
             configuration=self._configuration().number,
+            **details.log_fields,
         )
 
 
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -12,8 +12,9 @@
 from ..limits.division import is_owned_in_parts
 from ..limits.floors import Floors, floor_instance_count
 from ..limits.shares import ShareHolder
-from .messages import TokenSource
+from .messages import AccountKind, TokenSource
 from .part_client import PartClient
+from .traffic import TrafficMeter
 
 # A reply of the leader in another region arrives within two intervals.
 _POLL_INTERVAL_S = 0.02
@@ -32,9 +33,11 @@
     kernel : Kernel
         Provides the rate shares of this instance, and the control instances
         that own the rates of small accounts in parts.
+    meter : TrafficMeter
+        Counts the waits for tokens.
     """
 
-    def __init__(self, kernel: Any) -> None:
+    def __init__(self, kernel: Any, meter: TrafficMeter) -> None:
         """Start with undivided floors."""
         self._view = kernel.plugin(ControlView)
         self._own_name = kernel.settings.instance.name
@@ -43,6 +46,7 @@
         self._settings = kernel.settings.limits
         self._floors = Floors(self._settings.floor_percent)
         self._parts = PartClient(kernel)
+        self._meter = meter
 
     def run_maintenance(self) -> None:
         """Divide the floors, once this instance is registered as a holder."""
@@ -75,9 +79,22 @@
         """
         if account.rate_per_s <= 0:
             return ''
-        if is_owned_in_parts(account, self._view.state, self._settings):
-            await self._take_from_parts(account, deadline_s)
-            return 'part'
+        is_small = is_owned_in_parts(account, self._view.state, self._settings)
+        kind: AccountKind = 'small' if is_small else 'divided'
+        take = self._take_from_parts if is_small else self._take_divided
+        started_s = time.monotonic()
+        try:
+            source = await take(account, deadline_s)
+        except Refusal as refusal:
+            waited_s = time.monotonic() - started_s
+            self._meter.add_token_wait(kind, refusal.reason, waited_s)
+            raise
+        self._meter.add_token_wait(kind, 'ok', time.monotonic() - started_s)
+        return source
+
+    async def _take_divided(
+        self, account: Account, deadline_s: float
+    ) -> TokenSource:
         if self._floors.take(account, time.monotonic()):
             return 'floor'
         resource = account_resource(account.name)
@@ -92,7 +109,9 @@
                 holder.note_waiting(resource, -1)
         if result != 'ok':
             next_s = self._shares.holder.next_unit_s(resource)
-            raise self._refusal(account, result, wait_s=next_s or 0.0)
+            raise self._refusal(
+                account, result, kind='divided', wait_s=next_s or 0.0
+            )
         return 'share'
 
     def give_back(self, account: Account, source: TokenSource) -> None:
@@ -114,10 +133,13 @@
 
     async def _take_from_parts(
         self, account: Account, deadline_s: float
-    ) -> None:
+    ) -> TokenSource:
         taken = await self._parts.take(account.name, deadline_s=deadline_s)
         if taken.outcome != 'ok':
-            raise self._refusal(account, taken.outcome, wait_s=taken.wait_s)
+            raise self._refusal(
+                account, taken.outcome, kind='small', wait_s=taken.wait_s
+            )
+        return 'part'
 
     async def _wait_for_token(self, resource: str, deadline_s: float) -> Any:
         result: Any = 'short'
@@ -132,12 +154,18 @@
         return result
 
     def _refusal(
-        self, account: Account, result: str, *, wait_s: float
+        self,
+        account: Account,
+        result: str,
+        *,
+        kind: AccountKind,
+        wait_s: float,
     ) -> Refusal:
         details = RefusalDetails(
             status=429,
             retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S)
             + self._random.uniform(0, _RETRY_JITTER_S),
+            log_fields={'account': account.name, 'account_kind': kind},
         )
         if result == 'exhausted':
             return Refusal(
--- a/oleanderpin/gateway/traffic.py
+++ b/oleanderpin/gateway/traffic.py
@@ -7,11 +7,12 @@
 import logging
 import math
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Literal
 
-from ..core.metrics import GATEWAY_BYTES, REQUEST_PART_S
+from ..core.metrics import GATEWAY_BYTES, REQUEST_PART_S, TOKEN_WAIT_S
+from .messages import AccountKind
 
 _LOG = logging.getLogger(__name__)
 _LOG_INTERVAL_S = 2.0
@@ -23,9 +24,33 @@
 Part = Literal['rate', 'connect', 'target']
 
 
+@dataclass(slots=True)
+class _TokenWaits:
+    """Waits for a token at accounts of one kind."""
+
+    results: Counter[str] = field(default_factory=Counter)
+    total_s: float = 0.0
+    longest_s: float = 0.0
+
+    def add(self, result: str, duration_s: float) -> None:
+        """Count one request."""
+        self.results[result] += 1
+        self.total_s += duration_s
+        self.longest_s = max(self.longest_s, duration_s)
+
+    def fields(self) -> dict[str, object]:
+        """Return the counts for a log line."""
+        mean_s = self.total_s / self.results.total()
+        return {
+            'results': dict(self.results),
+            'mean_ms': round(mean_s * 1000, 1),
+            'longest_ms': round(self.longest_s * 1000, 1),
+        }
+
+
 @dataclass(slots=True)
 class TrafficMeter:
-    """Counts bytes by leg, times by part and responses by status.
+    """Counts bytes by leg, times by part, waits for tokens, and responses.
 
     Not thread-safe; used on the event loop only.
     """
@@ -45,6 +70,9 @@
     _statuses: defaultdict[int, int] = field(
         default_factory=lambda: defaultdict(int)
     )
+    _tokens: defaultdict[AccountKind, _TokenWaits] = field(
+        default_factory=lambda: defaultdict(_TokenWaits)
+    )
     _logged_bytes: dict[str, int] = field(default_factory=dict)
     _logged_s: float = field(default_factory=time.monotonic)
 
@@ -58,6 +86,23 @@
         self._part_counts[part] += 1
         REQUEST_PART_S.labels(part).observe(duration_s)
 
+    def add_token_wait(
+        self, kind: AccountKind, result: str, duration_s: float
+    ) -> None:
+        """Count the wait of a request of a limited account.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the account.
+        result : str
+            ``ok`` or the reason of the refusal.
+        duration_s : float
+            Time from the request for a token to the result.
+        """
+        self._tokens[kind].add(result, duration_s)
+        TOKEN_WAIT_S.labels(kind, result).observe(duration_s)
+
     def add_response(self, status: int) -> None:
         """Count a response to a caller."""
         self._statuses[status] += 1
@@ -106,6 +151,7 @@
         self._logged_bytes = dict(self.total_bytes)
         self._part_s.clear()
         self._part_counts.clear()
+        self._tokens.clear()
         self._statuses.clear()
 
     def _write(self, elapsed_s: float, fields: dict[str, object]) -> None:
@@ -125,6 +171,9 @@
                 'bytes_per_s': bytes_per_s,
                 'mean_ms': mean_ms,
                 'counts': dict(self._part_counts),
+                'tokens': {
+                    kind: waits.fields() for kind, waits in self._tokens.items()
+                },
                 **fields,
             },
         )
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -1,7 +1,10 @@
 """End-to-end tests of a gateway over loopback."""
 
+import logging
 import socket
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -256,3 +259,54 @@
         (response,) = gateway.ask(request_bytes())
     assert {status_of(each) for each in refused} == {503}
     assert status_of(response) == 200
+
+
+def traffic_lines(caplog: pytest.LogCaptureFixture) -> list[Any]:
+    """Return the lines about traffic in which requests waited for tokens."""
+    return [
+        each
+        for each in caplog.records
+        if each.message == 'traffic' and 'rate' in each.counts
+    ]
+
+
+def counted_waits(caplog: pytest.LogCaptureFixture) -> int:
+    """Return the number of requests in the mean waits for tokens."""
+    return sum(each.counts['rate'] for each in traffic_lines(caplog))
+
+
+def test_refused_wait_is_in_the_log(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against refused waits that are missing from the means.
+
+    Only requests that got a token counted, and the line about a refusal did not
+    name the account.
+    """
+    change = configuration(profile=REPEATABLE, rate_per_s=1.0)
+    with (
+        caplog.at_level(logging.INFO),
+        started_gateway(tmp_path, change) as gateway,
+    ):
+        gateway.announce(ScriptedHttpTarget().start(), 't1')
+        statuses = [
+            status_of(gateway.ask(request_bytes(deadline_ms=1000))[0])
+            for _each in range(8)
+        ]
+        wait_until(
+            'lines about all waits',
+            lambda: counted_waits(caplog) == len(statuses),
+        )
+    assert 429 in statuses
+    refused = [
+        each
+        for each in caplog.records
+        if each.message in {'refused: over_rate', 'refused: no_rate_share'}
+    ]
+    assert {(each.account, each.account_kind) for each in refused} == {
+        ('shop', 'divided')
+    }
+    waits = [each.tokens['divided'] for each in traffic_lines(caplog)]
+    results = sum((Counter(each['results']) for each in waits), Counter())
+    assert results.total() == len(statuses)
+    assert results['ok'] == statuses.count(200)
