Count calls for tokens of small accounts, and log what owners did

Cause: a refusal for no_rate_share did not tell a part without tokens from a control instance that is late or silent; control instances logged nothing about tokens and draws.

Change: gateways count each call once by result in oleanderpin_owner_calls_total{result} (ok, empty, silent, slow) and its time in oleanderpin_owner_call_seconds{result}.

--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -35,6 +35,17 @@
     ['kind', 'result'],
     buckets=(0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10),
 )
+OWNER_CALLS = Counter(
+    'oleanderpin_owner_calls_total',
+    'Calls to control instances for tokens of small accounts, by result.',
+    ['result'],
+)
+OWNER_CALL_S = Histogram(
+    'oleanderpin_owner_call_seconds',
+    'Time of a call to a control instance for tokens of small accounts.',
+    ['result'],
+    buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1),
+)
 GATEWAY_BYTES = Counter(
     'oleanderpin_gateway_bytes_total',
     'Bytes of requests and responses by leg.',
--- a/oleanderpin/gateway/part_client.py
+++ b/oleanderpin/gateway/part_client.py
@@ -5,13 +5,14 @@
 import logging
 import time
 from collections import Counter, defaultdict, deque
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
 from ..control.sources import rendezvous_hash
 from ..core.errors import UnavailableError
-from ..core.metrics import EVENTS
+from ..core.metrics import EVENTS, OWNER_CALL_S, OWNER_CALLS
 from ..limits.parts import MAX_HOLD_S
 from ..membership.peers import Peer, Peers
 from ..wire.generated.parts.ttypes import Given, Need
@@ -36,6 +37,7 @@
 _TIMER_ERROR_S = 0.002
 
 TakeOutcome = Literal['ok', 'exhausted', 'short']
+_CallResult = Literal['ok', 'empty', 'silent', 'slow']
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,18 +187,22 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         instance = self._instances[address]
-        slow = loop.call_later(
-            instance.slow_after_s, self._note_slow, address, number
-        )
+        slow_after_s = instance.slow_after_s
+        slow = loop.call_later(slow_after_s, self._note_slow, address, number)
         started_s = time.monotonic()
         replies: list[Given] = []
         try:
             replies = await loop.run_in_executor(
                 self._executor, self._send, address, self._needs(asked)
             )
+            duration_s = time.monotonic() - started_s
             held_ms = max((each.held_ms or 0 for each in replies), default=0)
-            instance.note_reply(time.monotonic() - started_s - held_ms / 1000)
+            instance.note_reply(duration_s - held_ms / 1000)
+            _record(
+                _result(replies, is_slow=duration_s > slow_after_s), duration_s
+            )
         except UnavailableError as error:
+            _record('silent', time.monotonic() - started_s)
             self._avoid(address, str(error))
         except Exception as error:
             # Any other error would leave the requests without a call.
@@ -315,3 +321,16 @@
             peer.region != own.region,
             rendezvous_hash(own.name, peer.name),
         )
+
+
+def _result(replies: Iterable[Given], *, is_slow: bool) -> _CallResult:
+    """Return the result of a call with a reply."""
+    if is_slow:
+        return 'slow'
+    is_any_missing = any(reply.wait_ms is not None for reply in replies)
+    return 'empty' if is_any_missing else 'ok'
+
+
+def _record(result: _CallResult, duration_s: float) -> None:
+    OWNER_CALLS.labels(result).inc()
+    OWNER_CALL_S.labels(result).observe(duration_s)
--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -18,6 +18,7 @@
 from ..wire.network import PeerNetwork
 from ..wire.server import PeerServer
 from .division import is_owned_in_parts
+from .part_activity import PartActivity
 from .parts import MAX_HOLD_S, Parts
 
 _LOG = logging.getLogger(__name__)
@@ -80,6 +81,7 @@
         self._executor = ThreadPoolExecutor(
             _MAX_DRAWS, thread_name_prefix='token-draw'
         )
+        self._activity = PartActivity(kernel)
         kernel.plugin(PeerServer).register(
             'Parts', PartsService.Processor(_PartsHandler(self))
         )
@@ -88,6 +90,7 @@
     def start(self) -> None:
         """Read the accounts that are known at the start."""
         self._update(self._view.state)
+        self._activity.start()
 
     def stop(self) -> None:
         """Stop drawing tokens from other owners."""
@@ -111,23 +114,39 @@
                 if need.returned and need.account in self._parts:
                     self._parts.add(need.account, need.returned)
             given = [self._give(need) for need in needs]
-            wait_s = _first_wait_s(given)
-            if not 0 < wait_s <= MAX_HOLD_S:
-                return given
-            started_s = self.kernel.clock.now_s()
-            self._lock.wait(wait_s)
-            held_s = self.kernel.clock.now_s() - started_s
-            given = [self._give(need) for need in needs]
-        for reply in given:
+            held_s = self._hold(given)
+            if held_s:
+                given = [self._give(need) for need in needs]
+        for need, reply in zip(needs, given, strict=True):
             reply.held_ms = int(held_s * 1000)
+            self._note_given(need, reply)
         return given
 
+    def _hold(self, given: list[Given]) -> float:
+        """Wait until tokens come; return the time for which it waited."""
+        wait_s = _first_wait_s(given)
+        if not 0 < wait_s <= MAX_HOLD_S:
+            return 0.0
+        started_s = self.kernel.clock.now_s()
+        self._lock.wait(wait_s)
+        return max(0.001, self.kernel.clock.now_s() - started_s)
+
+    def _note_given(self, need: Need, reply: Given) -> None:
+        if reply.is_unknown:
+            self._activity.note_unknown(need.count)
+            return
+        missing = max(0, need.count - reply.count)
+        self._activity.note_given(reply.count, missing=missing)
+        if missing:
+            EVENTS.labels('limits', 'part_empty').inc()
+
     def give_owner(self, account: str, count: int) -> Drawn:
         """Return tokens for requests that wait at another owner."""
         with self._lock:
             if account not in self._parts:
                 return Drawn(count=0, left=0.0)
             taken = self._parts.take(account, count)
+            self._activity.note_given_owner(taken)
             return Drawn(count=taken, left=self._parts.left(account))
 
     def _give(self, need: Need) -> Given:
@@ -140,7 +159,6 @@
             if self._parts.is_low(name):
                 self._start_draw(name, 0)
             return Given(account=name, count=taken)
-        EVENTS.labels('limits', 'part_empty').inc()
         draw_s = self._draw_wait_s(name, missing)
         wait_s = draw_s or self._earn_wait_s(need, missing)
         return Given(
@@ -262,6 +280,7 @@
             return 0
         now_s = self.kernel.clock.now_s()
         EVENTS.labels('limits', 'tokens_drawn').inc(drawn.count)
+        self._activity.note_draw(drawn.count, now_s - started_s)
         with self._lock:
             self._note_round_trip(owner, now_s - started_s)
             self._parts.note_level(name, owner, drawn.left)
@@ -278,6 +297,7 @@
 
     def _note_silent(self, owner: str, error: UnavailableError) -> None:
         EVENTS.labels('limits', 'draw_failed').inc()
+        self._activity.note_failed_draw()
         with self._lock:
             is_new = owner not in self._silent_until_s
             until_s = self.kernel.clock.now_s() + _SILENT_S
@@ -315,5 +335,7 @@
 
 
 def _first_wait_s(given: list[Given]) -> float:
-    """Return the shortest wait; 0 if any request need not wait."""
+    """Return the shortest wait; 0 if a reply has tokens or is final."""
+    if any(reply.count for reply in given):
+        return 0.0
     return min((reply.wait_ms or 0 for reply in given), default=0) / 1000
--- a/oleanderpin/tests/limits/test_part_owner.py
+++ b/oleanderpin/tests/limits/test_part_owner.py
@@ -51,6 +51,10 @@
             ),
         }
 
+    def wait_while_running(self, _duration_s: float) -> bool:
+        """Return at once: background threads have nothing to do."""
+        return False
+
     def plugin(self, wanted: Any) -> Any:
         """Return a plug-in."""
         empty = SimpleNamespace(register=lambda _name, _processor: None)
