--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -12,6 +12,11 @@
 RETRIES = Counter(
     'oleanderpin_retries_total', 'Repeated attempts by reason.', ['reason']
 )
+TARGETS_LEFT_OUT = Counter(
+    'oleanderpin_targets_left_out_total',
+    'Targets that a request could not be sent to, by reason.',
+    ['reason'],
+)
 REQUESTS = Counter(
     'oleanderpin_requests_total',
     'Answered requests by service and status class.',
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -174,6 +174,8 @@
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
     idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 4.0
     grace_s: Annotated[Seconds, Field(ge=0, le=3600)] = 6.0
+    # No request may reach a target so long after it has said that it leaves.
+    target_drain_s: Annotated[Seconds, Field(ge=0, le=3600)] = 3.0
     # How long callers may keep using an earlier look-up response.
     lookup_ttl_s: Annotated[float, Field(ge=0, le=300)] = 2.0
     serves_when_cut_off: bool = False
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -10,8 +10,8 @@
 
 from ..core.metrics import EVENTS
 from ..core.settings import GatewaySettings
-from .messages import TargetFailure, TargetResponse
-from .placement import Candidate
+from .messages import TargetDeclinedError, TargetFailure, TargetResponse
+from .candidate import Candidate
 from .response_budget import ResponseBudget
 from .target_connection import TargetConnection
 from .traffic import TrafficMeter
@@ -84,15 +84,14 @@
         ------
         TargetFailure
             If there is no complete response.
+        TargetDeclinedError
+            If the target has declined requests while this one waited for a
+            connection.
         """
         address = candidate.target.address
         connection = self._acquire(address, is_repeatable=is_repeatable)
         if connection is None:
-            started_s = time.monotonic()
-            connection = await self._connect(address)
-            connected_s = time.monotonic() - started_s
-            candidate.health.note_connected(connected_s)
-            self._traffic.add_time('connect', connected_s)
+            connection = await self._connect(candidate)
         sent_s = time.monotonic()
         try:
             response = await connection.send(
@@ -155,25 +154,51 @@
         if connection.is_usable:
             self._idle.setdefault(address, []).append(connection)
 
-    async def _connect(self, address: str) -> TargetConnection:
-        host, _colon, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        EVENTS.labels('gateway', 'target_connections').inc()
+    async def _connect(self, candidate: Candidate) -> TargetConnection:
+        started_s = time.monotonic()
+        health = candidate.health
+        timeout = asyncio.timeout(self._settings.connect_timeout_s)
+        health.connecting.add(timeout)
         try:
-            async with asyncio.timeout(self._settings.connect_timeout_s):
-                transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(
-                        self._id_header, self.budget, self._traffic
-                    ),
-                    host,
-                    int(port),
-                )
+            async with timeout:
+                connection = await self._open(candidate.target.address)
         except (OSError, TimeoutError) as error:
+            _require_willing(candidate, started_s)
             raise TargetFailure('no_connection', may_have_run=False) from error
+        finally:
+            health.connecting.discard(timeout)
+        connected_s = time.monotonic() - started_s
+        health.note_connected(connected_s)
+        self._traffic.add_time('connect', connected_s)
+        try:
+            _require_willing(candidate, started_s)
+        except TargetDeclinedError:
+            connection.close()
+            raise
+        return connection
+
+    async def _open(self, address: str) -> TargetConnection:
+        host, _colon, port = address.rpartition(':')
+        EVENTS.labels('gateway', 'target_connections').inc()
+        loop = asyncio.get_running_loop()
+        transport, connection = await loop.create_connection(
+            lambda: TargetConnection(
+                self._id_header, self.budget, self._traffic
+            ),
+            host,
+            int(port),
+        )
         set_timeouts(transport.get_extra_info('socket'))
         return connection
 
 
+def _require_willing(candidate: Candidate, placed_s: float) -> None:
+    """Check that a target still takes a request that was placed earlier."""
+    reason = candidate.health.declines(placed_s, time.monotonic())
+    if reason:
+        raise TargetDeclinedError(reason)
+
+
 def set_timeouts(connected: socket.socket) -> None:
     """Set socket options that end a connection whose path is broken."""
     options = (
--- a/oleanderpin/gateway/dialect.py
+++ b/oleanderpin/gateway/dialect.py
@@ -37,6 +37,11 @@
     limit_per_s : bytes
         Header in which a target names the requests a second that it takes from
         all instances together.
+    leaving : bytes
+        Header in which a target states with ``1`` that it leaves.
+    pause_s : bytes
+        Header in which a target that responds with status 503 names the
+        seconds for which it wants no request from this instance.
     seal : bytes
         Header that marks a successful response as complete; empty if targets
         set none.
@@ -56,6 +61,8 @@
     target_id: bytes
     cold_ms: bytes
     limit_per_s: bytes
+    leaving: bytes
+    pause_s: bytes
     seal: bytes = b''
     has_retry_fractions: bool = False
 
@@ -82,5 +89,7 @@
         target_id=b'x-target-id',
         cold_ms=b'x-target-cold-ms',
         limit_per_s=b'x-target-limit',
+        leaving=b'x-target-leaving',
+        pause_s=b'x-target-pause-s',
     )
 )
--- a/oleanderpin/gateway/load_reports.py
+++ b/oleanderpin/gateway/load_reports.py
@@ -11,6 +11,7 @@
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
+from ..routing.leaving_targets import LeavingTargets
 from ..routing.region_loads import (
     FleetLoad,
     LoadKey,
@@ -52,6 +53,7 @@
         # Set by the gateway: fraction of its link that it uses.
         self.link_load = 0.0
         self.limits = TargetLimits()
+        self.leaving = LeavingTargets()
 
     def start(self) -> None:
         """Start the reporting thread."""
@@ -87,6 +89,7 @@
             return
         instance = self.kernel.settings.instance
         asked_s = self.kernel.clock.now_s()
+        leaving = self.leaving.unreported(asked_s)
         report = LoadReport(
             instance=instance.name,
             loads=encode_loads(self._take_means()),
@@ -94,6 +97,8 @@
             link_load=self.link_load,
             limits=self.limits.take_observed(asked_s) or None,
             limits_version=self.limits.version,
+            leaving=leaving or None,
+            leaving_version=self.leaving.version,
         )
         try:
             sums = self._network.call(
@@ -109,6 +114,10 @@
             _LOG.info('loads of the fleet are known again')
         self._is_report_accepted = True
         self.limits.merge(sums.limits or [], sums.limits_version or 0, asked_s)
+        self.leaving.note_reported(leaving)
+        self.leaving.merge(
+            sums.leaving or [], sums.leaving_version or 0, asked_s
+        )
         self._fleet = FleetLoad(sums.reporters, decode_loads(sums.loads))
         self._fleet_received_s = self.kernel.clock.now_s()
 
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -146,10 +146,26 @@
         self.may_have_run = may_have_run
 
 
+class TargetDeclinedError(Exception):
+    """An attempt that was not sent, since its target declines requests now.
+
+    Parameters
+    ----------
+    reason : str
+        ``leaving`` or ``paused``.
+    """
+
+    def __init__(self, reason: str) -> None:
+        """Store the reason."""
+        super().__init__(f'the target is {reason}; place the request again')
+        self.reason = reason
+
+
 __all__ = (
     'Response',
     'CallerRequest',
     'TargetResponse',
+    'TargetDeclinedError',
     'TargetFailure',
     'cookie',
     'hop_by_hop',
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -11,11 +11,12 @@
 
 from ..control.view import ControlView
 from ..core.metrics import EVENTS
+from .candidate import Candidate
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
-from .messages import TargetFailure
-from .placement import Candidate
+from .messages import TargetDeclinedError, TargetFailure, TargetResponse
 from .rate_limited_log import RateLimitedLog
+from .target_answers import TargetAnswers
 
 _PROBE_TIMEOUT_S = 1.0
 _DEFAULT_PATH = '/health'
@@ -34,6 +35,8 @@
         Connections to targets.
     log : RateLimitedLog
         Log of successful probes.
+    answers : TargetAnswers
+        Reads what targets say of themselves.
     """
 
     def __init__(
@@ -42,8 +45,11 @@
         dialect: Dialect,
         pool: ConnectionPool,
         log: RateLimitedLog,
+        *,
+        answers: TargetAnswers,
     ) -> None:
         """Start without probes."""
+        self._answers = answers
         self._log = log
         self._view = kernel.plugin(ControlView)
         self._dialect = dialect
@@ -69,23 +75,35 @@
                     is_head=False,
                     is_repeatable=True,
                 )
+        except TargetDeclinedError as declined:
+            EVENTS.labels('gateway', f'probe_{declined.reason}').inc()
+            return
         except (TargetFailure, TimeoutError) as error:
             EVENTS.labels('gateway', 'probe_failed').inc()
             if isinstance(error, TargetFailure):
                 now_s = time.monotonic()
                 candidate.health.note_connection_failure(error.result, now_s)
             return
+        self._read(candidate, response)
+
+    def _read(self, candidate: Candidate, response: TargetResponse) -> None:
         target_id = response.header(self._dialect.target_id)
-        if target_id == candidate.target.target_id.encode():
-            cold_ms = response.header(self._dialect.cold_ms) or b'0'
-            cold_s = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
-            candidate.health.note_cold(cold_s, time.monotonic())
-            self._log.write(
-                'target no longer in doubt',
-                target=candidate.target.target_id,
-                address=candidate.target.address,
-                cold_ms=int(cold_s * 1000),
-            )
+        if target_id != candidate.target.target_id.encode():
+            return
+        now_s = time.monotonic()
+        self._answers.note(candidate, response, now_s, cause='probe')
+        if candidate.health.is_paused(now_s):
+            # It is probed again when the pause is over.
+            return
+        cold_ms = response.header(self._dialect.cold_ms) or b'0'
+        cold_s = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
+        candidate.health.note_cold(cold_s, now_s)
+        self._log.write(
+            'target no longer in doubt',
+            target=candidate.target.target_id,
+            address=candidate.target.address,
+            cold_ms=int(cold_s * 1000),
+        )
 
     def _encode_probe(self, candidate: Candidate) -> bytes:
         service = self._view.state.services.get(candidate.target.service)
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -7,11 +7,10 @@
 import asyncio
 import random
 import time
-from dataclasses import dataclass, field
-from http import HTTPStatus
+from dataclasses import dataclass, replace
 from typing import Any
 
-from ..control.state import Account, Service
+from ..control.state import Service
 from ..core.errors import Refusal
 from ..core.metrics import RETRIES
 from ..moves.split import VersionSplit
@@ -22,11 +21,10 @@
 from .dialect import Dialect
 from .known_gateways import KnownGateways
 from .messages import (
-    CallerRequest,
     Response,
+    TargetDeclinedError,
     TargetFailure,
     TargetResponse,
-    TokenSource,
 )
 from .placement import Candidate, Needs, Placement, note_placed, place
 from .probes import Probes
@@ -34,72 +32,20 @@
 from .refusals import maybe_run_refusal, not_run_refusal
 from .retry_budget import RetryBudget
 from .rewriting import encode_request, response_for_caller
-from .routes import WeightedRoute
+from .routed_request import MIN_ATTEMPT_TIME_S, RoutedRequest
 from .service_targets import ServiceTargets, TargetDirectory
+from .target_answers import TargetAnswers
 
 # A target stops work at the deadline that it is given and reports this; the
 # margin covers the transit time of that response.
 _DEADLINE_MARGIN_S = 0.1
-# No attempt is started with less time left than this, since no response could
-# arrive in time.
-_MIN_ATTEMPT_TIME_S = 0.02
 _MISDIRECTED_EJECTION_S = 5.0
 _FIRST_SERVER_ERROR = 500
-_FIRST_REDIRECTION = 300
-_NOT_RUN_STATUSES = frozenset(
-    (
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-)
 # From this size on, sending the body to another failure domain costs more than
 # loading the object again at a local target.
 _LARGE_BODY_BYTES = 16384
 
-
-@dataclass(slots=True)
-class RoutedRequest:
-    """A request with its route, and the state of its attempts.
-
-    ``deadline_s`` is the monotonic time at which the response is due.
-    """
-
-    request: CallerRequest
-    request_id: bytes
-    route: WeightedRoute
-    service: Service
-    account: Account | None
-    regions: tuple[str, ...]
-    deadline_s: float
-    rank: int
-    object_key: str
-    attempts: int = 0
-    may_have_run: bool = False
-    has_waited: bool = False
-    wait_s: float = 0.0
-    rejection: str = ''
-    rate_token: TokenSource = ''
-    tried: set[str] = field(default_factory=set)
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether the request is safe to run more than once."""
-        return self.route.profile.is_repeatable
-
-    def left_s(self) -> float:
-        """Return the time until the deadline."""
-        return self.deadline_s - time.monotonic()
-
-    def can_retry(self) -> bool:
-        """Return whether another attempt is safe and can still be useful."""
-        is_allowed = self.is_repeatable or not self.may_have_run
-        is_useful = (
-            not self.request.caller_disconnected
-            and self.left_s() > _MIN_ATTEMPT_TIME_S
-        )
-        max_attempts = self.route.profile.max_attempts
-        return is_allowed and is_useful and self.attempts < max_attempts
+__all__ = ('RequestForwarder', 'RoutedRequest')
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,8 +89,11 @@
         self._dialect = dialect
         self._log = log
         self._sharers = sharers
-        self._directory = TargetDirectory(kernel)
-        self._probes = Probes(kernel, dialect, self.pool, log)
+        self._directory = TargetDirectory(kernel, log)
+        self._answers = TargetAnswers(dialect, self._directory, log)
+        self._probes = Probes(
+            kernel, dialect, self.pool, log, answers=self._answers
+        )
         self._split = kernel.plugin(VersionSplit)
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_budget_percent)
@@ -213,7 +162,7 @@
         return found.candidate
 
     def _find(self, routed: RoutedRequest) -> _Found:
-        if routed.left_s() < _MIN_ATTEMPT_TIME_S:
+        if routed.left_s() < MIN_ATTEMPT_TIME_S:
             raise self._final_refusal(routed, 'deadline')
         now_s = time.monotonic()
         targets = self._directory.for_service(routed.service.name)
@@ -247,9 +196,12 @@
             ),
         )
         placement = self._place_in(near, needs, now_s)
-        if placement.reject_reason == 'limited' and near is not groups:
+        if placement.may_go_elsewhere and near is not groups:
             # What the targets of the home region may not take goes elsewhere.
             placement = self._place_in(groups, needs, now_s)
+        if placement.may_use_leaving:
+            with_leaving = replace(needs, uses_leaving=True)
+            placement = self._place_in(groups, with_leaving, now_s)
         if placement.candidate is None:
             routed.rejection = placement.describe(needs)
             routed.wait_s = placement.wait_s
@@ -310,6 +262,9 @@
             self._note_failure(routed, candidate, 'timeout')
             routed.may_have_run = True
             raise self._final_refusal(routed, 'deadline') from None
+        except TargetDeclinedError as declined:
+            self._place_again(routed, candidate, declined.reason)
+            return None
         except TargetFailure as failure:
             self._note_failure(routed, candidate, failure.result)
             routed.may_have_run = routed.may_have_run or failure.may_have_run
@@ -320,6 +275,26 @@
             routed.request.must_finish = False
         return self._handle_response(routed, candidate, response, started_s)
 
+    def _place_again(
+        self, routed: RoutedRequest, candidate: Candidate, reason: str
+    ) -> None:
+        """Let a request that was not sent look for a target once more.
+
+        Nothing has reached the target, so that this is no attempt and takes
+        nothing from the retry budget.
+        """
+        routed.attempts -= 1
+        routed.tried.discard(candidate.target.target_id)
+        if routed.request.caller_disconnected:
+            raise self._final_refusal(routed, reason)
+        RETRIES.labels(reason).inc()
+        self._log.write(
+            'request placed again',
+            request_id=routed.request_id.decode('latin-1'),
+            target=candidate.target.target_id,
+            reason=reason,
+        )
+
     def _handle_response(
         self,
         routed: RoutedRequest,
@@ -329,10 +304,14 @@
     ) -> Response | None:
         now_s = time.monotonic()
         health = candidate.health
-        self._note_load(candidate, response, now_s)
-        self._note_limit(candidate, response)
-        if self._is_not_run(response):
-            if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        self._answers.note(
+            candidate,
+            response,
+            now_s,
+            cause=routed.request_id.decode('latin-1'),
+        )
+        if self._answers.is_not_run(response):
+            if self._answers.is_misdirected(response):
                 health.ejected_until_s = now_s + _MISDIRECTED_EJECTION_S
                 self.pool.discard_idle(candidate.target.address)
             else:
@@ -340,9 +319,10 @@
                 self._observe(
                     routed, candidate, 'shed', now_s - started_s, response
                 )
-            self._require_retry(routed, 'shed')
+            if not self._may_retry(routed, 'shed'):
+                raise self._shed_refusal(routed, candidate, now_s)
             return None
-        is_valid = self._is_valid(response)
+        is_valid = self._answers.is_valid(response)
         is_failure = response.status >= _FIRST_SERVER_ERROR or not is_valid
         result: AttemptResult = 'target_error' if is_failure else 'ok'
         self._observe(routed, candidate, result, now_s - started_s, response)
@@ -357,21 +337,6 @@
             raise self._final_refusal(routed, 'bad_answer')
         return response_for_caller(response)
 
-    def _is_valid(self, response: TargetResponse) -> bool:
-        """Return whether a response may be passed on to the caller.
-
-        Callers take some statuses as a guarantee that the request has not
-        run. Targets state that in a header of their own, so a response with
-        such a status but without that header is not passed on.
-        """
-        if response.status in _NOT_RUN_STATUSES:
-            return False
-        seal = self._dialect.seal
-        is_success = response.status < _FIRST_REDIRECTION
-        is_complete = not seal or response.header(seal) is not None
-        is_unencoded = response.header(b'content-encoding') is None
-        return is_unencoded and (is_complete or not is_success)
-
     def _note_success(
         self, routed: RoutedRequest, candidate: Candidate, duration_s: float
     ) -> None:
@@ -399,34 +364,6 @@
         else:
             health.note_shed(now_s)
 
-    def _is_not_run(self, response: TargetResponse) -> bool:
-        return (
-            response.status == HTTPStatus.MISDIRECTED_REQUEST
-            or response.header(self._dialect.not_executed) is not None
-        )
-
-    def _note_load(
-        self, candidate: Candidate, response: TargetResponse, now_s: float
-    ) -> None:
-        load = response.header(self._dialect.load)
-        parts = load.split(b',') if load else []
-        if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
-            candidate.health.note_load(int(parts[0]), int(parts[1]), now_s)
-
-    def _note_limit(
-        self, candidate: Candidate, response: TargetResponse
-    ) -> None:
-        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another target responded.
-            return
-        header = response.header(self._dialect.limit_per_s)
-        if self._directory.observe_limit(candidate, header):
-            self._log.write(
-                'limit of a target changed',
-                target=candidate.target.target_id,
-                limit=header.decode('latin-1') if header else '',
-            )
-
     def _note_failure(
         self, routed: RoutedRequest, candidate: Candidate, result: str
     ) -> None:
@@ -485,6 +422,23 @@
         RETRIES.labels(reason).inc()
         return True
 
+    def _shed_refusal(
+        self, routed: RoutedRequest, candidate: Candidate, now_s: float
+    ) -> Refusal:
+        """Return the refusal of a request that its last target has shed.
+
+        If the target pauses, the refusal tells when the first target takes
+        requests again.
+        """
+        if candidate.health.is_paused(now_s) and not routed.may_have_run:
+            # Those that were tried may take requests when the caller returns.
+            routed.tried.clear()
+            try:
+                self._find(routed)
+            except Refusal as refusal:
+                return refusal
+        return self._final_refusal(routed, 'shed')
+
     def _final_refusal(self, routed: RoutedRequest, reason: str) -> Refusal:
         if routed.may_have_run:
             status = 504 if reason == 'deadline' else 502
@@ -493,14 +447,16 @@
                 f'attempt {routed.attempts} ended with {reason}',
                 status=status,
             )
+        accepted_s = routed.route.profile.latency_objective_s
+        if reason == 'paused':
+            # A target that pauses takes no request before the time it named.
+            accepted_s = 0.0
         return not_run_refusal(
             f'service_{reason}',
             f'no target of {routed.service.name!r} can take the request: '
             f'{routed.rejection or reason}',
             retry_after_s=return_after_s(
-                routed.wait_s,
-                routed.route.profile.latency_objective_s,
-                self._random,
+                routed.wait_s, accepted_s, self._random
             ),
         )
 
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -11,19 +11,21 @@
 from ..moves.split import ANY_VERSION
 from ..routing.region_loads import LoadKey
 from ..routing.target_limits import TargetLimits, parse_limit_per_s
-from ..targets.announcement import Target
+from ..targets.announcement import Incarnation, Target
 from ..targets.table import TargetTable
-from .load_reports import LoadReporter
-from .placement import (
+from .candidate import (
     OTHER_REGION,
     OWN_FAILURE_DOMAIN,
     OWN_REGION,
     Candidate,
-    order_candidates,
 )
+from .load_reports import LoadReporter
+from .placement import order_candidates
+from .rate_limited_log import RateLimitedLog
 from .region_split import RegionCapacity, RegionSplit
 from .route_durations import RouteDurations
 from .target_health import TargetHealth
+from .target_states import TargetStates
 
 _MAX_CACHED_ORDERS = 5000
 # Weight of the newest response in the moving average of a service's duration.
@@ -34,6 +36,8 @@
 _MIN_WEIGHING_LOAD = 0.25
 _MIN_WEIGHT = 1 / 16
 
+# Service and run of a target.
+_HealthKey = tuple[str, Incarnation]
 _OrderKey = tuple[str, str, tuple[str, ...], str, bool]
 
 
@@ -52,12 +56,21 @@
 
     def __post_init__(self) -> None:
         """Add up the slots of each region."""
+        # Limits outlive the list of candidates.
+        self._is_limited = any(
+            each.health.limit is not None for each in self.candidates
+        )
+        self.add_up_slots(time.monotonic())
+
+    def add_up_slots(self, now_s: float) -> None:
+        """Add up the slots of each region, without leaving targets."""
         self.slots = {}
         for each in self.candidates:
-            # Limits outlive the list of candidates.
-            self._is_limited = self._is_limited or each.health.limit is not None
+            if each.health.is_leaving:
+                continue
             region = each.target.region
-            self.slots[region] = self.slots.get(region, 0) + each.health.slots
+            usable = each.health.usable_slots(self.usual_s, now_s)
+            self.slots[region] = self.slots.get(region, 0) + usable
 
     def ordered(
         self,
@@ -100,6 +113,12 @@
             self._orders[order_key] = found
         return found
 
+    def note_lost(self, lost: Sequence[Candidate], now_s: float) -> None:
+        """Account for targets that leave, as for drained ones."""
+        self.add_up_slots(now_s)
+        if any(each.is_in_region for each in lost):
+            self.split.note_target_loss(now_s)
+
     def update_limits(self, limits: TargetLimits, now_s: float) -> None:
         """Apply the limits that targets named.
 
@@ -111,17 +130,16 @@
         if not is_limited and not self._is_limited:
             return
         self._is_limited = is_limited
-        self.slots = dict.fromkeys(self.slots, 0.0)
         has_moved = False
         for each in self.candidates:
             target = each.target
             limit_per_s = limits.limit_per_s(target.target_id, now_s)
             each.health.set_limit(limit_per_s, now_s)
             usable = each.health.usable_slots(self.usual_s, now_s)
-            self.slots[target.region] += usable
             weight = self._weight(each, usable)
             has_moved = has_moved or weight != each.health.weight
             each.health.weight = weight
+        self.add_up_slots(now_s)
         if has_moved:
             self._orders.clear()
 
@@ -135,14 +153,19 @@
         return _rounded_weight(usable_slots / used)
 
     def versions(self) -> set[str]:
-        """Return the versions of the candidates."""
-        return {each.target.version for each in self.candidates}
+        """Return the versions of the candidates that stay."""
+        return {
+            each.target.version
+            for each in self.candidates
+            if not each.health.is_leaving
+        }
 
     def in_flight(self) -> dict[str, int]:
         """Return the requests in flight from this instance, by region."""
         counts = dict.fromkeys(self.slots, 0)
         for each in self.candidates:
-            counts[each.target.region] += each.health.in_flight
+            region = each.target.region
+            counts[region] = counts.get(region, 0) + each.health.in_flight
         return counts
 
     def update_split(
@@ -197,18 +220,25 @@
     ----------
     kernel : Kernel
         Provides the target table and drains.
+    log : RateLimitedLog
+        Log of targets that leave or pause.
     """
 
-    def __init__(self, kernel: Any) -> None:
+    def __init__(self, kernel: Any, log: RateLimitedLog) -> None:
         """Start without targets."""
         self._table = kernel.plugin(TargetTable)
         self._drains = kernel.plugin(Drains)
         self._view = kernel.plugin(ControlView)
         self._instance = kernel.settings.instance
         self.reporter = kernel.plugin(LoadReporter)
+        self.states = TargetStates(
+            self.reporter.leaving,
+            log,
+            drain_s=kernel.settings.gateway.target_drain_s,
+        )
         self._services: dict[str, ServiceTargets] = {}
-        self._health: dict[tuple[str, str, str], TargetHealth] = {}
-        self._drained: set[tuple[str, str, str]] = set()
+        self._health: dict[_HealthKey, TargetHealth] = {}
+        self._drained: set[_HealthKey] = set()
         self._seen_version = -1
         self._seen_drains: Any = None
         self.durations = RouteDurations()
@@ -253,8 +283,22 @@
             candidate.target.target_id, limit_per_s, now_s
         )
 
+    def note_leaving(self, candidate: Candidate, cause: str) -> None:
+        """Record that a target said in a response that it leaves.
+
+        Parameters
+        ----------
+        candidate : Candidate
+            The target.
+        cause : str
+            Id of the request that it responded to.
+        """
+        if self.states.note_leaving(candidate, cause):
+            service = self._services[candidate.target.service]
+            service.note_lost([candidate], time.monotonic())
+
     def possibly_restarted(self) -> list[Candidate]:
-        """Return usable targets that may have restarted undetected."""
+        """Return targets that may have restarted and may be asked."""
         now_s = time.monotonic()
         return [
             each
@@ -262,6 +306,8 @@
             for each in service.candidates
             if each.health.may_have_restarted
             and not each.health.is_ejected(now_s)
+            and not each.health.declines(now_s, now_s)
+            and not each.health.is_leaving
         ]
 
     def update_splits(self) -> list[tuple[str, RegionSplit]]:
@@ -281,7 +327,11 @@
             }
         )
         fleet = self.reporter.fleet()
+        self.states.end_pauses()
         for name, service in self._services.items():
+            lost = self.states.apply_reported(service.candidates)
+            if lost:
+                service.note_lost(lost, now_s)
             service.update_limits(self.reporter.limits, now_s)
             service.update_split(_loads_of_service(fleet, name), now_s)
         return [
@@ -292,14 +342,18 @@
 
     def _refresh(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
-        health: dict[tuple[str, str, str], TargetHealth] = {}
-        drained: set[tuple[str, str, str]] = set()
-        for target in self._table.every_target():
-            key = (target.service, target.target_id, target.address)
+        health: dict[_HealthKey, TargetHealth] = {}
+        drained: set[_HealthKey] = set()
+        announced = self._table.every_incarnation()
+        started = {_place_of(key) for key in self._health}
+        for target, incarnation in announced:
+            key = (target.service, incarnation)
             if self._drains.is_draining(target):
                 drained.add(key)
                 continue
-            observed = self._health.get(key) or TargetHealth(target.slots)
+            observed = self._health.get(key) or TargetHealth(
+                target.slots, may_have_restarted=_place_of(key) in started
+            )
             # It may have become cold while it was drained.
             observed.may_have_restarted = (
                 observed.may_have_restarted or key in self._drained
@@ -307,13 +361,20 @@
             observed.slots = target.slots
             health[key] = observed
             by_service.setdefault(target.service, []).append(
-                Candidate(target, observed, self._distance(target))
+                Candidate(
+                    target,
+                    observed,
+                    self._distance(target),
+                    incarnation.generation,
+                )
             )
         self._health = {**self._health_of_missing(health), **health}
         self._drained = drained
+        self.states.note_present({each for _target, each in announced})
         for name in self._services.keys() | by_service.keys():
             known = self._services.get(name) or self._new_service()
             candidates = by_service.get(name, [])
+            self.states.apply_reported(candidates)
             if _own_region_ids(known.candidates) - _own_region_ids(candidates):
                 known.split.note_target_loss(time.monotonic())
             self._services[name] = ServiceTargets(
@@ -333,16 +394,24 @@
         return OTHER_REGION
 
     def _health_of_missing(
-        self, current: Mapping[tuple[str, str, str], TargetHealth]
-    ) -> dict[tuple[str, str, str], TargetHealth]:
-        """Return the health of missing targets with requests in flight."""
+        self, current: Mapping[_HealthKey, TargetHealth]
+    ) -> dict[_HealthKey, TargetHealth]:
+        """Return the health of missing targets in use or in a pause."""
+        now_s = time.monotonic()
         return {
             key: health
             for key, health in self._health.items()
-            if key not in current and health.in_flight
+            if key not in current
+            and (health.in_flight or health.is_paused(now_s))
         }
 
 
+def _place_of(key: _HealthKey) -> tuple[str, str, str]:
+    """Return service, id and address, which a target may start again under."""
+    service, incarnation = key
+    return service, incarnation.target_id, incarnation.address
+
+
 def _rounded_weight(weight: float) -> float:
     """Return a weight in steps, so that gateways come to the same one.
 
@@ -366,4 +435,8 @@
 
 
 def _own_region_ids(candidates: Sequence[Candidate]) -> set[str]:
-    return {each.target.target_id for each in candidates if each.is_in_region}
+    return {
+        each.target.target_id
+        for each in candidates
+        if each.is_in_region and not each.health.is_leaving
+    }
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -1,10 +1,13 @@
 """Load, failures and latency of a target, as observed by this instance."""
 
+import asyncio
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from .limit_bucket import LimitBucket
 
+_NEVER_S = -math.inf
 # Weight of the newest response in the moving averages.
 _AVERAGE_WEIGHT = 0.2
 # Duration of the first ejection, doubled for each further one.
@@ -20,6 +23,9 @@
 _FAILING_FRACTION = 0.3
 # After these results the target may have restarted.
 _MAY_HAVE_RESTARTED = frozenset(('no_connection', 'reset'))
+# Part of the drain time in which a leaving target is a last resort; the rest
+# covers requests on their way.
+_LAST_RESORT_FRACTION = 0.5
 # Reported load is valid for this long.
 _LOAD_VALID_S = 1.0
 _SHED_BACKOFF_S = 0.1
@@ -49,6 +55,9 @@
     is the average load of a target in its region, used while its own reported
     load is outdated. ``limit`` is None while the target has named no limit;
     ``weight`` is the part of the objects that it gets, relative to others.
+    A leaving target is a last resort until ``last_resort_until_s``; one that
+    asked for a pause gets nothing until ``paused_until_s``. ``connecting``
+    holds the time-outs of requests that wait for a connection.
     """
 
     slots: int
@@ -57,26 +66,100 @@
     responses: int = 0
     warm_responses: int = 0
     warm_latency_s: float = 0.0
-    measured_s: float = float('-inf')
+    measured_s: float = _NEVER_S
     failure_fraction: float = 0.0
     consecutive_failures: int = 0
-    ejected_until_s: float = float('-inf')
+    ejected_until_s: float = _NEVER_S
     ejections: int = 0
-    full_until_s: float = float('-inf')
+    full_until_s: float = _NEVER_S
     reported_busy: int = 0
-    reported_s: float = float('-inf')
+    reported_s: float = _NEVER_S
     sent_since_report: int = 0
-    sent_s: float = float('-inf')
-    cold_sent_s: float = float('-inf')
-    cold_until_s: float = float('-inf')
+    sent_s: float = _NEVER_S
+    cold_sent_s: float = _NEVER_S
+    cold_until_s: float = _NEVER_S
     may_have_restarted: bool = False
     expected_busy: float = 0.0
     limit: LimitBucket | None = None
     weight: float = 1.0
+    leaving_noted_s: float = math.inf
+    last_resort_until_s: float = math.inf
+    paused_until_s: float = _NEVER_S
+    answered_s: float = _NEVER_S
+    connecting: set[asyncio.Timeout] = field(default_factory=set)
     _recent_objects: OrderedDict[str, float] = field(
         default_factory=OrderedDict
     )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target has said that it leaves."""
+        return self.leaving_noted_s < math.inf
+
+    @property
+    def is_queue_unknown(self) -> bool:
+        """Whether the target has not responded since its pause."""
+        return self.paused_until_s > self.answered_s
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether the target has asked for a pause that is not over."""
+        return now_s < self.paused_until_s
+
+    def declines(self, placed_s: float, now_s: float) -> str:
+        """Return why a request placed earlier may not be sent any more.
+
+        Parameters
+        ----------
+        placed_s : float
+            Monotonic time at which the request was placed.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        str
+            ``leaving`` or ``paused``; empty if it may be sent.
+        """
+        if self.is_paused(now_s):
+            return 'paused'
+        is_new = placed_s < self.leaving_noted_s
+        if self.is_leaving and (is_new or now_s >= self.last_resort_until_s):
+            return 'leaving'
+        return ''
+
+    def note_leaving(
+        self, since_s: float, now_s: float, *, drain_s: float
+    ) -> None:
+        """Record that the target leaves.
+
+        Parameters
+        ----------
+        since_s : float
+            Monotonic time at which it first said so to any gateway.
+        now_s : float
+            Monotonic time.
+        drain_s : float
+            Time after which no request may reach it.
+        """
+        self.leaving_noted_s = now_s
+        self.last_resort_until_s = since_s + drain_s * _LAST_RESORT_FRACTION
+        self._withdraw_connecting()
+
+    def note_pause(self, pause_s: float, now_s: float) -> bool:
+        """Record the pause that the target asked for.
+
+        Returns
+        -------
+        bool
+            Whether the pause begins; a shorter one does not end one.
+        """
+        begins = pause_s > 0 and not self.is_paused(now_s)
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+        if begins:
+            self.reported_s = _NEVER_S
+            self._withdraw_connecting()
+        return begins
+
     def busy(self, now_s: float) -> float:
         """Return the estimated requests at the target, running and waiting."""
         if now_s - self.reported_s > _LOAD_VALID_S:
@@ -154,6 +237,10 @@
         if not self.round_trip_s or duration_s < self.round_trip_s:
             self.round_trip_s = duration_s
 
+    def note_answer(self, now_s: float) -> None:
+        """Record a response; one in a pause tells nothing of the time after."""
+        self.answered_s = now_s
+
     def note_load(self, running: int, waiting: int, now_s: float) -> None:
         """Record the load reported by a response."""
         self.reported_busy = running + waiting
@@ -226,3 +313,9 @@
             )
             self.ejections += 1
             self.ejected_until_s = now_s + duration_s
+
+    def _withdraw_connecting(self) -> None:
+        """End the waits of requests for a connection, to place them again."""
+        for timeout in self.connecting:
+            if not timeout.expired():
+                timeout.reschedule(asyncio.get_running_loop().time())
--- a/oleanderpin/routing/region_loads.py
+++ b/oleanderpin/routing/region_loads.py
@@ -19,12 +19,14 @@
 from ..wire.generated.loads import Loads
 from ..wire.generated.loads.ttypes import (
     DomainLoad,
+    LeavingTarget,
     LoadReport,
     LoadSums,
     RegionLoad,
     TargetLimit,
 )
 from ..wire.server import PeerServer
+from .leaving_targets import SharedLeaving
 from .target_limits import SharedLimits
 
 # A gateway that misses three report intervals is considered gone.
@@ -151,11 +153,16 @@
         limits, version = self._aggregator.exchange_limits(
             report.limits or [], report.limits_version or 0
         )
+        leaving, leaving_version = self._aggregator.exchange_leaving(
+            report.leaving or [], report.leaving_version or 0
+        )
         return LoadSums(
             reporters=sums.reporters,
             loads=encode_loads(sums.in_flight),
             limits=limits or None,
             limits_version=version,
+            leaving=leaving or None,
+            leaving_version=leaving_version,
         )
 
     def domains(self) -> list[DomainLoad]:
@@ -182,6 +189,7 @@
         self._lock = threading.Lock()
         self._reports = ReportedLoads()
         self._limits = SharedLimits()
+        self._leaving = SharedLeaving()
         kernel.plugin(PeerServer).register(
             'Loads', Loads.Processor(LoadsHandler(self))
         )
@@ -205,6 +213,16 @@
             changed = self._limits.changed_since(version, now_s)
             return changed, self._limits.version
 
+    def exchange_leaving(
+        self, leaving: list[LeavingTarget], version: int
+    ) -> tuple[list[LeavingTarget], int]:
+        """Record leaving targets; return those that are new since a version."""
+        now_s = self.kernel.clock.now_s()
+        with self._lock:
+            self._leaving.record(leaving, now_s)
+            added = self._leaving.added_since(version, now_s)
+            return added, self._leaving.version
+
     def links(self) -> dict[str, list[float]]:
         """Return the link loads of the gateways by failure domain."""
         with self._lock:
--- a/oleanderpin/targets/announcement.py
+++ b/oleanderpin/targets/announcement.py
@@ -1,7 +1,7 @@
 """Target announcements and departures, and the target record."""
 
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 from pydantic import BaseModel, ConfigDict, Field
 
@@ -73,3 +73,21 @@
     def is_cold(self, now_s: float) -> bool:
         """Return whether the target is still warming up."""
         return now_s < self.cold_until_s
+
+
+class Incarnation(NamedTuple):
+    """One run of a target, from its start to its end.
+
+    Parameters
+    ----------
+    target_id : str
+        Identifier of the target.
+    address : str
+        Where it listens.
+    generation : int
+        Generation of its announcements; 0 if it sends none.
+    """
+
+    target_id: str
+    address: str
+    generation: int
--- a/oleanderpin/targets/rows.py
+++ b/oleanderpin/targets/rows.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict, dataclass, replace
 from typing import NamedTuple
 
-from .announcement import Target
+from .announcement import Incarnation, Target
 
 # Generation of a leave without generation that was sent to an instance that
 # does not know the target. It ends whichever run the receivers know.
@@ -70,6 +70,13 @@
         """Name of the row's record in the exchange."""
         return f'{self.target.service}/{self.target.target_id}'
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Run of the target that the row describes."""
+        return Incarnation(
+            self.target.target_id, self.target.address, self.order.generation
+        )
+
     def encode(self) -> bytes:
         """Return the row as JSON."""
         fields = asdict(self.target)
--- a/oleanderpin/targets/table.py
+++ b/oleanderpin/targets/table.py
@@ -12,7 +12,7 @@
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
 from ..wire.generated.exchange.ttypes import SoftRecord
-from .announcement import Announcement, Departure, Target
+from .announcement import Announcement, Departure, Incarnation, Target
 from .exchange import Exchange
 from .rows import ANY_GENERATION, Order, Row
 
@@ -26,7 +26,13 @@
 
 _Key = tuple[str, str]
 
-__all__ = ('Announcement', 'Departure', 'Target', 'TargetTable')
+__all__ = (
+    'Announcement',
+    'Departure',
+    'Incarnation',
+    'Target',
+    'TargetTable',
+)
 
 
 @plugins.register('target-table')
@@ -131,12 +137,12 @@
                 and row.accepts_requests
             )
 
-    def every_target(self) -> tuple[Target, ...]:
+    def every_incarnation(self) -> tuple[tuple[Target, Incarnation], ...]:
         """Return the live targets of all services that accept new requests."""
         now_s = self.kernel.clock.now_s()
         with self._lock:
             return tuple(
-                row.target
+                (row.target, row.incarnation)
                 for row in self._rows.values()
                 if row.expires_s > now_s and row.accepts_requests
             )
--- a/oleanderpin/testing/emulator.py
+++ b/oleanderpin/testing/emulator.py
@@ -42,6 +42,8 @@
 
 _SPLIT_UPDATE_INTERVAL_S = 0.25
 _FIRST_LOAD_REPORT_S = 1.0
+# Requests that are on their way when a pause begins arrive within this time.
+_IN_TRANSIT_S = 0.5
 _SERVICE = 'desk'
 
 MaxWaitFunction = Callable[..., float]
@@ -99,6 +101,13 @@
         One-way network delay between caller and gateway, and between regions.
     duration_s : float
         Time during which new requests arrive.
+    pause_s : float
+        Time for which a target that sheds a request wants nothing from the
+        gateway; 0 if targets name none.
+    leaves_s : mapping of str to float
+        Times from which the answers of targets say that they leave.
+    drain_s : float
+        Time after which no request may reach a leaving target.
     """
 
     targets: Mapping[str, int]
@@ -111,6 +120,9 @@
     caller_delay_s: float = 0.008
     region_delay_s: float = 0.012
     duration_s: float = 6.0
+    pause_s: float = 0.0
+    leaves_s: Mapping[str, float] = field(default_factory=dict)
+    drain_s: float = 3.0
 
     def capacity_per_s(self) -> float:
         """Return the request rate that keeps all slots busy with warm caches."""
@@ -140,7 +152,11 @@
     objective), ``late`` (answered after it, within the deadline), ``refused``
     (refused for good) and ``expired`` (answered after the deadline).
     ``refusals`` counts refused attempts; ``hits`` and ``loads`` count cache
-    hits and misses at the targets.
+    hits and misses at the targets. ``pauses`` and
+    ``leaves`` count what gateways were told; ``after_drain`` counts requests that reach a
+    leaving target from a gateway that has known of it for the drain time, and
+    ``in_pause`` those that reach a target from a gateway in a pause that is
+    known for half a second.
     """
 
     asked: int = 0
@@ -151,6 +167,10 @@
     refusals: int = 0
     loads: int = 0
     hits: int = 0
+    pauses: int = 0
+    leaves: int = 0
+    after_drain: int = 0
+    in_pause: int = 0
     durations_s: list[float] = field(default_factory=list)
 
     @property
@@ -216,6 +236,8 @@
             for target in fleet
         ]
         self.targets = ServiceTargets(RegionSplit(region, 0.0), candidates)
+        self.leaving_known_s: dict[str, float] = {}
+        self.pause_known_s: dict[str, float] = {}
 
 
 class Emulation:
@@ -371,6 +393,7 @@
 
     def _arrive_at_target(self, attempt: _Attempt) -> None:
         target_model = self._target_models[attempt.candidate.target.target_id]
+        self._check_arrival(attempt)
         if target_model.running < self.scenario.slots:
             self._start_work(target_model, attempt)
         elif len(target_model.waiting) < self.scenario.queue:
@@ -380,9 +403,28 @@
                 attempt.delay_s, lambda: self._shed_at_target(attempt)
             )
 
+    def _check_arrival(self, attempt: _Attempt) -> None:
+        """Count a request that its target has told the gateway not to send."""
+        target_id = attempt.candidate.target.target_id
+        known_s = attempt.gateway.leaving_known_s.get(target_id, math.inf)
+        is_late = attempt.request.attempt_s > known_s + self.scenario.drain_s
+        asked_s = attempt.gateway.pause_known_s.get(target_id, -math.inf)
+        age_s = self.now_s - asked_s
+        is_paused = _IN_TRANSIT_S < age_s < self.scenario.pause_s
+        for tally in self._tallies(attempt.request):
+            tally.after_drain += is_late
+            tally.in_pause += is_paused
+
     def _shed_at_target(self, attempt: _Attempt) -> None:
-        attempt.candidate.health.in_flight -= 1
-        attempt.candidate.health.note_shed(self.now_s)
+        target = attempt.candidate.target
+        health = attempt.candidate.health
+        health.in_flight -= 1
+        health.note_answer(self.now_s)
+        health.note_shed(self.now_s)
+        if self.scenario.pause_s:
+            health.note_pause(self.scenario.pause_s, self.now_s)
+            attempt.gateway.pause_known_s[target.target_id] = self.now_s
+            self.tally.pauses += 1
         self._refuse(attempt.request, 0.0)
 
     def _start_work(
@@ -415,7 +457,9 @@
     ) -> None:
         health = attempt.candidate.health
         health.in_flight -= 1
+        health.note_answer(self.now_s)
         health.note_load(running, waiting, self.now_s)
+        self._note_leaving(attempt)
         duration_s = self.now_s - attempt.sent_s
         is_usual = health.note_success(
             attempt.request.key,
@@ -439,6 +483,19 @@
             tally.in_aim += response_time_s <= request.kind.objective_s
             tally.late += response_time_s > request.kind.objective_s
 
+    def _note_leaving(self, attempt: _Attempt) -> None:
+        candidate, gateway = attempt.candidate, attempt.gateway
+        target_id = candidate.target.target_id
+        leaves_s = self.scenario.leaves_s.get(target_id, math.inf)
+        if self.now_s < leaves_s or candidate.health.is_leaving:
+            return
+        candidate.health.note_leaving(
+            self.now_s, self.now_s, drain_s=self.scenario.drain_s
+        )
+        gateway.targets.note_lost([candidate], self.now_s)
+        gateway.leaving_known_s[target_id] = self.now_s
+        self.tally.leaves += 1
+
     def _update_splits(self) -> None:
         gateways = [
             gateway for each in self._gateways.values() for gateway in each
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -29,6 +29,7 @@
 
 KEY = 'key-of-shop'
 _READY_TIMEOUT_S = 15.0
+_READY_POLL_S = 0.05
 _SOCKET_TIMEOUT_S = 10.0
 
 Script = Callable[[bytes], bytes]
@@ -175,6 +176,57 @@
             message = read_message(connection, buffer)
 
 
+class CongestedTarget(ScriptedHttpTarget):
+    """Accepts one connection, and no other one until it is told to.
+
+    Connections that are opened meanwhile are not established, so that the
+    requests that need them wait.
+    """
+
+    def __init__(self, script: Script = answer_bytes) -> None:
+        """Start with room for one connection."""
+        super().__init__(script)
+        self.relieved = threading.Event()
+        self._fillers: list[socket.socket] = []
+
+    def start(self) -> Self:
+        """Listen on a free port, with the shortest queue of connections."""
+        self._server = socket.create_server(('127.0.0.1', 0), backlog=0)
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def fill(self) -> None:
+        """Fill the queue of connections that are not accepted yet."""
+        self._fillers = [socket.socket(), socket.socket(), socket.socket()]
+        for filler in self._fillers:
+            filler.setblocking(False)
+            filler.connect_ex(('127.0.0.1', self.port))
+
+    def relieve(self) -> None:
+        """Accept all connections from now on."""
+        for filler in self._fillers:
+            filler.close()
+        self.relieved.set()
+
+    def serve(self, connection: socket.socket) -> None:
+        """Respond to one request after the other."""
+        try:
+            super().serve(connection)
+        except OSError:
+            return
+
+    def _accept(self) -> None:
+        if self._server is None:
+            return
+        connection, _address = self._server.accept()
+        threading.Thread(
+            target=self._serve, args=(connection,), daemon=True
+        ).start()
+        self.relieved.wait()
+        super()._accept()
+
+
 class EndlessTarget(LoopbackTarget):
     """Responds with a beginning and then one part again and again.
 
@@ -233,6 +285,9 @@
         name: str,
         *,
         service: str = 'desk',
+        generation: int | None = None,
+        cold_s: float = 0.0,
+        slots: int = 4,
     ) -> None:
         """Announce a target in the gateway's own failure domain."""
         self.kernel.plugin(TargetTable).announce(
@@ -242,7 +297,9 @@
                 address=f'127.0.0.1:{target.port}',
                 region='north',
                 failure_domain='north-a',
-                slots=4,
+                slots=slots,
+                generation=generation,
+                cold_s=cold_s,
             )
         )
 
@@ -255,6 +312,7 @@
     rate_per_s: float = 0.0,
     services: tuple[str, ...] = ('desk',),
     weights: tuple[float, ...] = (1.0,),
+    cold_rate_per_s: float = 0.0,
 ) -> ConfigurationReplace:
     """Return a configuration with one route, for paths below ``/desk/``."""
     return ConfigurationReplace(
@@ -263,7 +321,10 @@
         objects=Objects(
             profiles={'counter': profile or ProfileDocument()},
             services={
-                name: ServiceDocument(profile='counter') for name in services
+                name: ServiceDocument(
+                    profile='counter', cold_rate_per_s=cold_rate_per_s
+                )
+                for name in services
             },
             routes={
                 'desk': RouteDocument(
@@ -285,8 +346,14 @@
     )
 
 
-def gateway_settings(ports: list[int], folder: Path) -> str:
-    """Return the INI text of a gateway that is the only control member.
+def gateway_settings(
+    ports: list[int],
+    folder: Path,
+    *,
+    options: tuple[str, ...] = (),
+    leader_port: int = 0,
+) -> str:
+    """Return the INI text of a gateway.
 
     Parameters
     ----------
@@ -294,41 +361,65 @@
         Caller, admin and peer port.
     folder : Path
         Data directory.
+    options : tuple of str
+        Further lines, beginning in the section ``gateway``.
+    leader_port : int
+        Peer port of the only control member; 0 if that is this gateway.
     """
+    control_port = leader_port or ports[2]
+    own = ['name = g1', 'roles = gateway, control', f'data_dir = {folder}']
+    peers = []
+    if leader_port:
+        own = ['name = g2', 'roles = gateway']
+        peers = ['[peers]', f'seeds = 127.0.0.1:{leader_port}']
     return '\n'.join(
         (
             '[instance]',
-            'name = g1',
+            *own,
             'region = north',
             'failure_domain = north-a',
-            'roles = gateway, control',
-            f'data_dir = {folder}',
             '[listen]',
             f'caller = 127.0.0.1:{ports[0]}',
             f'admin = 127.0.0.1:{ports[1]}',
             f'peer = 127.0.0.1:{ports[2]}',
+            *peers,
             '[control]',
-            f'initial_members = g1=127.0.0.1:{ports[2]}',
+            f'initial_members = g1=127.0.0.1:{control_port}',
             '[gateway]',
             'grace_s = 1',
             'lookup_ttl_s = 0',
             'max_buffered_bytes = 1048576',
+            *options,
         )
     )
 
 
 @contextmanager
 def started_gateway(
-    folder: Path, change: ConfigurationReplace
+    folder: Path,
+    change: ConfigurationReplace,
+    *,
+    options: tuple[str, ...] = (),
 ) -> Iterator[GatewayFixture]:
     """Run a gateway with a configuration until the block ends.
 
     The block is entered once the configuration is accepted and the control
     state is fresh. The gateway then has the authority that it needs to accept
     requests with keys.
+
+    Parameters
+    ----------
+    folder : Path
+        Data directory.
+    change : ConfigurationReplace
+        The configuration.
+    options : tuple of str
+        Further lines of the settings, beginning in the section ``gateway``.
     """
     ports = free_ports(3)
-    kernel = Kernel(build_settings(gateway_settings(ports, folder)))
+    kernel = Kernel(
+        build_settings(gateway_settings(ports, folder, options=options))
+    )
     kernel.start()
     try:
         configure(kernel, change)
@@ -338,6 +429,49 @@
         kernel.stop()
 
 
+@contextmanager
+def joined_gateway(
+    folder: Path, first: GatewayFixture, *, options: tuple[str, ...] = ()
+) -> Iterator[GatewayFixture]:
+    """Run a second gateway until the block ends.
+
+    The block is entered once its control state is fresh.
+
+    Parameters
+    ----------
+    folder : Path
+        Data directory.
+    first : GatewayFixture
+        Gateway that is the only control member.
+    options : tuple of str
+        Further lines of the settings, beginning in the section ``gateway``.
+    """
+    ports = free_ports(3)
+    leader_port = int(first.kernel.settings.listen.peer.rpartition(':')[2])
+    text = gateway_settings(
+        ports, folder, options=options, leader_port=leader_port
+    )
+    kernel = Kernel(build_settings(text))
+    kernel.start()
+    try:
+        _wait_until_configured(kernel)
+        yield GatewayFixture(kernel, ports[0])
+    finally:
+        kernel.drain(timeout_s=0)
+        kernel.stop()
+
+
+def _wait_until_configured(kernel: Kernel) -> None:
+    view = kernel.plugin(ControlView)
+    deadline_s = time.monotonic() + _READY_TIMEOUT_S
+    while not (view.is_fresh() and view.state.configuration.number):
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(
+                f'no fresh control state within {_READY_TIMEOUT_S} s'
+            )
+        time.sleep(_READY_POLL_S)
+
+
 def configure(kernel: Kernel, change: ConfigurationReplace) -> None:
     """Put a configuration in force on a gateway that leads its group."""
     actions = kernel.plugin(OperatorActions)
--- a/oleanderpin/testing/targets.py
+++ b/oleanderpin/testing/targets.py
@@ -58,6 +58,8 @@
         self.send_response(response.status)
         self.send_header('Content-Length', str(len(response.body)))
         self.send_header('X-Target-Id', self.target.target_id)
+        if self.target.is_leaving:
+            self.send_header('X-Target-Leaving', '1')
         for name, header_value in response.headers.items():
             self.send_header(name, header_value)
         self.end_headers()
@@ -118,6 +120,8 @@
         self.slots = slots
         self.behaviour = behaviour
         self.seen: list[SeenRequest] = []
+        # While it is not 0, requests are refused for so long.
+        self.pause_s = 0.0
         self._admin_ports = admin_ports
         self._leaving = threading.Event()
         self._stopped = threading.Event()
@@ -131,9 +135,22 @@
         for loop in (self._server.serve_forever, self._announce_loop):
             threading.Thread(target=loop, daemon=True).start()
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target has reported that it leaves."""
+        return self._leaving.is_set()
+
     def serve(self, request: SeenRequest) -> TargetAnswer:
         """Record a request and return its response after the delay."""
         self.seen.append(request)
+        if self.pause_s:
+            return TargetAnswer(
+                status=503,
+                headers={
+                    'X-Not-Run': 'true',
+                    'X-Target-Pause-S': str(self.pause_s),
+                },
+            )
         response = self.behaviour(request)
         if response.delay_s:
             time.sleep(response.delay_s)
--- a/oleanderpin/tests/testing/test_emulator.py
+++ b/oleanderpin/tests/testing/test_emulator.py
@@ -1,6 +1,7 @@
 """Simulated overload of a fleet, with the gateway's own decisions."""
 
 import math
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -53,3 +54,21 @@
     """Guards against a simulation in which overload does no harm."""
     bounded = in_aim_per_s(1.6)
     assert in_aim_per_s(1.6, most_wait=any_wait_s) < 0.8 * bounded
+
+
+def test_targets_that_pause_or_leave_get_nothing_more() -> None:
+    """Guards against requests that targets have asked not to be sent."""
+    told = replace(
+        FLEET,
+        queue=3,
+        pause_s=1.0,
+        leaves_s={'north-t0': 0.5, 'south-t1': 1.0},
+        drain_s=1.0,
+        duration_s=6.0,
+    )
+    emulation = Emulation(told, load=1.2)
+    tally = emulation.run()
+    assert tally.pauses
+    assert tally.leaves == 2 * told.gateways * len(told.targets)
+    assert not tally.after_drain
+    assert not tally.in_pause
--- a/oleanderpin/wire/loads.thrift
+++ b/oleanderpin/wire/loads.thrift
@@ -15,6 +15,15 @@
   3: i32 age_ms,
 }
 
+/** A target that said in an answer that it leaves, and how long ago. */
+struct LeavingTarget {
+  1: string target_id,
+  2: string address,
+  /** Generation of its announcements; 0 if it sends none. */
+  3: i64 generation,
+  4: i32 age_ms,
+}
+
 /** What one gateway has sent; the mean since its last report. */
 struct LoadReport {
   1: string instance,
@@ -27,6 +36,10 @@
   5: optional list<TargetLimit> limits,
   /** Version of the limits that the last reply told. */
   6: optional i64 limits_version,
+  /** Targets that have said to the gateway since its last report that they leave. */
+  7: optional list<LeavingTarget> leaving,
+  /** Version of the leaving targets that the last reply told. */
+  8: optional i64 leaving_version,
 }
 
 /** Mean over the gateways of a failure domain that have reported lately. */
@@ -43,6 +56,9 @@
   /** Limits that have changed since the version in the report. */
   3: optional list<TargetLimit> limits,
   4: optional i64 limits_version,
+  /** Leaving targets that are new since the version in the report. */
+  5: optional list<LeavingTarget> leaving,
+  6: optional i64 leaving_version,
 }
 
 service Loads {
