--- a/specs/parts.py
+++ b/specs/parts.py
@@ -24,6 +24,7 @@
 
 _STAYS_IN_SOURCE = 'drawn token stays in the source'
 _STORED_BEYOND_PART = 'drawn token is stored beyond the part'
+_LATE_RETURN = 'unused token is returned at any time'
 _TAKEN_BACK = 'source takes back tokens of a late reply'
 _BESIDE_A_DRAW = 'draws beside a draw in progress'
 
@@ -35,6 +36,7 @@
     _TAKEN_BACK,
     _BESIDE_A_DRAW,
     'returned token is sent again',
+    _LATE_RETURN,
 )
 FAULTS = {
     'two parts': _DRAW_FAULTS,
@@ -59,7 +61,6 @@
     rate: int = 2
     can_draw: bool = False
     can_return: bool = False
-    can_return_late: bool = False
     can_restart: bool = False
     can_restart_after_change: bool = False
 
@@ -86,7 +87,6 @@
     'removed, few parts': Scope((0, 1, 2), (0, 2)),
     'replaced': Scope((0, 1), (0, 2)),
     'added': Scope((0, 1), (0, 1, 2), burst=6, rate=6),
-    'late return': Scope((0, 1), can_return=True, can_return_late=True),
 }
 
 
@@ -229,7 +229,7 @@
             instances=tuple(instances),
             excess=max(0, state.excess - scope.rate),
             # Returned at once, or not at all.
-            kept=state.kept if scope.can_return_late else 0,
+            kept=state.kept if self._fault == _LATE_RETURN else 0,
         )
 
     def _use_steps(
