--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -243,11 +243,20 @@
             raise ValueError(
                 'control: leader_lease_s must be below election_timeout_min_s'
             )
+        return self
+
+    @pydantic.model_validator(mode='after')
+    def _check_roles(self) -> 'Settings':
         if {'entry', 'gateway'} <= set(self.instance.roles):
             raise ValueError(
                 'instance: entry and gateway share the address for callers; '
                 'choose one of these roles'
             )
+        if 'entry' in self.instance.roles and self.limits.floor_percent:
+            raise ValueError(
+                'limits: floor_percent is for gateways; an entry instance '
+                'borrows all rates from the leader, so leave it at 0'
+            )
         if 'control' in self.instance.roles and not self.instance.data_dir:
             raise ValueError(
                 'instance: the control role needs a disk; set data_dir'
--- a/oleanderpin/tests/core/test_settings.py
+++ b/oleanderpin/tests/core/test_settings.py
@@ -45,6 +45,10 @@
             valid_text().replace('roles = entry', 'roles = entry, control'),
             ['data_dir'],
         ),
+        (
+            valid_text('[limits]\nfloor_percent = 75'),
+            ['floor_percent', 'leave it at 0'],
+        ),
     ],
 )
 def test_invalid_file_is_rejected_with_remedy(
