--- a/oleanderpin/gateway/admission.py
+++ b/oleanderpin/gateway/admission.py
@@ -25,7 +25,7 @@
 _RETRY_JITTER_S = 0.3
 
 
-def most_wait_s(
+def max_wait_s(
     objective_s: float, usual_s: float, *, rank: int, spent_s: float
 ) -> float:
     """Return the longest wait that still meets the latency objective.
--- a/oleanderpin/gateway/candidate.py
+++ b/oleanderpin/gateway/candidate.py
@@ -55,7 +55,7 @@
         Name of the object.
     left_s : float
         Time until the deadline.
-    most_wait_s : float
+    max_wait_s : float
         Longest wait for a slot that still meets the latency objective.
     usual_s : float
         Usual response time for an object that the target handled recently.
@@ -64,7 +64,7 @@
         for no limit.
     is_repeatable : bool
         Whether the request may serve as a trial of a slow or failing target.
-    least_work_s : float
+    min_work_s : float
         Time that targets work at least on a request of this kind; 0 if it is
         unknown. Requests with less time left are rejected.
     uses_leaving : bool
@@ -73,9 +73,9 @@
 
     key: str
     left_s: float
-    most_wait_s: float = 1.0
+    max_wait_s: float = 1.0
     usual_s: float = 0.0
     cold_rate_per_s: float = 0.0
     is_repeatable: bool = False
-    least_work_s: float = 0.0
+    min_work_s: float = 0.0
     uses_leaving: bool = False
--- a/oleanderpin/gateway/eligibility.py
+++ b/oleanderpin/gateway/eligibility.py
@@ -46,13 +46,13 @@
         Requirements of the request.
     now_s : float
         Monotonic time.
-    sharers : KnownGateways
+    known_gateways : KnownGateways
         Gateways that share the request rates of cold and limited targets.
     """
 
     needs: Needs
     now_s: float
-    sharers: KnownGateways
+    known_gateways: KnownGateways
 
 
 Check = Callable[[Candidate, Question], float | None]
@@ -95,7 +95,7 @@
     rate_per_s = question.needs.cold_rate_per_s
     if not rate_per_s or not candidate.is_cold(question.now_s):
         return None
-    interval_s = question.sharers.cold_interval_s(
+    interval_s = question.known_gateways.cold_interval_s(
         candidate.target.target_id, rate_per_s
     )
     until_s = candidate.health.cold_sent_s + interval_s
@@ -107,7 +107,7 @@
     limit = candidate.health.limit
     if limit is None:
         return None
-    share = question.sharers.limit_share(
+    share = question.known_gateways.limit_share(
         candidate.target.target_id, limit.usable_per_s(question.now_s)
     )
     wait_s = limit.wait_s(share, question.now_s)
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -87,9 +87,9 @@
         return (
             f'{self.reject_reason}, {self.compared} targets compared, '
             f'expected wait {int(self.wait_s * 1000)} ms of '
-            f'{int(needs.most_wait_s * 1000)} ms, response in '
+            f'{int(needs.max_wait_s * 1000)} ms, response in '
             f'{int(self.response_s * 1000)} ms, at least '
-            f'{int(needs.least_work_s * 1000)} ms of work, '
+            f'{int(needs.min_work_s * 1000)} ms of work, '
             f'{int(needs.left_s * 1000)} ms left'
         )
 
@@ -149,7 +149,7 @@
     *,
     replicas: int,
     now_s: float,
-    sharers: KnownGateways,
+    known_gateways: KnownGateways,
 ) -> Placement:
     """Choose the candidate with the earliest expected response.
 
@@ -164,10 +164,10 @@
         Number of usable candidates that are compared in each group.
     now_s : float
         Monotonic time.
-    sharers : KnownGateways
+    known_gateways : KnownGateways
         Gateways that share the request rates of cold targets.
     """
-    search = _CandidateSearch(Question(needs, now_s, sharers), replicas)
+    search = _CandidateSearch(Question(needs, now_s, known_gateways), replicas)
     for number, group in enumerate(groups):
         search.compare(group, is_home=not number)
     best = search.best
@@ -175,8 +175,8 @@
         return search.rejection()
     compared = search.compared
     wait_s = best.health.wait_s(needs.usual_s or _DEFAULT_WORK_S, now_s)
-    least_s = wait_s + needs.least_work_s + best.health.round_trip_s
-    if least_s > needs.left_s or wait_s > needs.most_wait_s:
+    least_s = wait_s + needs.min_work_s + best.health.round_trip_s
+    if least_s > needs.left_s or wait_s > needs.max_wait_s:
         return Placement(
             None,
             'busy',
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -61,7 +61,7 @@
             kernel,
             self._dialect,
             self._log,
-            sharers=self._known_gateways,
+            known_gateways=self._known_gateways,
             pool=ConnectionPool(
                 self._settings, self._dialect.request_id, self._traffic
             ),
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -52,7 +52,7 @@
         """Divide the floors, once this instance is registered as a holder."""
         state = self._view.state
         if self._own_name in state.share_holders:
-            self._floors.note_sharers(floor_instance_count(state))
+            self._floors.note_instances(floor_instance_count(state))
 
     async def admit(
         self, account: Account, *, deadline_s: float
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -16,7 +16,7 @@
 from ..moves.split import VersionSplit
 from ..routing.outcome import AttemptOutcome, AttemptResult, Observation
 from ..routing.router import Router
-from .admission import most_wait_s, return_after_s
+from .admission import max_wait_s, return_after_s
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
 from .known_gateways import KnownGateways
@@ -68,7 +68,7 @@
         Header names.
     log : RateLimitedLog
         Log of failed attempts and changed splits.
-    sharers : KnownGateways
+    known_gateways : KnownGateways
         Gateways that share the request rates of cold targets.
     pool : ConnectionPool
         Connections to targets.
@@ -80,7 +80,7 @@
         dialect: Dialect,
         log: RateLimitedLog,
         *,
-        sharers: KnownGateways,
+        known_gateways: KnownGateways,
         pool: ConnectionPool,
     ) -> None:
         """Start without connections."""
@@ -88,7 +88,7 @@
         self.pool = pool
         self._dialect = dialect
         self._log = log
-        self._sharers = sharers
+        self._known_gateways = known_gateways
         self._directory = TargetDirectory(kernel, log)
         self._answers = TargetAnswers(dialect, self._directory, log)
         self._probes = Probes(
@@ -182,7 +182,7 @@
         needs = Needs(
             key=routed.object_key,
             left_s=routed.left_s(),
-            most_wait_s=most_wait_s(
+            max_wait_s=max_wait_s(
                 routed.route.profile.latency_objective_s,
                 targets.usual_s,
                 rank=routed.rank,
@@ -191,7 +191,7 @@
             usual_s=targets.usual_s,
             cold_rate_per_s=routed.service.cold_rate_per_s,
             is_repeatable=routed.is_repeatable,
-            least_work_s=self._directory.durations.fast_s(
+            min_work_s=self._directory.durations.fast_s(
                 routed.route.route.name
             ),
         )
@@ -216,7 +216,7 @@
             needs,
             replicas=self._replicas,
             now_s=now_s,
-            sharers=self._sharers,
+            known_gateways=self._known_gateways,
         )
 
     def _version(self, service: Service, targets: ServiceTargets) -> str:
--- a/oleanderpin/limits/floors.py
+++ b/oleanderpin/limits/floors.py
@@ -64,7 +64,7 @@
         self._instance_count = 0
         self._buckets: dict[str, _Bucket] = {}
 
-    def note_sharers(self, count: int) -> None:
+    def note_instances(self, count: int) -> None:
         """Record the number of instances; lower counts are ignored."""
         self._instance_count = max(self._instance_count, count)
 
--- a/oleanderpin/testing/emulator.py
+++ b/oleanderpin/testing/emulator.py
@@ -25,7 +25,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from ..gateway.admission import most_wait_s, return_after_s
+from ..gateway.admission import max_wait_s, return_after_s
 from ..gateway.placement import (
     OTHER_REGION,
     OWN_REGION,
@@ -252,7 +252,7 @@
     seed : int
         Seed of the random number generator.
     most_wait : callable, optional
-        Replaces `most_wait_s`.
+        Replaces `max_wait_s`.
     knows_fleet : bool
         Whether gateways receive the regions' loads summed over all gateways.
     """
@@ -263,7 +263,7 @@
         *,
         load: float,
         seed: int = 1,
-        most_wait: MaxWaitFunction = most_wait_s,
+        most_wait: MaxWaitFunction = max_wait_s,
         knows_fleet: bool = True,
     ) -> None:
         """Build a fleet whose caches are empty."""
@@ -347,21 +347,21 @@
         needs = Needs(
             key=request.key,
             left_s=request.started_s + request.kind.deadline_s - self.now_s,
-            most_wait_s=self._most_wait(
+            max_wait_s=self._most_wait(
                 request.kind.objective_s,
                 targets.usual_s,
                 rank=request.kind.rank,
                 spent_s=0.0,
             ),
             usual_s=targets.usual_s,
-            least_work_s=targets.usual_s,
+            min_work_s=targets.usual_s,
         )
         placement = place(
             groups,
             needs,
             replicas=4,
             now_s=self.now_s,
-            sharers=gateway.known_gateways,
+            known_gateways=gateway.known_gateways,
         )
         candidate = placement.candidate
         if candidate is None:
--- a/oleanderpin/tests/gateway/test_placement.py
+++ b/oleanderpin/tests/gateway/test_placement.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 
-from ...gateway.admission import most_wait_s, return_after_s
+from ...gateway.admission import max_wait_s, return_after_s
 from ...gateway.known_gateways import KnownGateways
 from ...gateway.placement import (
     OTHER_REGION,
@@ -52,7 +52,9 @@
 
 def choose(candidates: list[Candidate], asked: Needs, now_s: float = 10.0):
     groups = order_candidates(asked.key, candidates, home='north')
-    return place(groups, asked, replicas=4, now_s=now_s, sharers=KNOWN_GATEWAYS)
+    return place(
+        groups, asked, replicas=4, now_s=now_s, known_gateways=KNOWN_GATEWAYS
+    )
 
 
 def test_request_of_an_added_route_is_not_refused_by_other_routes() -> None:
@@ -69,7 +71,7 @@
 def test_request_is_refused_when_its_route_always_takes_longer() -> None:
     """Guards against work on responses that are certain to be late."""
     fleet = [candidate(f't{number}') for number in range(12)]
-    asked = needs(left_s=0.9, usual_s=1.2, least_work_s=1.0)
+    asked = needs(left_s=0.9, usual_s=1.2, min_work_s=1.0)
     assert choose(fleet, asked).reject_reason == 'busy'
 
 
@@ -109,7 +111,7 @@
     fleet = [candidate(f't{number}') for number in range(2)]
     for each in fleet:
         each.health.note_load(9, 8, 10.0)
-    placed = choose(fleet, needs(most_wait_s=0.05))
+    placed = choose(fleet, needs(max_wait_s=0.05))
     assert placed.candidate is None
     assert placed.reject_reason == 'busy'
     assert placed.wait_s > 0.05
@@ -184,7 +186,11 @@
             key, own + other, home='north', has_large_body=True
         )
         placed = place(
-            groups, needs(key), replicas=4, now_s=10.0, sharers=KNOWN_GATEWAYS
+            groups,
+            needs(key),
+            replicas=4,
+            now_s=10.0,
+            known_gateways=KNOWN_GATEWAYS,
         )
         assert placed.candidate in own
 
@@ -192,7 +198,7 @@
 def test_urgent_requests_may_wait_longer() -> None:
     """Guards against refusing requests of higher priority first."""
     waits = [
-        most_wait_s(0.4, USUAL_S, rank=rank, spent_s=0.0) for rank in range(3)
+        max_wait_s(0.4, USUAL_S, rank=rank, spent_s=0.0) for rank in range(3)
     ]
     assert waits == sorted(waits, reverse=True)
     assert waits[0] <= 0.4 - USUAL_S
--- a/oleanderpin/tests/gateway/test_target_limits.py
+++ b/oleanderpin/tests/gateway/test_target_limits.py
@@ -41,7 +41,7 @@
     """A gateway that places requests and learns limits from responses."""
 
     name: str
-    sharers: KnownGateways
+    known_gateways: KnownGateways
     is_cut_off: bool = False
     learnt_s: float = float('inf')
     limits: TargetLimits = field(default_factory=TargetLimits)
@@ -58,8 +58,8 @@
         self.targets = targets
         self.gateways = [self.started(name) for name in self.names]
         for gateway in self.gateways:
-            gateway.sharers.add(self.names)
-            gateway.sharers.note_complete()
+            gateway.known_gateways.add(self.names)
+            gateway.known_gateways.note_complete()
         self.shared = SharedLimits()
         self.limited_until_s = float('inf')
         self.counted_s: list[float] = []
@@ -119,7 +119,7 @@
             Needs('o', 2.0, usual_s=RESPONSE_S),
             replicas=4,
             now_s=self.now_s,
-            sharers=gateway.sharers,
+            known_gateways=gateway.known_gateways,
         )
         chosen = placement.candidate
         if chosen is None:
@@ -205,7 +205,7 @@
         fleet.gateways[number] = fleet.started(fleet.names[number])
 
     def meet(number: int) -> None:
-        fleet.gateways[number].sharers.add(fleet.names)
+        fleet.gateways[number].known_gateways.add(fleet.names)
 
     for number in range(size):
         delay_s = 8.0 + number * 20.0 / size
--- a/oleanderpin/tests/limits/test_part_members.py
+++ b/oleanderpin/tests/limits/test_part_members.py
@@ -123,7 +123,7 @@
     assert is_owned_in_parts(limited, state_with(66), settings)
     cut_off = [Floors(settings.floor_percent) for _gateway in range(22)]
     for floors in cut_off:
-        floors.note_sharers(65)
+        floors.note_instances(65)
         floors.take(limited, 0.0)
     clock = ManualClock(0.0)
     group = [parts_of(each, clock, limited, MEMBERS) for each in MEMBERS]
