--- a/bench/overload.py
+++ b/bench/overload.py
@@ -63,9 +63,9 @@
 
 variants.register('product')(Emulation)
 variants.register('landed before')(
-    partial(Emulation, most_wait=earlier_wait_s, knows_fleet=False)
+    partial(Emulation, max_wait=earlier_wait_s, knows_fleet=False)
 )
-variants.register('no admission')(partial(Emulation, most_wait=any_wait_s))
+variants.register('no admission')(partial(Emulation, max_wait=any_wait_s))
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderpin/forwarding/connections.py
+++ b/oleanderpin/forwarding/connections.py
@@ -215,7 +215,7 @@
                 )
             self._open[target.address] += 1
         host, port = target.address.split(':')
-        # A fifth of the time of a start, and only the role entry uses it.
+        # Only entry instances use it; the others start sooner without it.
         import urllib3  # noqa: WPS433
 
         connection = urllib3.connection.HTTPConnection(
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -175,8 +175,8 @@
         return search.rejection()
     compared = search.compared
     wait_s = best.health.wait_s(needs.usual_s or _DEFAULT_WORK_S, now_s)
-    least_s = wait_s + needs.min_work_s + best.health.round_trip_s
-    if least_s > needs.left_s or wait_s > needs.max_wait_s:
+    min_s = wait_s + needs.min_work_s + best.health.round_trip_s
+    if min_s > needs.left_s or wait_s > needs.max_wait_s:
         return Placement(
             None,
             'busy',
--- a/oleanderpin/testing/emulator.py
+++ b/oleanderpin/testing/emulator.py
@@ -251,7 +251,7 @@
         Request rate as a multiple of the fleet's capacity with warm caches.
     seed : int
         Seed of the random number generator.
-    most_wait : callable, optional
+    max_wait : callable, optional
         Replaces `max_wait_s`.
     knows_fleet : bool
         Whether gateways receive the regions' loads summed over all gateways.
@@ -263,7 +263,7 @@
         *,
         load: float,
         seed: int = 1,
-        most_wait: MaxWaitFunction = max_wait_s,
+        max_wait: MaxWaitFunction = max_wait_s,
         knows_fleet: bool = True,
     ) -> None:
         """Build a fleet whose caches are empty."""
@@ -272,7 +272,7 @@
         self.by_region = {region: Tally() for region in scenario.targets}
         self.now_s = 0.0
         self._random = random.Random(seed)
-        self._most_wait = most_wait
+        self._max_wait = max_wait
         self._knows_fleet = knows_fleet
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._scheduled_count = 0
@@ -347,7 +347,7 @@
         needs = Needs(
             key=request.key,
             left_s=request.started_s + request.kind.deadline_s - self.now_s,
-            max_wait_s=self._most_wait(
+            max_wait_s=self._max_wait(
                 request.kind.objective_s,
                 targets.usual_s,
                 rank=request.kind.rank,
--- a/oleanderpin/testing/gateway_fleet.py
+++ b/oleanderpin/testing/gateway_fleet.py
@@ -174,7 +174,7 @@
                 self._announce(name)
 
     def stop(self) -> None:
-        """Stop all instances at the same time; none hears of the others."""
+        """Stop all instances at the same time; none learns of it."""
         kernels = list(self.kernels.values())
         for faults in self.faults.values():
             faults.cut(*kernels)
--- a/oleanderpin/tests/limits/test_rates_without_leader.py
+++ b/oleanderpin/tests/limits/test_rates_without_leader.py
@@ -46,7 +46,7 @@
     return dict(Counter(f'{each.status} {each.reason}' for each in asked))
 
 
-def most_over_rate(
+def max_over_rate(
     asked: Sequence[AskedRequest], *, rate_per_s: float = RATE_PER_S
 ) -> tuple[float, int, float]:
     """Return by how much the worst window exceeds burst + rate x window.
@@ -154,7 +154,7 @@
         time.sleep(2)
         asked = flood.end()
     served = sum(each.is_served for each in asked)
-    excess, count, window_s = most_over_rate(asked)
+    excess, count, window_s = max_over_rate(asked)
     assert served >= RATE_PER_S * 3, outcomes(asked)
     assert excess <= 0, f'{count} requests in {window_s:.2f} s'
 
@@ -176,6 +176,6 @@
         time.sleep(4)
         asked = flood.end()
     after = [each for each in asked if each.sent_s > restarted_s]
-    excess, count, window_s = most_over_rate(asked, rate_per_s=SLOW_RATE_PER_S)
+    excess, count, window_s = max_over_rate(asked, rate_per_s=SLOW_RATE_PER_S)
     assert any(each.is_served for each in after), outcomes(after)
     assert excess <= 0, f'{count} requests in {window_s:.2f} s'
--- a/oleanderpin/tests/testing/test_emulator.py
+++ b/oleanderpin/tests/testing/test_emulator.py
@@ -53,7 +53,7 @@
 def test_unbounded_waits_serve_less_in_time() -> None:
     """Guards against a simulation in which overload does no harm."""
     bounded = in_aim_per_s(1.6)
-    assert in_aim_per_s(1.6, most_wait=any_wait_s) < 0.8 * bounded
+    assert in_aim_per_s(1.6, max_wait=any_wait_s) < 0.8 * bounded
 
 
 def test_targets_that_pause_or_leave_get_nothing_more() -> None:
