Number changes of limits and of leaving targets in one place

Both shared tables kept a random first version, the version of each entry and the choice of what a gateway has not been told, line for line. ChangeVersions serves both; behaviour is unchanged.

--- a/oleanderpin/routing/leaving_targets.py
+++ b/oleanderpin/routing/leaving_targets.py
@@ -5,18 +5,17 @@
 another one has known for a second that it leaves.
 """
 
-import secrets
 import threading
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..targets.announcement import Incarnation
 from ..wire.generated.loads.ttypes import LeavingTarget
+from .change_versions import ChangeVersions
 
 # After this time a target has left, or has started again without a generation
 # that would tell.
 _FORGOTTEN_S = 60.0
-_VERSION_BITS = 31
 
 
 class LeavingTargets:
@@ -99,51 +98,34 @@
 
 @dataclass(slots=True)
 class SharedLeaving:
-    """Leaving targets that the gateways have reported, numbered by arrival.
+    """Leaving targets that the gateways have reported. Not thread-safe."""
 
-    Not thread-safe. The first version is random, so that a gateway whose
-    version another instance has numbered is told everything.
-    """
-
-    version: int = field(
-        default_factory=lambda: (
-            secrets.randbits(_VERSION_BITS) << (_VERSION_BITS + 1)
-        )
+    _versions: ChangeVersions[Incarnation] = field(
+        default_factory=ChangeVersions
     )
-    _first_version: int = 0
     _since_s: dict[Incarnation, float] = field(default_factory=dict)
-    _added: dict[Incarnation, int] = field(default_factory=dict)
 
-    def __post_init__(self) -> None:
-        """Remember the first version."""
-        self._first_version = self.version
+    @property
+    def version(self) -> int:
+        """Version of the last addition."""
+        return self._versions.version
 
     def record(self, leaving: Iterable[LeavingTarget], now_s: float) -> None:
         """Add what a gateway has read."""
         for each in leaving:
             incarnation = _incarnation(each)
             if incarnation not in self._since_s:
-                self.version += 1
                 self._since_s[incarnation] = now_s - each.age_ms / 1000
-                self._added[incarnation] = self.version
+                self._versions.note(incarnation)
         for incarnation, since_s in list(self._since_s.items()):
             if now_s - since_s >= _FORGOTTEN_S:
                 self._since_s.pop(incarnation)
-                self._added.pop(incarnation)
+                self._versions.forget(incarnation)
 
     def added_since(self, version: int, now_s: float) -> list[LeavingTarget]:
         """Return the leaving targets that are new since a version."""
-        if version == self.version:
-            return []
-        is_known = self._first_version <= version <= self.version
-        return _encode(
-            {
-                incarnation: since_s
-                for incarnation, since_s in self._since_s.items()
-                if not is_known or self._added[incarnation] > version
-            },
-            now_s,
-        )
+        added = self._versions.changed_since(version)
+        return _encode({each: self._since_s[each] for each in added}, now_s)
 
 
 def _incarnation(leaving: LeavingTarget) -> Incarnation:
--- a/oleanderpin/routing/target_limits.py
+++ b/oleanderpin/routing/target_limits.py
@@ -7,20 +7,19 @@
 """
 
 import math
-import secrets
 import threading
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..core.metrics import EVENTS
 from ..wire.generated.loads.ttypes import TargetLimit
+from .change_versions import ChangeVersions
 
 # The smallest limit that is used; a target that names less is asked this often,
 # so that the end of its need is noticed.
 _MIN_LIMIT_PER_S = 0.1
 # A target that nobody has heard of for this long is taken for gone.
 _FORGOTTEN_S = 60.0
-_VERSION_BITS = 31
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,50 +136,31 @@
 
 @dataclass(slots=True)
 class SharedLimits:
-    """Limits that the gateways have reported, with a version for each change.
+    """Limits that the gateways have reported. Not thread-safe."""
 
-    Not thread-safe. The first version is random, so that a gateway whose
-    version another instance has numbered is told everything.
-    """
-
-    version: int = field(
-        default_factory=lambda: (
-            secrets.randbits(_VERSION_BITS) << (_VERSION_BITS + 1)
-        )
-    )
-    _first_version: int = 0
+    _versions: ChangeVersions[str] = field(default_factory=ChangeVersions)
     _known: dict[str, LimitEvidence] = field(default_factory=dict)
-    _changed: dict[str, int] = field(default_factory=dict)
 
-    def __post_init__(self) -> None:
-        """Remember the first version."""
-        self._first_version = self.version
+    @property
+    def version(self) -> int:
+        """Version of the last change."""
+        return self._versions.version
 
     def record(self, limits: Iterable[TargetLimit], now_s: float) -> None:
         """Add what a gateway has learnt, where it is newer."""
         for target_id, last in _add_newer(self._known, limits, now_s):
             limit_per_s = self._known[target_id].limit_per_s
             if last is None or last.limit_per_s != limit_per_s:
-                self.version += 1
-                self._changed[target_id] = self.version
+                self._versions.note(target_id)
         for target_id, evidence in list(self._known.items()):
             if now_s - evidence.seen_s >= _FORGOTTEN_S:
                 self._known.pop(target_id)
-                self._changed.pop(target_id, None)
+                self._versions.forget(target_id)
 
     def changed_since(self, version: int, now_s: float) -> list[TargetLimit]:
         """Return the limits that have changed since a version."""
-        if version == self.version:
-            return []
-        is_known = self._first_version <= version <= self.version
-        return _encode(
-            {
-                target_id: evidence
-                for target_id, evidence in self._known.items()
-                if not is_known or self._changed[target_id] > version
-            },
-            now_s,
-        )
+        changed = self._versions.changed_since(version)
+        return _encode({each: self._known[each] for each in changed}, now_s)
 
 
 def _add_newer(
