Keep one state of parts and one place that counts them

Parts kept accounts and members beside the parts themselves, and the owner counted the same events for metrics and for the log. Behaviour is unchanged.

--- a/oleanderpin/limits/part_activity.py
+++ b/oleanderpin/limits/part_activity.py
@@ -1,4 +1,4 @@
-"""What a control instance did with its parts of rates, for a log line."""
+"""What a control instance did with its parts of rates, counted and logged."""
 
 import logging
 import threading
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..core.background import background_thread
+from ..core.metrics import EVENTS
 
 _LOG = logging.getLogger(__name__)
 _LOG_INTERVAL_S = 2.0
@@ -71,6 +72,8 @@
 
     def note_given(self, tokens: int, *, missing: int) -> None:
         """Count tokens for a gateway, and requests without one."""
+        if missing:
+            EVENTS.labels('limits', 'part_empty').inc()
         with self._lock:
             self._counts.tokens_given += tokens
             self._counts.requests_empty += missing
@@ -87,6 +90,7 @@
 
     def note_draw(self, tokens: int, round_trip_s: float) -> None:
         """Count a draw that another owner replied to."""
+        EVENTS.labels('limits', 'tokens_drawn').inc(tokens)
         with self._lock:
             self._counts.replied_draws += 1
             self._counts.tokens_drawn += tokens
@@ -94,6 +98,7 @@
 
     def note_failed_draw(self) -> None:
         """Count a draw without a reply."""
+        EVENTS.labels('limits', 'draw_failed').inc()
         with self._lock:
             self._counts.failed_draws += 1
 
--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -10,7 +10,6 @@
 from ..control.state import Account, ControlState
 from ..control.view import ControlView
 from ..core.errors import UnavailableError
-from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peer, Peers
 from ..wire.generated.parts import Parts as PartsService
@@ -137,8 +136,6 @@
             return
         missing = max(0, need.count - reply.count)
         self._activity.note_given(reply.count, missing=missing)
-        if missing:
-            EVENTS.labels('limits', 'part_empty').inc()
 
     def give_owner(self, account: str, count: int) -> Drawn:
         """Return tokens for requests that wait at another owner."""
@@ -165,19 +162,16 @@
             account=name,
             count=taken,
             wait_ms=int(wait_s * 1000) + 1,
-            is_exhausted=(draw_s is None and not self._is_any_silent()) or None,
+            is_exhausted=(draw_s is None and not self._silent_owners()) or None,
         )
 
-    def _is_any_silent(self) -> bool:
-        return bool(self._silent_owners())
-
     def _earn_wait_s(self, need: Need, missing: int) -> float:
         """Return the time until tokens are earned for all that wait."""
         now_s = self.kernel.clock.now_s()
         waits = self._waits[need.account]
         while waits and waits[0] <= now_s:
             waits.popleft()
-        owner_per_s, _burst = self._parts.owner_rate(need.account)
+        owner_per_s = self._parts.owner_per_s(need.account)
         first_s = self._parts.next_token_s(
             need.account, silent=self._silent_owners()
         )
@@ -279,7 +273,6 @@
             self._note_silent(owner, error)
             return 0
         now_s = self.kernel.clock.now_s()
-        EVENTS.labels('limits', 'tokens_drawn').inc(drawn.count)
         self._activity.note_draw(drawn.count, now_s - started_s)
         with self._lock:
             self._note_round_trip(owner, now_s - started_s)
@@ -296,7 +289,6 @@
             _LOG.info('owner of rate parts replies again: %s', owner)
 
     def _note_silent(self, owner: str, error: UnavailableError) -> None:
-        EVENTS.labels('limits', 'draw_failed').inc()
         self._activity.note_failed_draw()
         with self._lock:
             is_new = owner not in self._silent_until_s
--- a/oleanderpin/limits/parts.py
+++ b/oleanderpin/limits/parts.py
@@ -158,9 +158,7 @@
         self._address = address
         self._handover_s = handover_s
         self._parts: dict[str, _Part] = {}
-        self._accounts: dict[str, Account] = {}
         self._lent: set[str] = set()
-        self._members: tuple[str, ...] = ()
         # Never decreases: an instance that is cut off does not know that it
         # was removed, and goes on using its part.
         self._member_count = 0
@@ -184,24 +182,22 @@
             Names of the accounts that the leader lends. One that gets parts
             later earns its first token only after the hand-over time.
         """
-        self._members = tuple(set(members))
-        self._member_count = max(self._member_count, len(self._members))
-        now_s = self._clock.now_s()
-        self._accounts = {account.name: account for account in accounts}
-        for name in self._parts.keys() - self._accounts.keys():
+        distinct = set(members)
+        self._member_count = max(self._member_count, len(distinct))
+        owned = {account.name: account for account in accounts}
+        for name in self._parts.keys() - owned.keys():
             self._parts.pop(name)
-        for account in self._accounts.values():
-            self._update_part(account, now_s)
+        for account in owned.values():
+            self._update_part(account, distinct)
         self._lent = set(lent)
 
     def __contains__(self, name: str) -> bool:
         """Return whether control instances own the account in parts."""
-        return name in self._accounts
+        return name in self._parts
 
-    def _update_part(self, account: Account, now_s: float) -> None:
-        holders = owners(
-            account, self._members, member_count=self._member_count
-        )
+    def _update_part(self, account: Account, members: set[str]) -> None:
+        now_s = self._clock.now_s()
+        holders = owners(account, members, member_count=self._member_count)
         count = _owner_count(account, self._member_count)
         part = self._parts.get(account.name)
         if part is None:
@@ -238,10 +234,9 @@
         """Return the tokens of the own part."""
         return self._refilled(name).tokens
 
-    def owner_rate(self, name: str) -> tuple[float, float]:
-        """Return the rate (1/s) and the burst of one part of an account."""
-        part = self._parts[name]
-        return part.owner_per_s, part.owner_burst
+    def owner_per_s(self, name: str) -> float:
+        """Return the tokens a second that one part of an account earns."""
+        return self._parts[name].owner_per_s
 
     def note_level(self, name: str, owner: str, tokens: float) -> None:
         """Record the tokens that another owner had left."""
