--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -67,6 +67,11 @@
     'Bytes exchanged with peers by direction.',
     ['direction'],
 )
+PEER_CALL_BYTES = Counter(
+    'oleanderpin_peer_call_bytes_total',
+    'Bytes of calls made to peers, by call and by the border they cross.',
+    ['call', 'border'],
+)
 EVENTS = Counter(
     'oleanderpin_events_total',
     'Internal events by concern and name.',
--- a/oleanderpin/tests/wire/test_datagrams.py
+++ b/oleanderpin/tests/wire/test_datagrams.py
@@ -32,7 +32,10 @@
     """Guards against a stop that uses a socket the receiving thread closed."""
     port = free_ports(1)[0]
     listen = SimpleNamespace(peer=f'127.0.0.1:{port}')
-    kernel = SimpleNamespace(settings=SimpleNamespace(listen=listen))
+    kernel = SimpleNamespace(
+        settings=SimpleNamespace(listen=listen),
+        plugin=lambda _wanted: None,
+    )
     datagrams = PeerDatagrams(kernel)
     datagrams.start()
     late: Any = LateSocket(datagrams)
--- a/oleanderpin/wire/datagrams.py
+++ b/oleanderpin/wire/datagrams.py
@@ -8,6 +8,7 @@
 
 from ..core.metrics import EVENTS, PEER_BYTES
 from ..core.plugin import Plugin, plugins
+from .peer_traffic import DATAGRAM, PeerTraffic
 
 _LOG = logging.getLogger(__name__)
 _MAX_DATAGRAM_BYTES = 65535
@@ -27,6 +28,7 @@
     def __init__(self, kernel: Any) -> None:
         """Initialize without a socket; received datagrams are ignored."""
         super().__init__(kernel)
+        self._traffic = kernel.plugin(PeerTraffic)
         self._socket: socket.socket | None = None
         self._thread: threading.Thread | None = None
         self._receiver: Receiver = _ignore_datagram
@@ -72,6 +74,7 @@
             EVENTS.labels('wire', 'datagram_failed').inc()
             return
         PEER_BYTES.labels('sent').inc(len(payload))
+        self._traffic.note(address, DATAGRAM, len(payload))
 
     def _receive(self, udp_socket: socket.socket) -> None:
         while self._socket is udp_socket:
--- a/oleanderpin/wire/network.py
+++ b/oleanderpin/wire/network.py
@@ -12,6 +12,7 @@
 
 from ..core.errors import UnavailableError
 from ..core.plugin import Plugin, plugins
+from .peer_traffic import PeerTraffic
 from .transport import CountingSocket, framed_protocol
 
 _MAX_IDLE_CONNECTIONS_PER_PEER = 4
@@ -60,6 +61,10 @@
         client = _client_class(service_name)(protocol)
         return getattr(client, method)(*arguments)
 
+    @property
+    def byte_count(self) -> int:
+        return self._socket.byte_count
+
     def close(self) -> None:
         self._socket.close()
 
@@ -75,6 +80,7 @@
     def __init__(self, kernel: Any) -> None:
         """Initialize an empty connection pool."""
         super().__init__(kernel)
+        self._traffic = kernel.plugin(PeerTraffic)
         self._idle: dict[str, deque[_Connection]] = defaultdict(deque)
         self._lock = threading.Lock()
 
@@ -114,6 +120,7 @@
             An exception declared by the method.
         """
         connection = self._acquire(address, timeout_s=timeout_s)
+        counted = connection.byte_count
         reusable = False
         try:
             result = connection.call(service_name, method, arguments)
@@ -132,6 +139,11 @@
             reusable = True
             raise
         finally:
+            self._traffic.note(
+                address,
+                f'{service_name}.{method}',
+                connection.byte_count - counted,
+            )
             # A connection with an outstanding response must not be reused.
             self._release(address, connection, reusable=reusable)
         return result
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -19,16 +19,23 @@
 class CountingSocket(TSocket):
     """Thrift socket that counts the bytes sent to and received from peers."""
 
+    def __init__(self, host: str = '', port: int = 0) -> None:
+        """Start without a connection."""
+        super().__init__(host, port)
+        self.byte_count = 0
+
     def read(self, sz: int) -> bytes:
         """Read at most ``sz`` bytes."""
         chunk: bytes = super().read(sz)
         PEER_BYTES.labels('received').inc(len(chunk))
+        self.byte_count += len(chunk)
         return chunk
 
     def write(self, buff: bytes) -> None:
         """Write all bytes of ``buff``."""
         super().write(buff)
         PEER_BYTES.labels('sent').inc(len(buff))
+        self.byte_count += len(buff)
 
 
 def framed_protocol(peer_socket: TSocket) -> TCompactProtocolAccelerated:
