--- a/oleanderpin/control/confirmations.py
+++ b/oleanderpin/control/confirmations.py
@@ -10,12 +10,11 @@
 """
 
 import threading
-import time
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..core.clock import Clock
+from ..core.clock import Clock, monotonic_s
 
 # The rates of quartz clocks differ by less than 0.1%; the remaining margin
 # covers the time between reading the clock and using the result.
@@ -163,14 +162,14 @@
         timeout_s : float
             Longest wait in real time, in seconds.
         """
-        end_s = time.monotonic() + timeout_s
+        end_s = monotonic_s() + timeout_s
         with self.changed:
             while True:
                 if self._is_confirmed(revision, own_revision):
                     return True
                 if self.is_in_force_by_timeout(revision):
                     return True
-                remaining_s = end_s - time.monotonic()
+                remaining_s = end_s - monotonic_s()
                 if remaining_s <= 0:
                     return False
                 self.changed.wait(min(remaining_s, _POLL_S))
--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -5,9 +5,9 @@
 forwarded to the leader, through other peers if the direct link is down.
 """
 
-import time
 from typing import Any
 
+from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
@@ -102,7 +102,7 @@
             If no leader could be reached.
         """
         request = ProposeRequest(payload=change.encode(), hops=0)
-        end_s = time.monotonic() + _PROPOSE_TOTAL_TIMEOUT_S
+        end_s = monotonic_s() + _PROPOSE_TOTAL_TIMEOUT_S
         maybe_applied = False
         while True:
             try:
@@ -110,7 +110,7 @@
             except UnavailableError as error:
                 maybe_applied = maybe_applied or error.maybe_applied
                 error.maybe_applied = maybe_applied
-                is_timed_out = time.monotonic() > end_s
+                is_timed_out = monotonic_s() > end_s
                 # Resending is safe: the request id identifies the change.
                 if is_timed_out or not self.kernel.wait_while_running(
                     _RETRY_DELAY_S
@@ -155,11 +155,11 @@
             True if all instances with authority have confirmed the revision,
             or if the freshness limit has passed since its commit.
         """
-        end_s = time.monotonic() + timeout_s
+        end_s = monotonic_s() + timeout_s
         while not self.kernel.stopping.is_set():
             if self.confirmations.is_in_force_by_timeout(revision):
                 return True
-            remaining_s = end_s - time.monotonic()
+            remaining_s = end_s - monotonic_s()
             if remaining_s <= 0:
                 return False
             hold_s = min(remaining_s, _IN_FORCE_HOLD_S)
--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -9,6 +9,7 @@
 
 from cheroot.server import Gateway
 
+from .clock import monotonic_s
 from .errors import Refusal, ValidationError
 from .http_head import Header, bad_request
 from .http_server import CallerServer
@@ -180,10 +181,10 @@
         bool
             Whether the listener became idle within ``timeout_s`` seconds.
         """
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = monotonic_s() + timeout_s
         quiet_since_s: float | None = None
         while True:
-            now_s = time.monotonic()
+            now_s = monotonic_s()
             if now_s >= deadline_s:
                 return self._is_idle()
             if not self._is_idle():
--- a/oleanderpin/core/process_usage.py
+++ b/oleanderpin/core/process_usage.py
@@ -7,7 +7,6 @@
 import logging
 import re
 import threading
-import time
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from pathlib import Path
@@ -20,6 +19,7 @@
 )
 from prometheus_client.registry import Collector
 
+from .clock import monotonic_s
 from .metrics import EVENTS
 from .plugin import Plugin, plugins
 
@@ -142,13 +142,13 @@
 
     def run(self) -> None:
         """Check for stalls and log the usage until the instance stops."""
-        logged_s = time.monotonic()
+        logged_s = monotonic_s()
         used_before: dict[str, float] = {}
         while True:
-            started_s = time.monotonic()
+            started_s = monotonic_s()
             if not self.kernel.wait_while_running(_CHECK_INTERVAL_S):
                 return
-            now_s = time.monotonic()
+            now_s = monotonic_s()
             late_s = now_s - started_s - _CHECK_INTERVAL_S
             if late_s >= _STALL_S:
                 EVENTS.labels('process', 'stalled').inc()
--- a/oleanderpin/forwarding/body.py
+++ b/oleanderpin/forwarding/body.py
@@ -5,9 +5,9 @@
 """
 
 import hashlib
-import time
 from dataclasses import dataclass
 
+from ..core.clock import monotonic_s
 from ..core.errors import Refusal, RefusalDetails
 from ..core.http import HttpRequest
 from ..core.http_server import REQUEST_TIMEOUT_S
@@ -82,7 +82,7 @@
         """Start the first progress period."""
         self._body = body
         self._progress_timeout_s = progress_timeout_s
-        self._period_start_s = time.monotonic()
+        self._period_start_s = monotonic_s()
         self._received_bytes = 0
 
     def read_some(self) -> bytes:
@@ -104,7 +104,7 @@
 
     def _check_progress(self, received_bytes: int) -> None:
         self._received_bytes += received_bytes
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         if now_s - self._period_start_s < self._progress_timeout_s:
             return
         if self._received_bytes < _MIN_PROGRESS_BYTES and received_bytes:
@@ -140,13 +140,13 @@
 def _read_prefix(body: Body, size: int) -> bytes:
     parts: list[bytes] = []
     remaining = size
-    deadline_s = time.monotonic() + REQUEST_TIMEOUT_S
+    deadline_s = monotonic_s() + REQUEST_TIMEOUT_S
     while remaining > 0:
         part = body.read_some(remaining)
         if not part:
             break
         parts.append(part)
         remaining -= len(part)
-        if time.monotonic() > deadline_s:
+        if monotonic_s() > deadline_s:
             raise CallerBodyError('too slow', is_stalled=True)
     return b''.join(parts)
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -1,7 +1,6 @@
 """Server side of a caller's HTTP/1.1 connection, with pipelining."""
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -9,6 +8,7 @@
 
 import httptools
 
+from ..core.clock import monotonic_s
 from .messages import CallerRequest, Response
 from .traffic import TrafficMeter
 
@@ -92,7 +92,7 @@
         self._header_bytes = 0
         self._in_headers = False
         self._is_closing = False
-        self._last_activity_s = time.monotonic()
+        self._last_activity_s = monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
         self._can_write: asyncio.Event | None = None
 
@@ -109,7 +109,7 @@
     @property
     def pending_ages_s(self) -> list[float]:
         """Times since the requests without a response were received."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         return [now_s - each.request.received_s for each in self._pending]
 
     def connection_made(self, transport: Any) -> None:
@@ -152,7 +152,7 @@
         """Feed the parser; reject malformed requests and oversized headers."""
         if self._is_closing:
             return
-        self._last_activity_s = time.monotonic()
+        self._last_activity_s = monotonic_s()
         self._listener.meter.add_bytes('from_callers', len(data))
         if self._request is None or self._in_headers:
             self._header_bytes += len(data)
@@ -169,7 +169,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._request = CallerRequest(b'', b'', [], time.monotonic())
+        self._request = CallerRequest(b'', b'', [], monotonic_s())
         self._request.caller_host = self._caller_host
         self._body = []
         self._body_bytes = 0
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -5,9 +5,9 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Callable
 
+from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
 from ..core.settings import GatewaySettings
 from .messages import TargetDeclinedError, TargetFailure, TargetResponse
@@ -92,7 +92,7 @@
         connection = self._acquire(address, is_repeatable=is_repeatable)
         if connection is None:
             connection = await self._connect(candidate)
-        sent_s = time.monotonic()
+        sent_s = monotonic_s()
         try:
             response = await connection.send(
                 request_id, encode(), is_head=is_head
@@ -100,13 +100,13 @@
         except BaseException:
             connection.close()
             raise
-        self._traffic.add_time('target', time.monotonic() - sent_s)
+        self._traffic.add_time('target', monotonic_s() - sent_s)
         self._release(address, connection)
         return response
 
     def close_idle(self) -> None:
         """Close connections that have been idle for too long."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         for address, idle in list(self._idle.items()):
             kept = [each for each in idle if self._is_reusable(each, now_s)]
             for connection in idle:
@@ -126,7 +126,7 @@
         self, address: str, *, is_repeatable: bool
     ) -> TargetConnection | None:
         idle = self._idle.get(address)
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         while idle:
             connection = idle.pop()
             if not connection.is_usable:
@@ -155,7 +155,7 @@
             self._idle.setdefault(address, []).append(connection)
 
     async def _connect(self, candidate: Candidate) -> TargetConnection:
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         health = candidate.health
         timeout = asyncio.timeout(self._settings.connect_timeout_s)
         health.connecting.add(timeout)
@@ -167,7 +167,7 @@
             raise TargetFailure('no_connection', may_have_run=False) from error
         finally:
             health.connecting.discard(timeout)
-        connected_s = time.monotonic() - started_s
+        connected_s = monotonic_s() - started_s
         health.note_connected(connected_s)
         self._traffic.add_time('connect', connected_s)
         try:
@@ -194,7 +194,7 @@
 
 def _require_willing(candidate: Candidate, placed_s: float) -> None:
     """Check that a target still takes a request that was placed earlier."""
-    reason = candidate.health.declines(placed_s, time.monotonic())
+    reason = candidate.health.declines(placed_s, monotonic_s())
     if reason:
         raise TargetDeclinedError(reason)
 
--- a/oleanderpin/gateway/part_client.py
+++ b/oleanderpin/gateway/part_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import logging
-import time
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +10,7 @@
 from typing import Any, Literal
 
 from ..control.sources import rendezvous_hash
+from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS, OWNER_CALL_S, OWNER_CALLS
 from ..limits.parts import MAX_HOLD_S
@@ -136,7 +136,7 @@
         self._waiting.append(waiting)
         self._ask()
         try:
-            async with asyncio.timeout(deadline_s - time.monotonic()):
+            async with asyncio.timeout(deadline_s - monotonic_s()):
                 return await waiting.result
         except TimeoutError:
             return Taken('short')
@@ -145,20 +145,20 @@
 
     def give_back(self, account: str) -> None:
         """Return a token that was not used with the next call."""
-        self._returned[account].append(time.monotonic())
+        self._returned[account].append(monotonic_s())
 
     def _take_returned(self, account: str) -> int | None:
         """Return the tokens to return; older ones are lost.
 
         The part earns others meanwhile, with which they would exceed the rate.
         """
-        oldest_s = time.monotonic() - _RETURN_VALID_S
+        oldest_s = monotonic_s() - _RETURN_VALID_S
         times_s = self._returned.pop(account, ())
         return sum(at_s >= oldest_s for at_s in times_s) or None
 
     def _ask(self) -> None:
         """Ask for all requests that no call asks for, if a call is free."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         due = [
             each
             for each in self._waiting
@@ -189,20 +189,20 @@
         instance = self._instances[address]
         slow_after_s = instance.slow_after_s
         slow = loop.call_later(slow_after_s, self._note_slow, address, number)
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         replies: list[Given] = []
         try:
             replies = await loop.run_in_executor(
                 self._executor, self._send, address, self._needs(asked)
             )
-            duration_s = time.monotonic() - started_s
+            duration_s = monotonic_s() - started_s
             held_ms = max((each.held_ms or 0 for each in replies), default=0)
             instance.note_reply(duration_s - held_ms / 1000)
             _record(
                 _result(replies, is_slow=duration_s > slow_after_s), duration_s
             )
         except UnavailableError as error:
-            _record('silent', time.monotonic() - started_s)
+            _record('silent', monotonic_s() - started_s)
             self._avoid(address, str(error))
         except Exception as error:
             # Any other error would leave the requests without a call.
@@ -222,7 +222,7 @@
     def _needs(self, asked: list[_Waiting]) -> list[Need]:
         counts = Counter(waiting.account for waiting in asked)
         left_s = {
-            waiting.account: waiting.deadline_s - time.monotonic()
+            waiting.account: waiting.deadline_s - monotonic_s()
             for waiting in asked
         }
         return [
@@ -252,7 +252,7 @@
             each.result.set_result(Taken('ok'))
         unused = reply.count - len(waiting)
         if unused > 0:
-            times_s = itertools.repeat(time.monotonic(), unused)
+            times_s = itertools.repeat(monotonic_s(), unused)
             self._returned[reply.account].extend(times_s)
         wait_s = (reply.wait_ms or 0) / 1000
         for each in waiting[reply.count :]:
@@ -263,7 +263,7 @@
         self, waiting: _Waiting, wait_s: float, *, is_exhausted: bool | None
     ) -> None:
         waiting.call = 0
-        waiting.ask_at_s = time.monotonic() + wait_s
+        waiting.ask_at_s = monotonic_s() + wait_s
         if waiting.ask_at_s >= waiting.deadline_s:
             outcome: TakeOutcome = 'exhausted' if is_exhausted else 'short'
             waiting.result.set_result(Taken(outcome, wait_s))
@@ -284,7 +284,7 @@
         self._ask()
 
     def _avoid(self, address: str, problem: str) -> None:
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         instance = self._instances[address]
         if instance.avoid_until_s < now_s - _AVOID_S:
             _LOG.warning(
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import time
 from typing import Any
 
 from ..control.authority import hash_key
 from ..control.state import Account, Configuration
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..core.errors import Refusal, RefusalDetails
 from ..core.event_loop import EventLoop
 from ..core.logs import age_ms
@@ -123,7 +123,7 @@
         status_class = f'{response.status // 100}xx'
         REQUESTS.labels(service, status_class).inc()
         REQUEST_DURATION_S.labels(service).observe(
-            time.monotonic() - request.received_s
+            monotonic_s() - request.received_s
         )
         return response
 
@@ -275,14 +275,14 @@
         )
         rate_token: TokenSource = ''
         if account is not None:
-            left_s = deadline_s - time.monotonic()
+            left_s = deadline_s - monotonic_s()
             try:
                 rate_token = await self._rate_limiter.admit(
                     account,
                     deadline_s=deadline_s - left_s * (1 - _RATE_WAIT_FRACTION),
                 )
             finally:
-                waited_s = left_s - (deadline_s - time.monotonic())
+                waited_s = left_s - (deadline_s - monotonic_s())
                 self._traffic.add_time('rate', waited_s)
         service = state.services[route.next_service()]
         rank = profile.rank
@@ -368,7 +368,7 @@
             status=details.status,
             not_run=details.not_run,
             retry_after_s=details.retry_after_s,
-            waited_ms=int((time.monotonic() - request.received_s) * 1000),
+            waited_ms=int((monotonic_s() - request.received_s) * 1000),
             configuration=self._configuration().number,
             **details.log_fields,
         )
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-import time
 from typing import Any
 
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
 from .candidate import Candidate
 from .connection_pool import ConnectionPool
@@ -81,7 +81,7 @@
         except (TargetFailure, TimeoutError) as error:
             EVENTS.labels('gateway', 'probe_failed').inc()
             if isinstance(error, TargetFailure):
-                now_s = time.monotonic()
+                now_s = monotonic_s()
                 candidate.health.note_connection_failure(error.result, now_s)
             return
         self._read(candidate, response)
@@ -90,7 +90,7 @@
         target_id = response.header(self._dialect.target_id)
         if target_id != candidate.target.target_id.encode():
             return
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         self._answers.note(candidate, response, now_s, cause='probe')
         if candidate.health.is_paused(now_s):
             # It is probed again when the pause is over.
--- a/oleanderpin/gateway/rate_limited_log.py
+++ b/oleanderpin/gateway/rate_limited_log.py
@@ -1,7 +1,8 @@
 """Rate-limited log lines."""
 
 import logging
-import time
+
+from ..core.clock import monotonic_s
 
 # Lines per second of each kind; the next line reports how many were dropped.
 _LINES_PER_S = 5.0
@@ -32,7 +33,7 @@
         **fields : object
             Extra fields of the line.
         """
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         tokens, refilled_s, left_out = self._buckets.get(
             kind, (_BURST_LINES, now_s, 0)
         )
--- a/oleanderpin/gateway/rates.py
+++ b/oleanderpin/gateway/rates.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-import time
 from typing import Any
 
 from ..control.state import Account
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..core.errors import Refusal, RefusalDetails
 from ..limits.allocator import account_resource
 from ..limits.division import is_owned_in_parts
@@ -82,20 +82,20 @@
         is_small = is_owned_in_parts(account, self._view.state, self._settings)
         kind: AccountKind = 'small' if is_small else 'divided'
         take = self._take_from_parts if is_small else self._take_divided
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         try:
             source = await take(account, deadline_s)
         except Refusal as refusal:
-            waited_s = time.monotonic() - started_s
+            waited_s = monotonic_s() - started_s
             self._meter.add_token_wait(kind, refusal.reason, waited_s)
             raise
-        self._meter.add_token_wait(kind, 'ok', time.monotonic() - started_s)
+        self._meter.add_token_wait(kind, 'ok', monotonic_s() - started_s)
         return source
 
     async def _take_divided(
         self, account: Account, deadline_s: float
     ) -> TokenSource:
-        if self._floors.take(account, time.monotonic()):
+        if self._floors.take(account, monotonic_s()):
             return 'floor'
         resource = account_resource(account.name)
         holder = self._shares.holder
@@ -148,7 +148,7 @@
             earned_s = self._shares.holder.next_unit_s(resource)
             if earned_s is None or earned_s > _MAX_CUT_OFF_WAIT_S:
                 return result
-        while result == 'short' and time.monotonic() < deadline_s:
+        while result == 'short' and monotonic_s() < deadline_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
             result = self._shares.take_now(resource)
         return result
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -6,11 +6,11 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass, replace
 from typing import Any
 
 from ..control.state import Service
+from ..core.clock import monotonic_s
 from ..core.errors import Refusal
 from ..core.metrics import RETRIES
 from ..moves.split import VersionSplit
@@ -152,7 +152,7 @@
 
     def _choose(self, routed: RoutedRequest) -> Candidate:
         found = self._find(routed)
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         health = found.candidate.health
         routed.has_waited = health.busy(now_s) >= health.slots
         note_placed(found.candidate, routed.object_key, now_s)
@@ -164,7 +164,7 @@
     def _find(self, routed: RoutedRequest) -> _Found:
         if routed.left_s() < MIN_ATTEMPT_TIME_S:
             raise self._final_refusal(routed, 'deadline')
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         targets = self._directory.for_service(routed.service.name)
         version = self._version(routed.service, targets)
         groups = targets.ordered(
@@ -242,7 +242,7 @@
         target = candidate.target
         routed.tried.add(target.target_id)
         routed.request.must_finish = not routed.is_repeatable
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         try:
             async with asyncio.timeout(routed.left_s() + _DEADLINE_MARGIN_S):
                 response = await self.pool.send(
@@ -302,7 +302,7 @@
         response: TargetResponse,
         started_s: float,
     ) -> Response | None:
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         health = candidate.health
         self._answers.note(
             candidate,
@@ -347,7 +347,7 @@
         is_usual = health.note_success(
             routed.object_key,
             duration_s,
-            time.monotonic(),
+            monotonic_s(),
             has_waited=routed.has_waited,
         )
         if is_usual:
@@ -367,7 +367,7 @@
     def _note_failure(
         self, routed: RoutedRequest, candidate: Candidate, result: str
     ) -> None:
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         if result != 'timeout':
             candidate.health.note_connection_failure(result, now_s)
         else:
--- a/oleanderpin/gateway/rewriting.py
+++ b/oleanderpin/gateway/rewriting.py
@@ -1,9 +1,9 @@
 """Rewrites requests for targets and responses for callers."""
 
 import secrets
-import time
 
 from ..control.state import Account
+from ..core.clock import monotonic_s
 from ..targets.announcement import Target
 from .dialect import Dialect
 from .messages import CallerRequest, Response, TargetResponse, hop_by_hop
@@ -51,7 +51,7 @@
         for header in request.headers
         if header[0] not in removed
     )
-    remaining_ms = max(1, int((deadline_s - time.monotonic()) * 1000))
+    remaining_ms = max(1, int((deadline_s - monotonic_s()) * 1000))
     parts.append(b'%s: %d\r\n' % (dialect.deadline_ms, remaining_ms))
     parts.append(
         b'%s: %s\r\n' % (dialect.expected_target, target.target_id.encode())
--- a/oleanderpin/gateway/routed_request.py
+++ b/oleanderpin/gateway/routed_request.py
@@ -1,9 +1,9 @@
 """A request with its route, and the state of its attempts."""
 
-import time
 from dataclasses import dataclass, field
 
 from ..control.state import Account, Service
+from ..core.clock import monotonic_s
 from .messages import CallerRequest, TokenSource
 from .routes import WeightedRoute
 
@@ -43,7 +43,7 @@
 
     def left_s(self) -> float:
         """Return the time until the deadline."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - monotonic_s()
 
     def can_retry(self) -> bool:
         """Return whether another attempt is safe and can still be useful."""
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -1,12 +1,12 @@
 """Targets of each service, with the health that this instance observed."""
 
 import math
-import time
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..moves.drains import Drains
 from ..moves.split import ANY_VERSION
 from ..routing.region_loads import LoadKey
@@ -60,7 +60,7 @@
         self._is_limited = any(
             each.health.limit is not None for each in self.candidates
         )
-        self.add_up_slots(time.monotonic())
+        self.add_up_slots(monotonic_s())
 
     def add_up_slots(self, now_s: float) -> None:
         """Add up the slots of each region, without leaving targets."""
@@ -277,7 +277,7 @@
         limit_per_s = parse_limit_per_s(header)
         if limit_per_s is None:
             return False
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         candidate.health.set_limit(limit_per_s, now_s)
         return self.reporter.limits.observe(
             candidate.target.target_id, limit_per_s, now_s
@@ -295,11 +295,11 @@
         """
         if self.states.note_leaving(candidate, cause):
             service = self._services[candidate.target.service]
-            service.note_lost([candidate], time.monotonic())
+            service.note_lost([candidate], monotonic_s())
 
     def possibly_restarted(self) -> list[Candidate]:
         """Return targets that may have restarted and may be asked."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         return [
             each
             for service in self._services.values()
@@ -318,7 +318,7 @@
         list of tuple of str and RegionSplit
             Services whose shares changed noticeably, and their splits.
         """
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         self.reporter.note_sample(
             {
                 LoadKey(name, region): count
@@ -376,15 +376,13 @@
             candidates = by_service.get(name, [])
             self.states.apply_reported(candidates)
             if _own_region_ids(known.candidates) - _own_region_ids(candidates):
-                known.split.note_target_loss(time.monotonic())
+                known.split.note_target_loss(monotonic_s())
             self._services[name] = ServiceTargets(
                 known.split, candidates, known.usual_s
             )
 
     def _new_service(self) -> ServiceTargets:
-        return ServiceTargets(
-            RegionSplit(self._instance.region, time.monotonic())
-        )
+        return ServiceTargets(RegionSplit(self._instance.region, monotonic_s()))
 
     def _distance(self, target: Target) -> int:
         if target.failure_domain == self._instance.failure_domain:
@@ -397,7 +395,7 @@
         self, current: Mapping[_HealthKey, TargetHealth]
     ) -> dict[_HealthKey, TargetHealth]:
         """Return the health of missing targets in use or in a pause."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         return {
             key: health
             for key, health in self._health.items()
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -3,11 +3,11 @@
 import asyncio
 import socket
 import struct
-import time
 from typing import Any
 
 import httptools
 
+from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
 from .messages import Header, TargetFailure, TargetResponse
 from .response_budget import ResponseBudget
@@ -53,7 +53,7 @@
         self._is_head = False
         self._reset_message()
         self.is_closed = False
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = monotonic_s()
         self.idle_limit_s = float('inf')
         self.mismatched_responses = 0
 
@@ -193,7 +193,7 @@
             return
         self._waiter = None
         self._meter.end()
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = monotonic_s()
         response.is_reusable = self._is_reusable(response)
         self.idle_limit_s = keep_alive_timeout_s(response)
         if not waiter.done():
--- a/oleanderpin/gateway/target_states.py
+++ b/oleanderpin/gateway/target_states.py
@@ -1,8 +1,8 @@
 """Targets that leave or pause by their own word, and the log of both states."""
 
-import time
 from collections.abc import Collection
 
+from ..core.clock import monotonic_s
 from ..routing.leaving_targets import LeavingTargets
 from ..targets.announcement import Incarnation
 from .candidate import Candidate
@@ -51,7 +51,7 @@
         """
         if candidate.health.is_leaving:
             return False
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         self._known.observe(candidate.incarnation, now_s)
         self._begin_leaving(candidate, now_s, cause=cause)
         return True
@@ -86,7 +86,7 @@
         cause : str
             Id of the request that it responded to.
         """
-        if candidate.health.note_pause(pause_s, time.monotonic()):
+        if candidate.health.note_pause(pause_s, monotonic_s()):
             self._paused[candidate.incarnation] = candidate
             self._log.write(
                 'target pauses',
@@ -98,7 +98,7 @@
 
     def end_pauses(self) -> None:
         """Log the pauses that are over."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         for incarnation, candidate in list(self._paused.items()):
             if not candidate.health.is_paused(now_s):
                 self._paused.pop(incarnation)
@@ -122,12 +122,12 @@
                 self._paused.pop(incarnation)
                 self._log_end('pauses', incarnation, cause=cause)
         if self._known:
-            self._known.forget_absent(present, time.monotonic())
+            self._known.forget_absent(present, monotonic_s())
 
     def _begin_leaving(
         self, candidate: Candidate, since_s: float, *, cause: str
     ) -> None:
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         candidate.health.note_leaving(since_s, now_s, drain_s=self._drain_s)
         self._leaving[candidate.incarnation] = candidate
         self._log.write(
--- a/oleanderpin/gateway/traffic.py
+++ b/oleanderpin/gateway/traffic.py
@@ -6,11 +6,11 @@
 
 import logging
 import math
-import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import Literal
 
+from ..core.clock import monotonic_s
 from ..core.metrics import GATEWAY_BYTES, REQUEST_PART_S, TOKEN_WAIT_S
 from .messages import AccountKind
 
@@ -59,7 +59,7 @@
         default_factory=lambda: defaultdict(int)
     )
     _load_bytes: dict[str, int] = field(default_factory=dict)
-    _load_s: float = field(default_factory=time.monotonic)
+    _load_s: float = field(default_factory=monotonic_s)
     _link_load: float = 0.0
     _part_s: defaultdict[str, float] = field(
         default_factory=lambda: defaultdict(float)
@@ -74,7 +74,7 @@
         default_factory=lambda: defaultdict(_TokenWaits)
     )
     _logged_bytes: dict[str, int] = field(default_factory=dict)
-    _logged_s: float = field(default_factory=time.monotonic)
+    _logged_s: float = field(default_factory=monotonic_s)
 
     def add_bytes(self, leg: Leg, count: int) -> None:
         """Count bytes that were read, or handed to the kernel, on a leg."""
@@ -115,7 +115,7 @@
         link_mbit_per_s : float
             Rate of the link in each direction.
         """
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         elapsed_s = now_s - self._load_s
         if elapsed_s < _LOAD_INTERVAL_S:
             return self._link_load
@@ -139,11 +139,11 @@
     @property
     def is_log_due(self) -> bool:
         """Whether the last line is two seconds old."""
-        return time.monotonic() - self._logged_s >= _LOG_INTERVAL_S
+        return monotonic_s() - self._logged_s >= _LOG_INTERVAL_S
 
     def log(self, **fields: object) -> None:
         """Write the counts since the last line."""
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         elapsed_s = now_s - self._logged_s
         if self._statuses or self._part_counts:
             self._write(elapsed_s, fields)
--- a/oleanderpin/membership/probing.py
+++ b/oleanderpin/membership/probing.py
@@ -7,10 +7,10 @@
 import itertools
 import random
 import threading
-import time
 from typing import Any
 
 from ..core.background import background_thread
+from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..wire.generated.membership.ttypes import MemberUpdate
@@ -68,7 +68,7 @@
     def _probe_loop(self) -> None:
         settings = self._kernel.settings.peers
         for number in itertools.count():
-            started_s = time.monotonic()
+            started_s = monotonic_s()
             self._table.expire()
             self._announce_drain()
             self._sync_when_due()
@@ -77,7 +77,7 @@
             member = self._next_member()
             if member is not None:
                 self.probe(member)
-            spent_s = time.monotonic() - started_s
+            spent_s = monotonic_s() - started_s
             pause_s = max(0, settings.probe_interval_s - spent_s)
             if not self._kernel.wait_while_running(pause_s):
                 return
@@ -91,7 +91,7 @@
             The member; it is probed directly, then through others and over
             TCP, within the probe interval.
         """
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         settings = self._kernel.settings.peers
         address = member.info.peer_address
         answered = self._gossip.ping(address, name=member.info.name)
@@ -104,13 +104,13 @@
             if self._ping_over_tcp(address):
                 return
             end_s = started_s + settings.probe_interval_s
-            if answered.wait(max(0, end_s - time.monotonic())):
+            if answered.wait(max(0, end_s - monotonic_s())):
                 return
         finally:
             self._gossip.forget(answered)
         # A probe that took much longer than planned points to a stall of this
         # process rather than to a failure of the other one.
-        if time.monotonic() - started_s < 2 * settings.probe_interval_s:
+        if monotonic_s() - started_s < 2 * settings.probe_interval_s:
             self._table.suspect(member.info.name)
             self._gossip.notify_suspicion(
                 self._random_running(), member.info.name
@@ -192,7 +192,7 @@
         interval_s = max(
             _SYNC_MIN_INTERVAL_S, count * _SYNC_INTERVAL_PER_MEMBER_S
         )
-        now_s = time.monotonic()
+        now_s = monotonic_s()
         if count and now_s - self._last_sync_s < interval_s:
             return
         addresses = [each.info.peer_address for each in running]
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -19,6 +19,7 @@
     ServiceDocument,
 )
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..core.kernel import Kernel
 from ..gateway.plugin import Gateway
 from ..operators.actions import OperatorActions
@@ -463,9 +464,9 @@
 
 def _wait_until_configured(kernel: Kernel) -> None:
     view = kernel.plugin(ControlView)
-    deadline_s = time.monotonic() + _READY_TIMEOUT_S
+    deadline_s = monotonic_s() + _READY_TIMEOUT_S
     while not (view.is_fresh() and view.state.configuration.number):
-        if time.monotonic() > deadline_s:
+        if monotonic_s() > deadline_s:
             raise TimeoutError(
                 f'no fresh control state within {_READY_TIMEOUT_S} s'
             )
@@ -475,8 +476,8 @@
 def configure(kernel: Kernel, change: ConfigurationReplace) -> None:
     """Put a configuration in force on a gateway that leads its group."""
     actions = kernel.plugin(OperatorActions)
-    deadline_s = time.monotonic() + _READY_TIMEOUT_S
-    while time.monotonic() < deadline_s:
+    deadline_s = monotonic_s() + _READY_TIMEOUT_S
+    while monotonic_s() < deadline_s:
         outcome = actions.replace_configuration(change)
         if outcome.kind == 'ok' and kernel.plugin(ControlView).is_fresh():
             return
--- a/oleanderpin/testing/gateway_fleet.py
+++ b/oleanderpin/testing/gateway_fleet.py
@@ -23,6 +23,7 @@
 )
 from ..control.log import ControlLog
 from ..control.view import ControlView
+from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.kernel import Kernel
 from ..operators.actions import OperatorActions
@@ -228,7 +229,7 @@
     ) -> AskedRequest:
         """Send one request over a connection of its own."""
         port = self._instances[gateway].ports[0]
-        sent_s = time.monotonic()
+        sent_s = monotonic_s()
         message = request_bytes(
             request_id=f'{account}-{number}',
             key=key_of(account),
@@ -244,7 +245,7 @@
             account,
             gateway,
             sent_s,
-            time.monotonic(),
+            monotonic_s(),
             int(answer.split(b' ')[1]) if answer else 0,
             _refusal_reason(answer),
         )
@@ -391,11 +392,11 @@
         for place, (account, rate) in enumerate(per_s.items())
         for number in range(int(duration_s * rate))
     )
-    started_s = time.monotonic()
+    started_s = monotonic_s()
     with ThreadPoolExecutor(_MAX_CALLERS) as pool:
         pending = []
         for at_s, number, place, account in due:
-            time.sleep(max(0.0, started_s + at_s - time.monotonic()))
+            time.sleep(max(0.0, started_s + at_s - monotonic_s()))
             gateway = gateways[(number + place) % len(gateways)]
             pending.append(
                 pool.submit(
@@ -469,8 +470,8 @@
 
 def wait_for(what: str, condition: Callable[[], ResultT]) -> ResultT:
     """Return the first true value of ``condition``."""
-    deadline_s = time.monotonic() + _READY_TIMEOUT_S
-    while time.monotonic() < deadline_s:
+    deadline_s = monotonic_s() + _READY_TIMEOUT_S
+    while monotonic_s() < deadline_s:
         found = condition()
         if found:
             return found
--- a/oleanderpin/tests/control/group.py
+++ b/oleanderpin/tests/control/group.py
@@ -9,6 +9,7 @@
 from ...control.distribution import Distribution
 from ...control.log import ControlLog
 from ...control.view import ControlView
+from ...core.clock import monotonic_s
 from ...core.errors import UnavailableError
 from ...core.kernel import Kernel
 from ...core.settings import load_settings
@@ -31,8 +32,8 @@
 
 def wait_until(what: str, condition: Callable[[], Any]) -> Any:
     """Return the first true value of ``condition``."""
-    deadline_s = time.monotonic() + WAIT_S
-    while time.monotonic() < deadline_s:
+    deadline_s = monotonic_s() + WAIT_S
+    while monotonic_s() < deadline_s:
         found = condition()
         if found:
             return found
--- a/oleanderpin/tests/core/test_process_usage.py
+++ b/oleanderpin/tests/core/test_process_usage.py
@@ -2,13 +2,13 @@
 
 import logging
 import threading
-import time
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from oleanderpin.core import process_usage
 from oleanderpin.core.process_usage import (
     ProcessMonitor,
     ThreadUsage,
@@ -70,7 +70,7 @@
         wait_while_running=lambda _duration_s: not caplog.records
     )
     readings_s = iter([0.0, 0.0, 3.0, 3.0])
-    monkeypatch.setattr(time, 'monotonic', lambda: next(readings_s))
+    monkeypatch.setattr(process_usage, 'monotonic_s', lambda: next(readings_s))
     with caplog.at_level(logging.WARNING):
         ProcessMonitor(kernel).run()
     assert [each.stalled_ms for each in caplog.records] == [2000]
--- a/oleanderpin/tests/forwarding/test_attempts.py
+++ b/oleanderpin/tests/forwarding/test_attempts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ...core.clock import monotonic_s
 from ...core.metrics import RETRIES
 from ...forwarding.connections import TargetConnections
 from ...testing import ScriptedConnection, ScriptedTarget, answer_all
@@ -264,8 +265,8 @@
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
-    until_s = time.monotonic() + 5
-    while not condition() and time.monotonic() < until_s:
+    until_s = monotonic_s() + 5
+    while not condition() and monotonic_s() < until_s:
         time.sleep(0.01)
     assert condition()
 
--- a/oleanderpin/tests/gateway/test_endless_responses.py
+++ b/oleanderpin/tests/gateway/test_endless_responses.py
@@ -1,11 +1,11 @@
 """Targets that send bytes without end until their connection is closed."""
 
-import time
 from pathlib import Path
 
 import pytest
 
 from ...control.configuration import ProfileDocument
+from ...core.clock import monotonic_s
 from ...testing.gateway import (
     EndlessTarget,
     ScriptedHttpTarget,
@@ -74,10 +74,10 @@
         request = request_bytes(
             method='POST', body=b'x', deadline_ms=_REQUEST_TIMEOUT_MS
         )
-        started_s = time.monotonic()
+        started_s = monotonic_s()
         (response,) = gateway.ask(request)
         assert response.startswith(b'HTTP/1.1 502 ')
-        assert time.monotonic() - started_s < _SOON_S
+        assert monotonic_s() - started_s < _SOON_S
         assert endless.closed.wait(_CLOSE_TIMEOUT_S)
         assert gateway.buffered_response_bytes() == 0
     endless.stop()
--- a/oleanderpin/tests/gateway/test_leaving_and_pausing.py
+++ b/oleanderpin/tests/gateway/test_leaving_and_pausing.py
@@ -11,6 +11,7 @@
 from prometheus_client import REGISTRY
 
 from ...control.configuration import ProfileDocument
+from ...core.clock import monotonic_s
 from ...gateway.placement import (
     OWN_FAILURE_DOMAIN,
     Candidate,
@@ -111,7 +112,7 @@
         if request.startswith(b'GET /health'):
             extra = f'X-Target-Id: {self.name}\r\n'
             return answer_bytes(request, extra=extra)
-        self.times_s.append(time.monotonic())
+        self.times_s.append(monotonic_s())
         status, extra = self.status, self.extra
         if self.next_extras:
             status, extra = self.next_extras.pop(0)
@@ -297,7 +298,7 @@
     asker = Asker(gateway)
     asked = [asker.start(key) for key in in_flight]
     wait_until('requests', lambda: len(target.requests) == 4)
-    started_s = time.monotonic()
+    started_s = monotonic_s()
     target.answer(in_flight[0], 503, pause('0.5'))
     assert status_of(asked[0].result()) == 200
     target.answer(in_flight[1], 503, pause('1.5'))
@@ -307,7 +308,7 @@
     for each in asked:
         assert status_of(each.result()) == 200
     for key in keys[10:60]:
-        if time.monotonic() - started_s > 1.4:
+        if monotonic_s() - started_s > 1.4:
             break
         assert status_of(asker.ask(key)) == 200
         time.sleep(0.03)
@@ -350,14 +351,14 @@
         target.next_extras = [(503, pause(str(4 + number)))] * 9
         gateway.announce(target, f't{number}')
     asker = Asker(gateway)
-    paused_s = time.monotonic()
+    paused_s = monotonic_s()
     told = json.loads(asker.ask('k1').partition(b'\r\n\r\n')[2])
     assert told['reason'] == 'service_paused'
     assert told['not_run']
     assert 3.5 <= told['retry_after_s'] <= 5.5
-    started_s = time.monotonic()
+    started_s = monotonic_s()
     response = asker.ask('k2')
-    now_s = time.monotonic()
+    now_s = monotonic_s()
     assert now_s - started_s < 0.5
     assert status_of(response) == 503
     problem = json.loads(response.partition(b'\r\n\r\n')[2])
@@ -385,8 +386,8 @@
     asker.ask(keys[7])
     assert len(target.times_s) == failed + 1
     target.status, target.extra = 200, ''
-    ends_s = time.monotonic() + 2.6
-    while time.monotonic() < ends_s:
+    ends_s = monotonic_s() + 2.6
+    while monotonic_s() < ends_s:
         assert status_of(asker.ask(keys.pop())) == 200
         time.sleep(0.05)
     assert len(target.times_s) == failed + 1
@@ -429,15 +430,15 @@
     asker.ask('k1')
     gateway.announce(limited, 't2')
     gateway.announce(cold, 't3', cold_s=60.0)
-    started_s = time.monotonic()
+    started_s = monotonic_s()
     refused = 0
     for number in range(60):
-        asked_s = time.monotonic()
+        asked_s = monotonic_s()
         response = asker.ask(f'k{number}')
-        assert time.monotonic() - asked_s < 0.5
+        assert monotonic_s() - asked_s < 0.5
         refused += status_of(response) == 503
         time.sleep(0.02)
-    duration_s = time.monotonic() - started_s
+    duration_s = monotonic_s() - started_s
     assert len(paused.times_s) == 1
     assert len(limited.times_s) <= 5 + 3 * duration_s
     assert len(cold.times_s) <= 1 + 8 * duration_s
--- a/oleanderpin/tests/gateway/test_owner_calls.py
+++ b/oleanderpin/tests/gateway/test_owner_calls.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ...core.clock import monotonic_s
 from ...core.errors import UnavailableError
 from ...gateway.part_client import PartClient
 from ...testing.rates import SMALL, RatesInstance, Reply, sample
@@ -39,7 +40,7 @@
     async def run() -> None:
         client = PartClient(RatesInstance(reply))
         wait_s = 0.1 if reply is fail else SLOW_S * 2
-        await client.take(SMALL.name, deadline_s=time.monotonic() + wait_s)
+        await client.take(SMALL.name, deadline_s=monotonic_s() + wait_s)
         # The call ends after its tokens are delivered.
         await asyncio.sleep(0)
 
--- a/oleanderpin/tests/gateway/test_part_client.py
+++ b/oleanderpin/tests/gateway/test_part_client.py
@@ -11,6 +11,7 @@
 from thrift.protocol.TProtocol import TProtocolException
 
 from ...control.state import Account
+from ...core.clock import monotonic_s
 from ...gateway import part_client
 from ...gateway.part_client import PartClient, Taken
 from ...limits.parts import Parts
@@ -64,7 +65,7 @@
 async def take_one(client: Any, *, wait_s: float = WAIT_S) -> Taken:
     """Take one token."""
     taken: Taken = await client.take(
-        ACCOUNT, deadline_s=part_client.time.monotonic() + wait_s
+        ACCOUNT, deadline_s=part_client.monotonic_s() + wait_s
     )
     return taken
 
@@ -130,8 +131,8 @@
     lock = threading.Lock()
     monkeypatch.setattr(
         part_client,
-        'time',
-        SimpleNamespace(monotonic=lambda: time.monotonic() + clock.now_s()),
+        'monotonic_s',
+        lambda: monotonic_s() + clock.now_s(),
     )
 
     def take(_address: str, needs: list[Need]) -> list[Given]:
--- a/oleanderpin/tests/gateway/test_rates.py
+++ b/oleanderpin/tests/gateway/test_rates.py
@@ -1,12 +1,12 @@
 """What is recorded of waits for rate tokens."""
 
 import asyncio
-import time
 from typing import Any
 
 import pytest
 
 from ...control.state import Account
+from ...core.clock import monotonic_s
 from ...core.errors import Refusal, UnavailableError
 from ...gateway.rates import AccountRateLimiter
 from ...gateway.traffic import TrafficMeter
@@ -42,7 +42,7 @@
 def admit(made: RatesInstance, account: Account) -> str:
     """Return where the token of a request comes from."""
     limiter = AccountRateLimiter(made, TrafficMeter())
-    deadline_s = time.monotonic() + WAIT_S
+    deadline_s = monotonic_s() + WAIT_S
     return asyncio.run(limiter.admit(account, deadline_s=deadline_s))
 
 
--- a/oleanderpin/tests/limits/test_rates_without_leader.py
+++ b/oleanderpin/tests/limits/test_rates_without_leader.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from ...core.clock import monotonic_s
 from ...daemon import Kernel  # noqa: F401
 from ...testing.gateway_fleet import (
     AskedRequest,
@@ -170,7 +171,7 @@
         flood.start()
         time.sleep(2)
         fleet.stop()
-        restarted_s = time.monotonic()
+        restarted_s = monotonic_s()
         fleet.start()
         fleet.wait_until_served('unlimited')
         time.sleep(4)
