Compress long calls between instances

Announcements of targets, tables of members and proposals are JSON or lists with the same words too.

Change: frames from 256 bytes on are compressed below the framed transport; readers take both kinds. [peers] compress_calls turns it off while a fleet still has instances that cannot read them.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -85,7 +85,9 @@
     """Seed addresses for peer discovery, and failure detection.
 
     ``seed_port`` replaces the port of each seed, for deployments in which all
-    peer listeners share a port other than the listed one.
+    peer listeners share a port other than the listed one. ``compress_calls``
+    compresses calls to peers; versions before it cannot read compressed calls,
+    so leave it off until all instances run a version that can.
     """
 
     seeds: Annotated[tuple[Address, ...], BeforeValidator(_split_list)] = ()
@@ -93,6 +95,7 @@
     probe_interval_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
     probe_timeout_s: Annotated[float, Field(ge=0.01, le=10)] = 0.4
     suspect_timeout_s: Annotated[float, Field(ge=0.1, le=120)] = 3.0
+    compress_calls: bool = True
 
     def seed_addresses(self) -> tuple[str, ...]:
         """Return the peer addresses of the seeds."""
--- a/oleanderpin/wire/network.py
+++ b/oleanderpin/wire/network.py
@@ -40,11 +40,13 @@
 class _Connection:
     """Open Thrift connection to a peer."""
 
-    def __init__(self, address: str, *, timeout_s: float) -> None:
+    def __init__(
+        self, address: str, *, timeout_s: float, compresses: bool
+    ) -> None:
         host, port = address.split(':')
         self._socket = CountingSocket(host, int(port))
         self.set_timeout(timeout_s)
-        self._protocol = framed_protocol(self._socket)
+        self._protocol = framed_protocol(self._socket, compresses=compresses)
         self._socket.open()
         # Nagle's algorithm delayed some small calls by about 35 ms.
         self._socket.handle.setsockopt(
@@ -168,7 +170,11 @@
             connection.set_timeout(timeout_s)
             return connection
         try:
-            return _Connection(address, timeout_s=timeout_s)
+            return _Connection(
+                address,
+                timeout_s=timeout_s,
+                compresses=self.kernel.settings.peers.compress_calls,
+            )
         except (TTransportException, OSError) as error:
             raise PeerCallError(
                 f'cannot connect to {address}: {error}', sent=False
--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -94,7 +94,9 @@
     def _serve(self, connection: socket.socket) -> None:
         peer_socket = CountingSocket()
         peer_socket.setHandle(connection)
-        protocol = framed_protocol(peer_socket)
+        protocol = framed_protocol(
+            peer_socket, compresses=self.kernel.settings.peers.compress_calls
+        )
         try:
             # stop() may already have closed the connection.
             _set_socket_options(connection)
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -7,6 +7,7 @@
 from thrift.transport.TTransport import TFramedTransport
 
 from ..core.metrics import PEER_BYTES
+from .compression import CompressedFrames
 
 # Larger frames are rejected before they are read; snapshots are sent in
 # chunks.
@@ -38,7 +39,20 @@
         self.byte_count += len(buff)
 
 
-def framed_protocol(peer_socket: TSocket) -> TCompactProtocolAccelerated:
-    """Return the peer protocol on top of ``peer_socket``."""
-    transport = TFramedTransport(peer_socket, MAX_FRAME_BYTES)
+def framed_protocol(
+    peer_socket: TSocket, *, compresses: bool
+) -> TCompactProtocolAccelerated:
+    """Return the peer protocol on top of ``peer_socket``.
+
+    Parameters
+    ----------
+    peer_socket : TSocket
+        Open or unopened socket.
+    compresses : bool
+        Whether to compress what is written.
+    """
+    frames = CompressedFrames(
+        peer_socket, max_frame_bytes=MAX_FRAME_BYTES, compresses=compresses
+    )
+    transport = TFramedTransport(frames, MAX_FRAME_BYTES)
     return TCompactProtocolAccelerated(transport)
