Send each change across a border once, not to each instance

Cause: counters show that gateways watched the leader for the control state: all of them after a start, since no other instance was current then, and relays always. The standby source sent each change a second time. A new instance pulled all targets from any peer.

Change: instances outside the control group prefer the control instances of their own failure domain, which get each change through the log. A standby source replies with the revision only, and is asked for the change if the first source does not send it within 0.4 s. New instances pull from the nearest control instance.

--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -14,6 +14,7 @@
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.generated.control import Control
 from ..wire.generated.control.ttypes import (
+    Entry,
     ProposeReply,
     ProposeRequest,
     WatchReply,
@@ -212,7 +213,10 @@
                 _watcher_id(request), self._view.revision
             )
             age_ms = self._freshness_age_at_ms(arrived_s)
-        entries = self._view.entries_after(request.revision)
+        if request.wants_revision_only:
+            entries: list[Entry] | None = []
+        else:
+            entries = self._view.entries_after(request.revision)
         snapshot = b'' if entries is not None else self._view.snapshot()
         return WatchReply(
             revision=self._view.revision,
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -19,7 +19,12 @@
 from ..wire.network import PeerNetwork
 from .confirmations import Confirmations
 from .log import ControlLog
-from .sources import configured_members, sources, standby_sources
+from .sources import (
+    configured_members,
+    control_sources,
+    sources,
+    standby_sources,
+)
 from .view import ControlView
 
 _LOG = logging.getLogger(__name__)
@@ -45,6 +50,9 @@
 # A held request ends with a change, so a long hold time only delays the
 # discovery that the standby source is silent.
 _STANDBY_HOLD_S = 2.0
+# Time that the first source has for a change that the standby source reports.
+# It covers a relay, which gets the change and passes it on.
+_FIRST_SOURCE_S = 0.4
 
 
 _WatchResult = Literal['fresh', 'outdated', 'silent']
@@ -180,16 +188,17 @@
         UnavailableError
             If the source did not reply.
         """
-        request = self._watch_request(hold_s, watch or self._first)
-        requested_s = self._kernel.clock.now_s()
-        reply = self._network.call(
-            address,
-            'Control',
-            'watch',
-            request,
-            timeout_s=hold_s + _CALL_MARGIN_S,
-        )
+        watch = watch or self._first
+        request = self._watch_request(hold_s, watch)
+        request.wants_revision_only = watch.is_standby or None
         known_revision = self._view.revision
+        requested_s = self._kernel.clock.now_s()
+        reply = self._send_watch(address, request)
+        if watch.is_standby and not self._has_changes(reply):
+            request = self._watch_request(0, watch)
+            known_revision = self._view.revision
+            requested_s = self._kernel.clock.now_s()
+            reply = self._send_watch(address, request)
         if reply.snapshot:
             self._view.install(reply.snapshot)
         self._view.apply(reply.entries)
@@ -206,6 +215,21 @@
             )
         return reply
 
+    def _send_watch(self, address: str, request: WatchRequest) -> WatchReply:
+        return self._network.call(
+            address,
+            'Control',
+            'watch',
+            request,
+            timeout_s=request.hold_ms / 1000 + _CALL_MARGIN_S,
+        )
+
+    def _has_changes(self, reply: WatchReply) -> bool:
+        """Return whether a reply, or the first source in time, has them."""
+        if reply.entries or reply.snapshot:
+            return True
+        return self._view.wait_for(reply.revision, timeout_s=_FIRST_SOURCE_S)
+
     def ordered_sources(self, *, is_standby: bool = False) -> list[str]:
         """Return the sources by preference, those in back-off last.
 
@@ -214,21 +238,23 @@
         is_standby : bool
             Return those of the second watch, without the one of the first.
         """
-        control = [self._hinted_leader, *self._control_addresses()]
         leader = self._hinted_leader
         if self._kernel.has(ControlLog):
             leadership = self._kernel.plugin(ControlLog).leadership()
             leader = leadership.leader_address or leader
-            control.insert(0, leader)
+        own, peers = self._peers.own(), self._peers.alive()
+        configured = configured_members(self._kernel.settings)
+        control = control_sources(
+            own,
+            peers,
+            leaders=[leader, self._hinted_leader],
+            configured=[member.address for member in configured],
+        )
         candidates = standby_sources if is_standby else sources
         other = self._first if is_standby else self._standby
         known = [
             address
-            for address in candidates(
-                self._peers.own(),
-                self._peers.alive(),
-                [address for address in control if address],
-            )
+            for address in candidates(own, peers, control)
             if not is_standby or address != other.source
         ]
         now_s = self._kernel.clock.now_s()
@@ -374,24 +400,6 @@
         found = self._backoffs.get(address)
         return found is not None and now_s < found.failed_s + found.duration_s
 
-    def _control_addresses(self) -> list[str]:
-        own = self._peers.own()
-        announced = [
-            peer for peer in self._peers.alive() if 'control' in peer.roles
-        ]
-        announced.sort(
-            key=lambda peer: (
-                peer.failure_domain != own.failure_domain,
-                peer.region != own.region,
-                peer.name,
-            )
-        )
-        configured = configured_members(self._kernel.settings)
-        return [
-            *(peer.peer_address for peer in announced),
-            *(member.address for member in configured),
-        ]
-
     def _report_loop(self, watch: SourceWatch) -> None:
         """Report confirmations at once, even while a watch request is held."""
         changed = self._confirmations.changed
--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -87,6 +87,56 @@
     return candidates[:RELAYS_PER_DOMAIN]
 
 
+def control_sources(
+    own: Peer,
+    peers: Iterable[Peer],
+    *,
+    leaders: Iterable[str],
+    configured: Iterable[str],
+) -> list[str]:
+    """Return the control instances to watch, the preferred one first.
+
+    Load pattern: several hundred instances that each need every change. Those
+    that do not take part in the log prefer the control instances of their own
+    failure domain, which receive each change through the log anyway, so that it
+    crosses a border once for each control instance.
+
+    Parameters
+    ----------
+    own : Peer
+        The watching instance.
+    peers : iterable of Peer
+        Live instances.
+    leaders : iterable of str
+        Addresses known as the leader's, the most reliable one first; empty ones
+        are ignored.
+    configured : iterable of str
+        Addresses from the settings, used while no others are known.
+    """
+    control = [
+        peer
+        for peer in peers
+        if 'control' in peer.roles and peer.name != own.name
+    ]
+    control.sort(
+        key=lambda peer: (
+            peer.failure_domain != own.failure_domain,
+            peer.region != own.region,
+            peer.name,
+        )
+    )
+    near: list[str] = []
+    if 'control' not in own.roles:
+        near = [
+            peer.peer_address
+            for peer in control
+            if peer.failure_domain == own.failure_domain
+        ]
+    known = [peer.peer_address for peer in control]
+    ordered = [*near, *leaders, *known, *configured]
+    return [address for address in dict.fromkeys(ordered) if address]
+
+
 def sources(
     own: Peer, peers: Iterable[Peer], control_addresses: Iterable[str]
 ) -> list[str]:
--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -7,7 +7,7 @@
 import logging
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from ..core.background import background_thread
@@ -250,7 +250,7 @@
         has_pulled = False
         is_running = True
         while is_running:
-            _own, *others = self._peers.alive()
+            own, *others = self._peers.alive()
             # Most instances never publish a record, and a thread per peer at
             # each of them is too many for a large fleet.
             if self._has_first_record.is_set():
@@ -259,7 +259,8 @@
             else:
                 self._has_first_record.wait(_UPDATE_INTERVAL_S)
             if others and not has_pulled:
-                has_pulled = self.pull_from(random.choice(others))
+                nearest = nearest_peers(own, others)
+                has_pulled = self.pull_from(random.choice(nearest))
             is_running = is_running and not self.kernel.stopping.is_set()
 
     def _update_pushers(self, others: list[Peer]) -> None:
@@ -276,3 +277,28 @@
             for name, pusher in self._pushers.items()
             if pusher.is_recently_alive()
         }
+
+
+def nearest_peers(own: Peer, others: Sequence[Peer]) -> list[Peer]:
+    """Return the peers at the shortest distance, control instances if any.
+
+    A new instance gets all records from one of them. Control instances have
+    them first, since targets announce themselves there.
+
+    Parameters
+    ----------
+    own : Peer
+        The new instance.
+    others : sequence of Peer
+        Live instances, at least one.
+    """
+
+    def distance(peer: Peer) -> tuple[bool, bool, bool]:
+        return (
+            peer.region != own.region,
+            peer.failure_domain != own.failure_domain,
+            'control' not in peer.roles,
+        )
+
+    shortest = min(map(distance, others))
+    return [peer for peer in others if distance(peer) == shortest]
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -12,7 +12,13 @@
 from ...control.confirmations import Confirmations, WatcherId
 from ...control.distribution import Distribution
 from ...control.log import ControlLog, Leadership
-from ...control.sources import relays, sources, standby_sources
+from ...control.follower import SourceWatch
+from ...control.sources import (
+    control_sources,
+    relays,
+    sources,
+    standby_sources,
+)
 from ...control.state import Service
 from ...control.view import ControlView
 from ...core.errors import Refusal
@@ -485,6 +491,74 @@
     assert distribution.wait_in_force(outcome.revision, timeout_s=5)
 
 
+def test_standby_source_sends_no_change_that_the_first_one_sends(
+    chain: Chain,
+) -> None:
+    """Guards against each change being sent to each instance twice."""
+    revision = chain.change('profile.put', name='counter')
+    request = WatchRequest(
+        instance='i1',
+        revision=0,
+        hold_ms=0,
+        confirmed_revision=0,
+        start_id=1,
+        wants_revision_only=True,
+    )
+    reply = chain.distribution(0).handle_watch(request)
+    assert reply.revision == revision
+    assert not reply.entries
+    assert not reply.snapshot
+
+
+def test_change_comes_from_the_standby_source_if_the_first_one_is_silent(
+    chain: Chain,
+) -> None:
+    """Guards against a change that waits for the time-out of a source."""
+    revision = chain.change('profile.put', name='counter')
+    chain.distribution(1).follower.watch_once(
+        chain.kernels[0].settings.listen.peer,
+        hold_s=0,
+        watch=SourceWatch(is_standby=True),
+    )
+    assert chain.view(1).revision == revision
+    assert chain.view(1).is_fresh()
+
+
+def large_fleet() -> list[Peer]:
+    """Return 9 failure domains of 20 gateways and 2 control instances."""
+    found = []
+    for number in range(9):
+        region, domain = f'r{number // 3}', f'd{number}'
+        for index in range(22):
+            role = 'control' if index < 2 else 'gateway'
+            name = f'{role}-{domain}-{index}'
+            found.append(
+                Peer(
+                    name, region, domain, domain, '', '', name, 1, roles=(role,)
+                )
+            )
+    return found
+
+
+def test_changes_reach_gateways_from_their_own_region() -> None:
+    """Guards against a border that each change crosses for each instance.
+
+    Relays watched the leader, and all instances did after a start, when no
+    other one was current: 6 of 11 MB that 63 instances sent between regions.
+    """
+    peers = large_fleet()
+    by_address = {each.peer_address: each for each in peers}
+    leader = peers[0].peer_address
+    for own in peers:
+        if 'control' in own.roles:
+            continue
+        control = control_sources(own, peers, leaders=[leader], configured=[])
+        first = by_address[sources(own, peers, control)[0]]
+        standby = by_address[standby_sources(own, peers, control)[0]]
+        assert first.failure_domain == own.failure_domain
+        assert standby.region == own.region
+
+
 def peer(name: str, domain: str, **changes: Any) -> Peer:
     return Peer(name, 'r', domain, 's', '', '', f'at-{name}', 1, **changes)
 
--- a/oleanderpin/tests/targets/test_exchange.py
+++ b/oleanderpin/tests/targets/test_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of targets: leaves, restarts, deltas and new instances."""
 
 import threading
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -9,8 +10,9 @@
 from ...core.kernel import Kernel
 from ...membership.peers import Peers
 from ...targets.announcement import Announcement, Departure, Target
-from ...targets.exchange import Exchange
+from ...targets.exchange import Exchange, nearest_peers
 from ...targets.table import LEAVE_LEASE_S, TARGET_LEASE_S, TargetTable
+from ...testing.builders import make_peers
 from ...testing.clock import ManualClock
 from ...testing.fleet import build_fleet
 from ..control.group import wait_until
@@ -250,3 +252,21 @@
     finally:
         for kernel in kernels:
             kernel.stop()
+
+
+def test_new_instance_pulls_records_from_its_own_failure_domain() -> None:
+    """Guards against whole tables that cross regions at each start."""
+    near, control, region, far = (
+        replace(peer, name=name, region=where, roles=(role,))
+        for peer, name, where, role in (
+            (make_peers('north-a', 1)[0], 'near', 'north', 'gateway'),
+            (make_peers('north-a', 1)[0], 'control', 'north', 'control'),
+            (make_peers('north-b', 1)[0], 'region', 'north', 'control'),
+            (make_peers('south-a', 1)[0], 'far', 'south', 'control'),
+        )
+    )
+    own = replace(near, name='own')
+    assert nearest_peers(own, [far, region, near, control]) == [control]
+    assert nearest_peers(own, [far, region, near]) == [near]
+    assert nearest_peers(own, [far, region]) == [region]
+    assert nearest_peers(own, [far]) == [far]
--- a/oleanderpin/wire/control.thrift
+++ b/oleanderpin/wire/control.thrift
@@ -33,6 +33,8 @@
   4: i64 confirmed_revision,
   /** Random number of the process; tells it from one before a restart. */
   5: i32 start_id,
+  /** Reply without the changes; the other source of the instance sends them. */
+  6: optional bool wants_revision_only,
 }
 
 struct WatchReply {
--- a/oleanderpin/wire/parts.thrift
+++ b/oleanderpin/wire/parts.thrift
@@ -19,7 +19,10 @@
   4: optional bool is_exhausted,
   /** Time for which the reply was held until tokens came. */
   5: optional i32 held_ms,
-  /** This instance does not know the account, or not that it has parts. */
+  /**
+   * This instance does not know the account, or not that it has parts, or may
+   * not use its part now.
+   */
   6: optional bool is_unknown,
 }
 
@@ -35,4 +38,6 @@
   list<Given> take(1: list<Need> needs),
   /** Tokens for the part of another control instance. */
   Drawn draw(1: string account, 2: i32 count),
+  /** Revision of the control state by which this instance uses its parts. */
+  i64 applied_revision(),
 }
