Commit the owners of parts, and hand parts over in two steps

Cause: who owns which part of a small account's rate was what each control instance derived from the members that it had seen.

A change first names earlier and next owners; only those among both earn, by the smaller division. The second step follows when each earlier owner has confirmed (Parts.applied_revision) or [limits] part_lease_s, 30 s, has passed. An owner checks at each use that it has heard from the leader within that time, on a clock that counts suspensions. A joining owner starts empty. Gateways prefer the owner of their failure domain.

The test of instances that miss a change is replaced: its instances had no way to tell that they were cut off, so that only a division into constant fractions could pass. The new one has the same changes, bursts and bound, plays the whole hand-over, and checks each window of a flood instead of one moment. The model keeps its invariants and scopes, and gains the hand-over, pauses and restarts with old state; 'part is divided again' is replaced by four seeded faults.

--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -11,7 +11,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-from ..core.errors import NotFoundError, ValidationError
+from ..core.errors import ConflictError, NotFoundError, ValidationError
 from ..core.registry import Registry
 from .state import (
     Account,
@@ -21,6 +21,8 @@
     Drain,
     Key,
     Move,
+    PART_OWNERS_KEY,
+    PartOwners,
     Profile,
     Service,
     ShareHolderRecord,
@@ -486,6 +488,40 @@
     return state.with_records('share_holders', records)
 
 
+class PartOwnersSet(Arguments):
+    """Arguments of ``part_owners.set``, which the leader proposes.
+
+    ``expected_number`` is the number of the record that it replaces.
+    """
+
+    owners: dict[str, str]
+    next_owners: dict[str, str]
+    expected_number: int
+
+
+PART_OWNERS_SET = 'part_owners.set'
+
+
+@command(PART_OWNERS_SET, PartOwnersSet)
+def _set_part_owners(
+    state: ControlState, arguments: PartOwnersSet, _unix_s: float
+) -> ControlState:
+    number = state.owners_of_parts.number
+    if arguments.expected_number != number:
+        raise ConflictError(
+            f'owners of parts have number {number}, '
+            f'not {arguments.expected_number}',
+            winner_request_id='',
+            winner_operator='',
+            revision=number,
+            remedy='decide again from the current owners',
+        )
+    record = PartOwners(
+        number + 1, dict(arguments.owners), dict(arguments.next_owners)
+    )
+    return state.with_record('part_owners', PART_OWNERS_KEY, record)
+
+
 def _require(state: ControlState, table: str, name: str) -> Any:
     try:
         return getattr(state, table)[name]
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -203,7 +203,8 @@
             self._view.install(reply.snapshot)
         self._view.apply(reply.entries)
         self._update_freshness(reply, requested_s)
-        if self._view.revision > known_revision:
+        has_content = bool(reply.entries or reply.snapshot)
+        if has_content and self._view.revision > known_revision:
             _LOG.info(
                 'control state received',
                 extra={
--- a/oleanderpin/control/state.py
+++ b/oleanderpin/control/state.py
@@ -168,6 +168,25 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class PartOwners:
+    """Control instances that own parts of small accounts' rates.
+
+    ``owners`` and ``next_owners`` hold the region of each instance by its peer
+    address. They differ while parts are handed over. ``number`` increases with
+    each change.
+    """
+
+    number: int = 0
+    owners: Mapping[str, str] = field(default_factory=dict)
+    next_owners: Mapping[str, str] = field(default_factory=dict)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no part is being handed over."""
+        return self.owners == self.next_owners
+
+
 @dataclass(frozen=True, slots=True)
 class ObjectMeta:
     """The last accepted change of an object."""
@@ -189,8 +208,9 @@
     unix_s: float
 
 
-# Key of the only record in the table ``configurations``.
+# Key of the only record in the tables ``configurations`` and ``part_owners``.
 CONFIGURATION_KEY = 'current'
+PART_OWNERS_KEY = 'current'
 
 
 def _empty_table() -> Mapping[str, Any]:
@@ -213,6 +233,7 @@
     share_holders: Mapping[str, ShareHolderRecord] = field(
         default_factory=_empty_table
     )
+    part_owners: Mapping[str, PartOwners] = field(default_factory=_empty_table)
     metas: Mapping[str, ObjectMeta] = field(default_factory=_empty_table)
     configurations: Mapping[str, Configuration] = field(
         default_factory=_empty_table
@@ -223,6 +244,11 @@
         """The configuration in force; number 0 before the first one."""
         return self.configurations.get(CONFIGURATION_KEY, Configuration(0))
 
+    @property
+    def owners_of_parts(self) -> PartOwners:
+        """The owners of parts; number 0 before the first ones."""
+        return self.part_owners.get(PART_OWNERS_KEY, PartOwners())
+
     def with_record(self, table: str, name: str, record: Any) -> 'ControlState':
         """Return a state whose ``table`` holds ``record`` under ``name``."""
         return self.with_records(table, {name: record})
@@ -253,6 +279,7 @@
         'blocks': Block,
         'members': ControlMember,
         'share_holders': ShareHolderRecord,
+        'part_owners': PartOwners,
         'metas': ObjectMeta,
         'configurations': Configuration,
     }
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -130,9 +130,15 @@
 
 
 class LimitsSettings(_Section):
-    """Leases of the rate shares of client accounts."""
+    """Leases of the rate shares of client accounts.
+
+    A control instance that has not heard from the leader for ``part_lease_s``
+    stops using its parts of small accounts' rates. A longer lease serves them
+    longer in a cut, and delays the hand-over of a lost instance's parts.
+    """
 
     lease_s: Annotated[float, Field(ge=0.5, le=60)] = 4.0
+    part_lease_s: Annotated[float, Field(ge=1, le=600)] = 30.0
     # Fraction of each rate that gateways divide evenly without the leader.
     floor_percent: Annotated[float, Field(ge=0, le=100)] = 0.0
     renew_interval_s: Annotated[float, Field(ge=0.05, le=10)] = 0.5
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -23,7 +23,14 @@
 from .forwarding import attempts, idempotency_store, pipeline  # noqa: F401
 from .gateway import load_reports  # noqa: F401
 from .gateway import plugin as gateway  # noqa: F401
-from .limits import allocator, fair_queue, limiter, part_owner, shares  # noqa: F401
+from .limits import (  # noqa: F401
+    allocator,
+    fair_queue,
+    limiter,
+    part_handover,
+    part_owner,
+    shares,
+)
 from .lookup import answer, gateways  # noqa: F401
 from .membership import peers  # noqa: F401
 from .moves import baseline, controller, drains, reporting, split, stats  # noqa: F401
--- a/oleanderpin/gateway/part_client.py
+++ b/oleanderpin/gateway/part_client.py
@@ -10,6 +10,7 @@
 from typing import Any, Literal
 
 from ..control.sources import rendezvous_hash
+from ..control.view import ControlView
 from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS, OWNER_CALL_S, OWNER_CALLS
@@ -106,6 +107,7 @@
         """Start without calls."""
         self._peers = kernel.plugin(Peers)
         self._network = kernel.plugin(PeerNetwork)
+        self._view = kernel.plugin(ControlView)
         self._executor = ThreadPoolExecutor(
             _MAX_CALLS, thread_name_prefix='rate-parts'
         )
@@ -312,13 +314,16 @@
 
     def _preference(
         self, peer: Peer, own: Peer, now_s: float
-    ) -> tuple[float, bool, bool, int]:
+    ) -> tuple[float, bool, bool, bool, int]:
         instance = self._instances.get(peer.peer_address)
+        owners = self._view.state.owners_of_parts.owners
         avoid_s = instance.avoid_until_s - now_s if instance else 0.0
         return (
             max(0.0, avoid_s),
             peer.failure_domain != own.failure_domain,
             peer.region != own.region,
+            # An owner needs no other one to give a token.
+            peer.peer_address not in owners,
             rendezvous_hash(own.name, peer.name),
         )
 
--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -50,6 +50,9 @@
     def draw(self, account: str, count: int) -> Drawn:
         return self._owner.give_owner(account, count)
 
+    def applied_revision(self) -> int:
+        return self._owner.applied_revision()
+
 
 @plugins.register('part-owner')
 class PartOwner(Plugin):
@@ -69,6 +72,7 @@
             clock=kernel.clock,
             address=kernel.settings.listen.peer,
             handover_s=kernel.settings.limits.lease_s,
+            may_use=self._may_use,
         )
         self._tables: tuple[Any, ...] = ()
         # Ends of the waits of requests that were told to ask again.
@@ -109,6 +113,8 @@
             Whole tokens, and when to ask again for those that are missing.
         """
         with self._lock:
+            if not self._refresh():
+                return [_refused(need) for need in needs]
             for need in needs:
                 if need.returned and need.account in self._parts:
                     self._parts.add(need.account, need.returned)
@@ -140,12 +146,29 @@
     def give_owner(self, account: str, count: int) -> Drawn:
         """Return tokens for requests that wait at another owner."""
         with self._lock:
-            if account not in self._parts:
+            if not self._refresh() or account not in self._parts:
                 return Drawn(count=0, left=0.0)
             taken = self._parts.take(account, count)
             self._activity.note_given_owner(taken)
             return Drawn(count=taken, left=self._parts.left(account))
 
+    def applied_revision(self) -> int:
+        """Return the revision by which parts are used from now on."""
+        with self._lock:
+            # The state that is read next is at least as new.
+            revision = self._view.revision
+            self._refresh()
+            return revision
+
+    def _refresh(self) -> bool:
+        """Use the newest state; return whether the parts may be used."""
+        self._use_state(self._view.state)
+        return self._may_use()
+
+    def _may_use(self) -> bool:
+        lease_s = self.kernel.settings.limits.part_lease_s
+        return self._view.freshness_age_s() < lease_s
+
     def _give(self, need: Need) -> Given:
         name = need.account
         if name not in self._parts:
@@ -298,14 +321,16 @@
             _LOG.warning('owner of rate parts does not reply: %s', error)
 
     def _update(self, state: ControlState) -> None:
-        tables = (state.accounts, state.members, state.share_holders)
         with self._lock:
-            if _are_same(tables, self._tables):
-                return
-            self._tables = tables
-            owned, lent = self._divide(state)
-            members = {member.address for member in state.members.values()}
-            self._parts.update(owned, members, lent=lent)
+            self._use_state(state)
+
+    def _use_state(self, state: ControlState) -> None:
+        tables = (state.accounts, state.part_owners, state.share_holders)
+        if _are_same(tables, self._tables):
+            return
+        self._tables = tables
+        owned, lent = self._divide(state)
+        self._parts.update(owned, state.owners_of_parts, lent=lent)
 
     def _divide(self, state: ControlState) -> tuple[list[Account], list[str]]:
         """Return the accounts with parts, and the names of the others."""
@@ -326,6 +351,11 @@
     )
 
 
+def _refused(need: Need) -> Given:
+    """Return the reply of an instance that may not use its parts."""
+    return Given(account=need.account, count=0, is_unknown=True)
+
+
 def _first_wait_s(given: list[Given]) -> float:
     """Return the shortest wait; 0 if a reply has tokens or is final."""
     if any(reply.count for reply in given):
--- a/oleanderpin/limits/parts.py
+++ b/oleanderpin/limits/parts.py
@@ -6,15 +6,17 @@
 Tokens that are missing at one owner are drawn from another. Stored tokens never
 exceed the part of their owner, and a token that is drawn has been taken from
 the part it came from, so that all parts together stay within rate and burst.
+Who owns the parts is committed (`part_ownership`).
 """
 
+import itertools
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from ..control.sources import rendezvous_hash
-from ..control.state import Account
+from ..control.state import Account, PartOwners
 from ..core.clock import Clock
+from .part_ownership import preferred
 
 # A token that was drawn by an instance without a part is used or lost within
 # this time.
@@ -29,34 +31,45 @@
 _MIN_PART_TOKENS = 2.0
 
 
-def owners(
-    account: Account, members: Iterable[str], *, member_count: int
-) -> tuple[str, ...]:
-    """Return the control instances that own a part of an account.
+@dataclass(frozen=True, slots=True)
+class Division:
+    """Division of one account's rate and burst.
+
+    ``owners`` may use their parts, and ``part_count`` parts make up the whole.
+    """
+
+    owners: tuple[str, ...]
+    part_count: int
+
+
+def divide(account: Account, record: PartOwners) -> Division:
+    """Return the owners of an account and the number of its parts.
+
+    During a hand-over an owner uses its part only if it has one before and
+    after it, and parts are as small as the smaller of both divisions.
 
     Parameters
     ----------
     account : Account
-        Client account.
-    members : iterable of str
-        Peer addresses of the control instances.
-    member_count : int
-        Largest number of control instances that has been seen.
-
-    Returns
-    -------
-    tuple of str
-        Addresses, chosen by rendezvous hashing where the burst has fewer
-        tokens than there are control instances.
+        Client account; it has fewer owners where the burst has fewer tokens.
+    record : PartOwners
+        Committed owners.
     """
-    ordered = sorted(
-        members, key=lambda member: rendezvous_hash(account.name, member)
+    earlier = _chosen(account, record.owners)
+    later = _chosen(account, record.next_owners)
+    return Division(
+        owners=tuple(owner for owner in earlier if owner in later),
+        part_count=max(1, len(earlier), len(later)),
     )
-    return tuple(ordered[: _owner_count(account, member_count)])
 
 
-def _owner_count(account: Account, member_count: int) -> int:
-    return max(1, min(member_count, int(account.burst / _MIN_PART_TOKENS)))
+def _chosen(account: Account, owners: Mapping[str, str]) -> tuple[str, ...]:
+    most = max(1, int(account.burst / _MIN_PART_TOKENS))
+    return tuple(itertools.islice(preferred(account.name, owners), most))
+
+
+def _always() -> bool:
+    return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +100,13 @@
     owners: tuple[str, ...] = ()
     others: dict[str, _Level] = field(default_factory=dict)
 
+    def set_division(self, *, is_owner: bool, keeps_tokens: bool) -> None:
+        """Start empty as a new owner, and keep nothing as a former one."""
+        if is_owner != self.is_owner or not keeps_tokens:
+            self.tokens = 0.0
+        self.is_owner = is_owner
+        self.tokens = min(self.tokens, self.owner_burst)
+
     def refill(self, now_s: float) -> None:
         """Add the tokens that the own part earned until ``now_s``."""
         elapsed_s = max(0.0, now_s - self.refilled_s)
@@ -148,71 +168,85 @@
     handover_s : float
         Time after which holders have stopped using an account's earlier
         shares, in seconds.
+    may_use : callable
+        Returns whether this instance may use its parts now. It is asked at
+        each use, so that a process that was paused does not use a part that
+        was handed over meanwhile.
     """
 
     def __init__(
-        self, *, clock: Clock, address: str, handover_s: float
+        self,
+        *,
+        clock: Clock,
+        address: str,
+        handover_s: float,
+        may_use: Callable[[], bool] = _always,
     ) -> None:
         """Start without accounts."""
+        self._may_use = may_use
         self._clock = clock
         self._address = address
         self._handover_s = handover_s
         self._parts: dict[str, _Part] = {}
         self._lent: set[str] = set()
-        # Never decreases: an instance that is cut off does not know that it
-        # was removed, and goes on using its part.
-        self._member_count = 0
+        self._number = 0
 
     def update(
         self,
         accounts: Iterable[Account],
-        members: Iterable[str],
+        record: PartOwners,
         *,
         lent: Iterable[str] = (),
     ) -> None:
-        """Set the accounts with parts, and the control instances.
+        """Set the accounts with parts, and the control instances that own them.
 
         Parameters
         ----------
         accounts : iterable of Account
             Accounts that control instances own in parts.
-        members : iterable of str
-            Peer addresses of all control instances.
+        record : PartOwners
+            Committed owners.
         lent : iterable of str
             Names of the accounts that the leader lends. One that gets parts
             later earns its first token only after the hand-over time.
         """
-        distinct = set(members)
-        self._member_count = max(self._member_count, len(distinct))
         owned = {account.name: account for account in accounts}
         for name in self._parts.keys() - owned.keys():
             self._parts.pop(name)
+        # Others may have owned the parts in a record that was missed.
+        keeps_tokens = record.number <= self._number + 1
+        self._number = record.number
         for account in owned.values():
-            self._update_part(account, distinct)
+            self._update_part(account, record, keeps_tokens=keeps_tokens)
         self._lent = set(lent)
 
     def __contains__(self, name: str) -> bool:
         """Return whether control instances own the account in parts."""
         return name in self._parts
 
-    def _update_part(self, account: Account, members: set[str]) -> None:
+    def _update_part(
+        self, account: Account, record: PartOwners, *, keeps_tokens: bool
+    ) -> None:
         now_s = self._clock.now_s()
-        holders = owners(account, members, member_count=self._member_count)
-        count = _owner_count(account, self._member_count)
+        division = divide(account, record)
         part = self._parts.get(account.name)
         if part is None:
             is_lent = account.name in self._lent
             part = _Part(now_s + self._handover_s * is_lent)
             self._parts[account.name] = part
         part.refill(now_s)
-        part.owner_per_s = account.rate_per_s / count
-        part.owner_burst = account.burst / count
-        part.is_owner = self._address in holders
-        part.tokens = min(part.tokens, part.owner_burst)
-        part.owners = holders
+        part.owner_per_s = account.rate_per_s / division.part_count
+        part.owner_burst = account.burst / division.part_count
+        part.owners = division.owners
+        part.set_division(
+            is_owner=self._address in division.owners,
+            keeps_tokens=keeps_tokens,
+        )
 
     def take(self, name: str, count: int) -> int:
         """Take up to ``count`` whole tokens of the own part."""
+        if not self._may_use():
+            return 0
         part = self._refilled(name)
         taken = min(count, int(part.tokens))
         part.tokens -= taken
--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -3,8 +3,9 @@
 import itertools
 import os
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
+from ..control.state import PartOwners
 from ..membership.peers import Peer
 
 _FIRST_PORT = 10000
@@ -66,6 +67,14 @@
     ]
 
 
+def settled_owners(
+    addresses: Iterable[str], *, number: int = 1, region: str = 'north'
+) -> PartOwners:
+    """Return owners of parts in one region, with no hand-over in progress."""
+    owners = dict.fromkeys(addresses, region)
+    return PartOwners(number, owners, owners)
+
+
 def settings_text(
     *,
     name: str,
--- a/oleanderpin/testing/rates.py
+++ b/oleanderpin/testing/rates.py
@@ -8,11 +8,11 @@
 
 from prometheus_client import REGISTRY
 
-from ..control.state import Account, ControlState
+from ..control.state import Account, ControlState, PART_OWNERS_KEY
 from ..core.clock import Clock, MonotonicClock
 from ..core.settings import LimitsSettings
 from ..membership.peers import Peer
-from .builders import make_peers
+from .builders import make_peers, settled_owners
 
 # Enough for floors at eight gateways, and too little for them.
 DIVIDED = Account('large', rate_per_s=100.0, burst=100.0)
@@ -57,10 +57,13 @@
             address: SimpleNamespace(address=address) for address in controls
         }
         accounts = {each.name: each for each in (DIVIDED, SMALL)}
+        owners = {PART_OWNERS_KEY: settled_owners(members)}
         self.state = ControlState(
             accounts=MappingProxyType(accounts),
             members=MappingProxyType(members),  # type: ignore[arg-type]
+            part_owners=MappingProxyType(owners),
         )
+        self.revision = 1
         self.is_cut_off = False
         self.share_result = 'ok'
         self.holder = SimpleNamespace(
@@ -85,6 +88,10 @@
     def subscribe(self, *_arguments: Any) -> None:
         """Stand in for the control view."""
 
+    def freshness_age_s(self) -> float:
+        """Return the age of the control state."""
+        return 0.0
+
     def own(self) -> Peer:
         """Return this instance."""
         return _peer(self._own, 'gateway')
--- a/oleanderpin/tests/gateway/test_part_client.py
+++ b/oleanderpin/tests/gateway/test_part_client.py
@@ -4,20 +4,23 @@
 import threading
 import time
 from collections.abc import Callable
-from types import SimpleNamespace
+from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
 import pytest
 from thrift.protocol.TProtocol import TProtocolException
 
-from ...control.state import Account
+from ...control.state import Account, ControlState, PART_OWNERS_KEY
+from ...control.view import ControlView
 from ...core.clock import monotonic_s
 from ...gateway import part_client
 from ...gateway.part_client import PartClient, Taken
 from ...limits.parts import Parts
 from ...membership.peers import Peers
 from ...testing import ManualClock
+from ...testing.builders import settled_owners
 from ...wire.generated.parts.ttypes import Given, Need
+from ...wire.network import PeerNetwork
 
 ACCOUNT = 'small'
 ADDRESSES = tuple(f'10.0.0.{number}:7220' for number in range(6))
@@ -27,7 +30,12 @@
 Take = Callable[[str, list[Need]], list[Given]]
 
 
-def client_of(take: Take, *, addresses: tuple[str, ...] = ADDRESSES) -> Any:
+def client_of(
+    take: Take,
+    *,
+    addresses: tuple[str, ...] = ADDRESSES,
+    state: ControlState | None = None,
+) -> Any:
     """Return a client whose calls are answered by ``take``."""
     own = SimpleNamespace(
         name='g0', roles=('gateway',), failure_domain='a', region='r'
@@ -55,11 +63,12 @@
         return take(address, needs)
 
     peers = SimpleNamespace(alive=lambda: (own, *control))
-    network = SimpleNamespace(call=call)
-    kernel = SimpleNamespace(
-        plugin=lambda wanted: peers if wanted is Peers else network
-    )
-    return PartClient(kernel)
+    plugins: dict[Any, Any] = {
+        Peers: peers,
+        PeerNetwork: SimpleNamespace(call=call),
+        ControlView: SimpleNamespace(state=state or ControlState()),
+    }
+    return PartClient(SimpleNamespace(plugin=plugins.__getitem__))
 
 
 async def take_one(client: Any, *, wait_s: float = WAIT_S) -> Taken:
@@ -127,7 +136,7 @@
     limited = Account(ACCOUNT, rate_per_s=20, burst=20)
     clock = ManualClock(0.0)
     parts = Parts(clock=clock, address=ADDRESSES[0], handover_s=0)
-    parts.update([limited], ADDRESSES[:1])
+    parts.update([limited], settled_owners(ADDRESSES[:1]))
     lock = threading.Lock()
     monkeypatch.setattr(
         part_client,
@@ -157,3 +166,21 @@
         return admitted
 
     assert asyncio.run(play()) <= limited.burst
+
+
+def test_owner_is_asked_before_an_instance_without_a_part() -> None:
+    """Guards against a second hop for each token.
+
+    A failure domain has several control instances, and one of them owns parts.
+    """
+    owner = ADDRESSES[3]
+    owners = MappingProxyType({PART_OWNERS_KEY: settled_owners([owner])})
+    asked: list[str] = []
+
+    def take(address: str, _needs: list[Need]) -> list[Given]:
+        asked.append(address)
+        return [Given(account=ACCOUNT, count=1)]
+
+    client = client_of(take, state=ControlState(part_owners=owners))
+    asyncio.run(take_one(client))
+    assert asked == [owner]
--- a/oleanderpin/tests/limits/test_part_owner.py
+++ b/oleanderpin/tests/limits/test_part_owner.py
@@ -5,13 +5,19 @@
 from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
-from ...control.state import Account, ControlMember, ControlState
+from ...control.state import (
+    Account,
+    ControlMember,
+    ControlState,
+    PART_OWNERS_KEY,
+)
 from ...control.view import ControlView
 from ...core.errors import UnavailableError
 from ...core.settings import LimitsSettings
 from ...limits.part_owner import PartOwner
 from ...membership.peers import Peers
 from ...testing import ManualClock
+from ...testing.builders import settled_owners
 from ...wire.generated.parts.ttypes import Drawn, Need
 from ...wire.network import PeerNetwork
 
@@ -26,6 +32,7 @@
 
     def __init__(self, call: Callable[[str], Drawn]) -> None:
         self.clock = ManualClock(0.0)
+        self.fresh_as_of_s = 0.0
         self.stopping = threading.Event()
         self.settings = SimpleNamespace(
             listen=SimpleNamespace(peer=ADDRESSES[0]),
@@ -41,7 +48,10 @@
         ]
         self.plugins: dict[Any, Any] = {
             ControlView: SimpleNamespace(
-                state=control_state(), subscribe=lambda _callback: None
+                state=control_state(),
+                revision=1,
+                subscribe=lambda _callback: None,
+                freshness_age_s=lambda: self.clock.now_s() - self.fresh_as_of_s,
             ),
             Peers: SimpleNamespace(
                 own=lambda: peers[0], alive=lambda: tuple(peers)
@@ -71,6 +81,9 @@
     return ControlState(
         accounts=MappingProxyType({ACCOUNT: limited}),
         members=MappingProxyType(members),
+        part_owners=MappingProxyType(
+            {PART_OWNERS_KEY: settled_owners(ADDRESSES)}
+        ),
     )
 
 
@@ -145,3 +158,43 @@
     owner._draw(ACCOUNT, 1)
     owner.stop()
     assert len(asked) <= len(ADDRESSES)
+
+
+def test_paused_owner_checks_its_part_after_it_wakes_up() -> None:
+    """Guards against an owner that uses a part that others have by now.
+
+    Its process stands still for longer than the lease; meanwhile the part is
+    handed over.
+    """
+    kernel = ScriptedKernel(lambda _address: Drawn(count=0, left=0.0))
+    owner = PartOwner(kernel)
+    owner.start()
+    kernel.clock.advance(10)
+    assert owner.give([Need(account=ACCOUNT, count=1)])[0].count == 1
+    kernel.clock.advance(kernel.settings.limits.part_lease_s)
+    given = owner.give([Need(account=ACCOUNT, count=1)])[0]
+    drawn = owner.give_owner(ACCOUNT, 1)
+    kernel.fresh_as_of_s = kernel.clock.now_s()
+    again = owner.give([Need(account=ACCOUNT, count=1)])[0]
+    owner.stop()
+    assert (given.count, given.is_unknown, drawn.count) == (0, True, 0)
+    assert again.count == 1
+
+
+def test_owner_uses_the_newest_record_although_it_was_not_told() -> None:
+    """Guards against a pause between reading a change and applying it.
+
+    Another thread has already noted that the state is current.
+    """
+    kernel = ScriptedKernel(lambda _address: Drawn(count=0, left=0.0))
+    owner = PartOwner(kernel)
+    owner.start()
+    kernel.clock.advance(10)
+    others = settled_owners(ADDRESSES[1:], number=2)
+    view = kernel.plugin(ControlView)
+    view.state = view.state.with_record('part_owners', PART_OWNERS_KEY, others)
+    view.revision = 2
+    assert owner.applied_revision() == 2
+    given = owner.give([Need(account=ACCOUNT, count=1)])[0]
+    owner.stop()
+    assert given.count == 0
--- a/oleanderpin/tests/limits/test_parts.py
+++ b/oleanderpin/tests/limits/test_parts.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from ...control.state import Account
-from ...limits.parts import Parts, owners
+from ...control.state import Account, PartOwners
+from ...limits.parts import Parts, divide
 from ...testing import ManualClock
+from ...testing.builders import settled_owners
 
 ACCOUNT = 'small'
 RUN_S = 60.0
@@ -53,7 +54,7 @@
             for name in self.names
         ]
         for parts in self.parts:
-            parts.update([limited], self.names)
+            parts.update([limited], settled_owners(self.names))
         self.events: list[tuple[float, int, Callable[..., None], Any]] = []
         self.scheduled = 0
         self.is_drawing = [False] * count
@@ -236,35 +237,41 @@
     """Return the parts of one of two owners, without accounts."""
     clock = ManualClock(0.0)
     parts = Parts(clock=clock, address='a', handover_s=handover_s)
-    parts.update([], ['a', 'b'], lent=[ACCOUNT])
+    parts.update([], settled_owners('ab'), lent=[ACCOUNT])
     return parts, clock
 
 
 def test_account_that_was_lent_has_no_tokens_until_shares_end() -> None:
     """Guards against a rate that is lent and owned in parts at a time."""
     parts, clock = one_part(handover_s=4.0)
-    parts.update([account(20, 20)], ['a', 'b'])
+    parts.update([account(20, 20)], settled_owners('ab'))
     clock.advance(4.0)
     assert not parts.take(ACCOUNT, 1)
     clock.advance(0.15)
     assert parts.take(ACCOUNT, 2) == 1
 
 
-def test_part_of_a_removed_instance_is_not_divided_again() -> None:
+def test_part_of_a_removed_instance_is_not_divided_before_its_hand_over() -> (
+    None
+):
     """Guards against a part that a removed instance goes on using."""
     parts, clock = one_part()
-    parts.update([account(20, 20)], ['a', 'b'])
+    both, alone = {'a': 'north', 'b': 'north'}, {'a': 'north'}
+    parts.update([account(20, 20)], PartOwners(1, both, both))
     clock.advance(10.0)
-    parts.update([account(20, 20)], ['a'])
+    parts.update([account(20, 20)], PartOwners(2, both, alone))
     assert parts.take(ACCOUNT, 20) == 10
     clock.advance(0.5)
     assert parts.take(ACCOUNT, 20) == 5
+    parts.update([account(20, 20)], PartOwners(3, alone, alone))
+    clock.advance(0.5)
+    assert parts.take(ACCOUNT, 20) == 10
 
 
 def test_parts_are_empty_at_the_start() -> None:
     """Guards against a burst that is used again after each restart."""
     parts, _clock = one_part()
-    parts.update([account(20, 20)], ['a', 'b'])
+    parts.update([account(20, 20)], settled_owners('ab'))
     assert parts.take(ACCOUNT, 1) == 0
 
 
@@ -272,13 +279,14 @@
     """Guards against parts that never have a whole token."""
     members = [f'm{number}' for number in range(9)]
     for burst, count in ((1, 1), (4, 2), (9, 4), (40, 9)):
-        assert len(owners(account(4, burst), members, member_count=9)) == count
+        division = divide(account(4, burst), settled_owners(members))
+        assert len(division.owners) == division.part_count == count
 
 
 def test_lowered_burst_takes_effect_at_once() -> None:
     """Guards against tokens of an earlier configuration."""
     parts, clock = one_part()
-    parts.update([account(20, 20)], ['a', 'b'])
+    parts.update([account(20, 20)], settled_owners('ab'))
     clock.advance(10.0)
-    parts.update([account(4, 4)], ['a', 'b'])
+    parts.update([account(4, 4)], settled_owners('ab'))
     assert parts.take(ACCOUNT, 20) == 2
--- a/specs/parts.py
+++ b/specs/parts.py
@@ -3,9 +3,14 @@
 Up to three control instances own equal parts of one account. An owner gives
 tokens to requests, and a draw takes tokens from one owner for another
 instance. A request for a draw can be repeated or late, and a reply lost or late
-by any time. Gateways return tokens that no request used. Instances restart, and
-one membership change reaches each instance at any time or never: one that does
-not learn of it is cut off.
+by any time. Gateways return tokens that no request used. Instances restart with
+any earlier state on disk.
+
+The owners change once, in two steps: the record of the hand-over names the
+earlier and the next owners, and the next record follows once each earlier owner
+has confirmed the first one or its lease has ended. A record reaches each
+instance at any time or never. An instance may be paused at any point; its lease
+ends meanwhile, and it is asked for a token after it wakes up.
 
 Use is counted as the excess over the rate: it falls by the rate in each tick
 and never below zero, so that it is the most that was used in any window beyond
@@ -27,6 +32,10 @@
 _LATE_RETURN = 'unused token is returned at any time'
 _TAKEN_BACK = 'source takes back tokens of a late reply'
 _BESIDE_A_DRAW = 'draws beside a draw in progress'
+_NO_CHECK_AT_USE = 'lease is checked before a pause, not at the use'
+_DISK_IS_FRESH = 'uses the state on disk after a restart'
+_NO_WAIT = 'parts are handed over without waiting'
+_ONE_STEP = 'next owners earn at the first step'
 
 _DRAW_FAULTS = (
     _STAYS_IN_SOURCE,
@@ -42,14 +51,18 @@
     'two parts': _DRAW_FAULTS,
     'one part': (_STAYS_IN_SOURCE, _STORED_BEYOND_PART),
     'three instances': _DRAW_FAULTS,
-    'removed': ('part is divided again',),
+    'removed': (_NO_WAIT, _NO_CHECK_AT_USE),
+    'removed, restart': (_NO_WAIT, _NO_CHECK_AT_USE, _DISK_IS_FRESH),
+    'removed, few parts': (_NO_WAIT, _NO_CHECK_AT_USE, _ONE_STEP),
+    'replaced': (_NO_WAIT, _NO_CHECK_AT_USE, _ONE_STEP),
+    'added': (_NO_WAIT, _NO_CHECK_AT_USE, _ONE_STEP),
 }
 # Scopes that only the check with larger bounds searches.
 FULL_SCOPES = ('three instances',)
 
 
 class Scope(NamedTuple):
-    """Membership change that is searched, and what else happens.
+    """Change of the owners that is searched, and what else happens.
 
     ``members`` and ``later_members`` are in the order in which the account
     prefers them as owners.
@@ -90,15 +103,20 @@
 }
 
 
+# Records of the control state, in the order of their commits.
+_EARLIER, _HANDOVER, _NEXT = range(3)
+
+
 class Instance(NamedTuple):
     """One control instance.
 
-    ``member_count`` is the largest number of members that it has seen, and
-    ``drawn`` the tokens in the reply to its draw in flight.
+    ``record`` is the newest record that it knows, and ``has_lease`` tells
+    whether it may use its part by it. ``drawn`` are the tokens in the reply to
+    its draw in flight.
     """
 
-    members: tuple[int, ...]
-    member_count: int
+    record: int = _EARLIER
+    has_lease: bool = True
     tokens: int = 0
     drawn: int = 0
 
@@ -109,7 +127,7 @@
     instances: tuple[Instance, ...]
     excess: int = 0
     kept: int = 0
-    is_changed: bool = False
+    committed: int = _EARLIER
 
 
 def build(fault: str = '', *, scope_name: str = 'three instances') -> Protocol:
@@ -149,13 +167,8 @@
     def initial(self) -> State:
         """Return the state in which no part has a token."""
         scope = self._scope
-        numbers = sorted({*scope.members, *scope.later_members})
-        return State(
-            tuple(
-                self._started(scope.members if number in scope.members else ())
-                for number in numbers
-            )
-        )
+        numbers = {*scope.members, *scope.later_members}
+        return State((Instance(),) * len(numbers))
 
     def is_within(self, state: State) -> bool:
         """Return whether tokens and use are within the stated bound.
@@ -166,7 +179,9 @@
         in_transit = 0
         tokens = state.excess
         for number, each in enumerate(state.instances):
-            tokens += each.tokens + each.drawn
+            tokens += each.drawn
+            if self._may_use(each):
+                tokens += each.tokens
             if self._scope.can_draw:
                 in_transit += self.part(each)
                 if not self._is_owner(number, each):
@@ -175,13 +190,12 @@
 
     def part(self, instance: Instance) -> int:
         """Return the tokens of one part as an instance knows it."""
-        return self._scope.burst // self._owner_count(instance)
+        return self._scope.burst // self._part_count(instance)
 
     def steps(self, state: State) -> Iterator[tuple[str, State]]:
         """Return all next states with the names of the steps."""
         yield 'tick', self._tick(state)
-        if self._scope.later_members and not state.is_changed:
-            yield 'members change', state._replace(is_changed=True)
+        yield from self._commit_steps(state)
         for number, instance in enumerate(state.instances):
             yield from self._use_steps(state, number, instance)
             yield from self._member_steps(state, number, instance)
@@ -195,15 +209,44 @@
         if state.kept:
             yield 'returned token lost', state._replace(kept=state.kept - 1)
 
-    def _started(self, members: tuple[int, ...]) -> Instance:
-        return Instance(members, len(members))
-
-    def _owner_count(self, instance: Instance) -> int:
-        most = self._scope.burst // _MIN_PART_TOKENS
-        return max(1, min(instance.member_count, most))
+    def _commit_steps(self, state: State) -> Iterator[tuple[str, State]]:
+        scope = self._scope
+        if scope.later_members and state.committed == _EARLIER:
+            yield 'hand-over begins', state._replace(committed=_HANDOVER)
+        is_waiting = any(
+            state.instances[number].record == _EARLIER
+            and state.instances[number].has_lease
+            for number in scope.members
+        )
+        if state.committed == _HANDOVER and (
+            not is_waiting or self._fault == _NO_WAIT
+        ):
+            yield 'hand-over ends', state._replace(committed=_NEXT)
+
+    def _may_use(self, instance: Instance) -> bool:
+        return instance.has_lease or self._fault == _NO_CHECK_AT_USE
+
+    def _owners(self, record: int) -> tuple[int, ...]:
+        earlier = self._chosen(self._scope.members)
+        later = self._chosen(self._scope.later_members)
+        if record == _EARLIER:
+            return earlier
+        if record == _NEXT or self._fault == _ONE_STEP:
+            return later
+        return tuple(number for number in earlier if number in later)
+
+    def _chosen(self, members: tuple[int, ...]) -> tuple[int, ...]:
+        return members[: max(1, self._scope.burst // _MIN_PART_TOKENS)]
+
+    def _part_count(self, instance: Instance) -> int:
+        earlier = len(self._chosen(self._scope.members))
+        later = len(self._chosen(self._scope.later_members))
+        if instance.record == _HANDOVER:
+            return max(earlier, later)
+        return later if instance.record == _NEXT else earlier
 
     def _is_owner(self, number: int, instance: Instance) -> bool:
-        return number in instance.members[: self._owner_count(instance)]
+        return number in self._owners(instance.record)
 
     def _add(self, number: int, instance: Instance, tokens: int) -> Instance:
         limit = _MAX_TOKENS_WITHOUT_PART
@@ -221,7 +264,7 @@
         for number, instance in enumerate(state.instances):
             tokens = instance.tokens
             if self._is_owner(number, instance):
-                earned = scope.rate // self._owner_count(instance)
+                earned = scope.rate // self._part_count(instance)
                 room = max(0, self.part(instance) - tokens)
                 tokens += min(earned, room)
             instances.append(instance._replace(tokens=tokens))
@@ -235,7 +278,7 @@
     def _use_steps(
         self, state: State, number: int, instance: Instance
     ) -> Iterator[tuple[str, State]]:
-        if not instance.tokens:
+        if not instance.tokens or not self._may_use(instance):
             return
         given = _set(
             state, number, instance._replace(tokens=instance.tokens - 1)
@@ -254,23 +297,42 @@
         self, state: State, number: int, instance: Instance
     ) -> Iterator[tuple[str, State]]:
         scope = self._scope
-        members = scope.later_members if state.is_changed else scope.members
-        if instance.members != members:
-            count = max(instance.member_count, len(members))
-            if self._fault == 'part is divided again':
-                count = len(members)
-            learned = instance._replace(members=members, member_count=count)
-            tokens = min(learned.tokens, self.part(learned))
-            yield (
-                f'{number} learns of the members',
-                _set(state, number, learned._replace(tokens=tokens)),
-            )
-        has_learned = instance.members == scope.later_members
-        if scope.can_restart_after_change if has_learned else scope.can_restart:
-            started = self._started(instance.members)
-            if self._fault == 'part starts full after a restart':
-                started = started._replace(tokens=self.part(started))
-            yield f'{number} restarts', _set(state, number, started)
+        if instance.record < state.committed and instance.has_lease:
+            ended = instance._replace(has_lease=False)
+            yield f'lease of {number} ends', _set(state, number, ended)
+        for record in range(instance.record, state.committed + 1):
+            learned = self._learn(number, instance, record)
+            if record == state.committed:
+                learned = learned._replace(has_lease=True)
+            if learned != instance:
+                yield (
+                    f'{number} learns record {record}',
+                    _set(state, number, learned),
+                )
+        is_changed = instance.record > _EARLIER
+        if scope.can_restart_after_change if is_changed else scope.can_restart:
+            for record in range(instance.record + 1):
+                yield (
+                    f'{number} restarts with record {record}',
+                    _set(state, number, self._restarted(instance, record)),
+                )
+
+    def _learn(self, number: int, instance: Instance, record: int) -> Instance:
+        learned = instance._replace(record=record)
+        is_same = self._is_owner(number, learned) == self._is_owner(
+            number, instance
+        )
+        # Others may have used the part by a record that was missed.
+        keeps_tokens = is_same and record <= instance.record + 1
+        tokens = min(instance.tokens, self.part(learned))
+        return learned._replace(tokens=tokens if keeps_tokens else 0)
+
+    def _restarted(self, instance: Instance, record: int) -> Instance:
+        started = Instance(record, has_lease=self._fault == _DISK_IS_FRESH)
+        if self._fault == 'part starts full after a restart':
+            tokens = self.part(started)
+            started = started._replace(tokens=tokens, has_lease=True)
+        return started
 
     def _draw_steps(
         self, state: State, number: int, instance: Instance
@@ -287,7 +349,7 @@
             )
             yield f'reply to {number} lost', _set(state, number, without_draw)
         for source_number, source in enumerate(state.instances):
-            if source_number != number:
+            if source_number != number and self._may_use(source):
                 yield from self._draw_from(
                     state, (number, instance), (source_number, source)
                 )
