Divide the reserve of retries among the gateways

Cause: each gateway stored up to 19 retries, whatever their number: 660 retries of 66 gateways at once where 192 are allowed.

Change: [gateway] retry_reserve is what all gateways together may store; each keeps its part by the number of known gateways. Where there is less than one for each, the first ones by name keep one; the others keep what they earn for a second. A gateway without a reserve earns from its own first attempts.

--- a/oleanderpin/gateway/known_gateways.py
+++ b/oleanderpin/gateway/known_gateways.py
@@ -72,6 +72,11 @@
         """Number of gateways to divide a rate by, including a minimum."""
         return max(len(self._names), _MIN_GATEWAYS)
 
+    @property
+    def rank(self) -> int:
+        """Position of this gateway among all, in the order of their names."""
+        return sum(name < self._own_name for name in self._names)
+
     def note_complete(self) -> None:
         """Record that this gateway had time to learn of all others."""
         self._knows_all = True
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -30,7 +30,7 @@
 from .probes import Probes
 from .rate_limited_log import RateLimitedLog
 from .refusals import maybe_run_refusal, not_run_refusal
-from .retry_budget import RetryBudget
+from .retry_budget import RetryBudget, reserve_of
 from .rewriting import encode_request, response_for_caller
 from .routed_request import MIN_ATTEMPT_TIME_S, RoutedRequest
 from .service_targets import ServiceTargets, TargetDirectory
@@ -97,12 +97,20 @@
         self._split = kernel.plugin(VersionSplit)
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_budget_percent)
+        self._retry_reserve = settings.retry_reserve
         self._replicas = settings.max_targets_per_object
         self._random = random.Random()
 
     def run_maintenance(self) -> None:
         """Close expired connections, update region splits and start probes."""
         self.pool.close_idle()
+        self._budget.set_reserve(
+            reserve_of(
+                self._retry_reserve,
+                self._known_gateways.count,
+                self._known_gateways.rank,
+            )
+        )
         for service, split in self._directory.update_splits():
             self._log.write(
                 'homes of objects divided',
