Pull records from a second failure domain if the first lost them

Cause: since an instance pulls from the nearest control instance, one that restarts in a loss of power of its failure domain asks one that has just restarted too, and has no targets until the next pushes, 12 s later with 63 instances.

Change: after the first pull, instances of other failure domains are asked, the nearest first, until one has nothing new or three were asked.

Measured: tests/targets/test_exchange.py; the source is chosen apart from the calls (pull_source).

--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -7,7 +7,7 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 from ..core.background import background_thread
@@ -25,6 +25,7 @@
 
 _LOG = logging.getLogger(__name__)
 _PULL_TIMEOUT_S = 3.0
+_MAX_PULLS = 3
 _UPDATE_INTERVAL_S = 0.5
 # Interval of pushes to a peer that only renew records. It grows with the number
 # of peers, so that an instance sends at most five such pushes per second.
@@ -68,6 +69,8 @@
         self._receivers: dict[str, Receiver] = {}
         self._pushers: dict[str, Pusher] = {}
         self._has_first_record = threading.Event()
+        # Failure domains in which an instance was asked for all records.
+        self._asked_domains: set[str] = set()
         # Notified when a peer has replied to a push.
         self.confirmed = threading.Condition()
         kernel.plugin(PeerServer).register(
@@ -205,13 +208,14 @@
         count = len(self._pushers)
         return max(_MIN_RENEW_INTERVAL_S, count * _RENEW_INTERVAL_PER_PEER_S)
 
-    def pull_from(self, peer: Peer) -> bool:
+    def pull_from(self, peer: Peer) -> int | None:
         """Pull all records that a peer has.
 
         Returns
         -------
-        bool
-            Whether the peer answered.
+        int or None
+            Number of records that were new here; None if the peer did not
+            answer.
         """
         try:
             updates = self._network.call(
@@ -222,11 +226,29 @@
             )
         except UnavailableError:
             EVENTS.labels('exchange', 'pull_failed').inc()
-            return False
+            return None
+        new_count = 0
         for update in updates:
             for record in self._received.accept(update):
                 self._dispatch(record)
-        return True
+                new_count += 1
+        return new_count
+
+    def pull_step(self) -> bool:
+        """Pull from the next source; return whether the pulls are finished.
+
+        A near instance may have lost its records in the same loss of power, so
+        that another failure domain is asked too, until one has nothing new.
+        """
+        own, *others = self._peers.alive()
+        source = pull_source(own, others, asked=self._asked_domains)
+        if source is None:
+            return bool(self._asked_domains)
+        is_first = not self._asked_domains
+        self._asked_domains.add(source.failure_domain)
+        new_count = self.pull_from(source)
+        is_complete = new_count == 0 and not is_first
+        return is_complete or len(self._asked_domains) >= _MAX_PULLS
 
     def _renewed_ttl_s(self) -> float:
         return self.renew_interval_s() * _TTL_RENEW_INTERVALS
@@ -250,7 +272,7 @@
         has_pulled = False
         is_running = True
         while is_running:
-            own, *others = self._peers.alive()
+            _own, *others = self._peers.alive()
             # Most instances never publish a record, and a thread per peer at
             # each of them is too many for a large fleet.
             if self._has_first_record.is_set():
@@ -259,8 +281,7 @@
             else:
                 self._has_first_record.wait(_UPDATE_INTERVAL_S)
             if others and not has_pulled:
-                nearest = nearest_peers(own, others)
-                has_pulled = self.pull_from(random.choice(nearest))
+                has_pulled = self.pull_step()
             is_running = is_running and not self.kernel.stopping.is_set()
 
     def _update_pushers(self, others: list[Peer]) -> None:
@@ -279,19 +300,26 @@
         }
 
 
-def nearest_peers(own: Peer, others: Sequence[Peer]) -> list[Peer]:
-    """Return the peers at the shortest distance, control instances if any.
+def pull_source(
+    own: Peer, others: Sequence[Peer], *, asked: Collection[str]
+) -> Peer | None:
+    """Return the peer to pull all records from next; None if there is none.
 
-    A new instance gets all records from one of them. Control instances have
-    them first, since targets announce themselves there.
+    Load pattern: several hundred instances start, each of which needs the
+    records of all targets. The nearest one has them too, so that they cross no
+    border; control instances have them first, since targets announce themselves
+    there.
 
     Parameters
     ----------
     own : Peer
         The new instance.
     others : sequence of Peer
-        Live instances, at least one.
+        Live instances.
+    asked : collection of str
+        Failure domains in which an instance was asked already.
     """
+    candidates = [peer for peer in others if peer.failure_domain not in asked]
 
     def distance(peer: Peer) -> tuple[bool, bool, bool]:
         return (
@@ -300,5 +328,6 @@
             'control' not in peer.roles,
         )
 
-    shortest = min(map(distance, others))
-    return [peer for peer in others if distance(peer) == shortest]
+    shortest = min(map(distance, candidates), default=None)
+    nearest = [peer for peer in candidates if distance(peer) == shortest]
+    return random.choice(nearest) if nearest else None
--- a/oleanderpin/tests/targets/test_exchange.py
+++ b/oleanderpin/tests/targets/test_exchange.py
@@ -8,9 +8,9 @@
 
 from ... import daemon  # noqa: F401  registers all plug-ins
 from ...core.kernel import Kernel
-from ...membership.peers import Peers
+from ...membership.peers import Peer, Peers
 from ...targets.announcement import Announcement, Departure, Target
-from ...targets.exchange import Exchange, nearest_peers
+from ...targets.exchange import Exchange, pull_source
 from ...targets.table import LEAVE_LEASE_S, TARGET_LEASE_S, TargetTable
 from ...testing.builders import make_peers
 from ...testing.clock import ManualClock
@@ -266,7 +266,43 @@
         )
     )
     own = replace(near, name='own')
-    assert nearest_peers(own, [far, region, near, control]) == [control]
-    assert nearest_peers(own, [far, region, near]) == [near]
-    assert nearest_peers(own, [far, region]) == [region]
-    assert nearest_peers(own, [far]) == [far]
+    assert pull_source(own, [far, region, near, control], asked=()) is control
+    assert pull_source(own, [far, region, near], asked=()) is near
+    assert pull_source(own, [far, region], asked=['north-a']) is region
+    assert pull_source(own, [far, near], asked=['north-a']) is far
+    assert pull_source(own, [near], asked=['north-a']) is None
+
+
+def test_instance_whose_neighbour_has_no_records_asks_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a start without targets after a loss of power.
+
+    The control instance of the own failure domain has restarted too and knows
+    no target yet; pushes follow only after seconds.
+    """
+    pair = Pair()
+    exchange = pair.exchange(0)
+    own = pair.kernels[0].plugin(Peers).own()
+    found = {'north-a': 0, 'north-b': 5, 'south-a': 0, 'south-b': 0}
+    others = [
+        replace(
+            own,
+            name=domain,
+            region=domain.partition('-')[0],
+            failure_domain=domain,
+            roles=('control',),
+        )
+        for domain in found
+    ]
+    monkeypatch.setattr(exchange._peers, 'alive', lambda: (own, *others))
+    asked: list[str] = []
+
+    def pull_from(peer: Peer) -> int:
+        asked.append(peer.failure_domain)
+        return found[peer.failure_domain]
+
+    monkeypatch.setattr(exchange, 'pull_from', pull_from)
+    assert [exchange.pull_step() for _each in range(3)] == [False, False, True]
+    assert asked[:2] == ['north-a', 'north-b']
+    assert asked[2] in {'south-a', 'south-b'}
