Keep the end of a cold start in records that are pulled

Cause: a renewal gives a record an age of 4 s, which is meant for its load. An instance that pulled the record counted the cold start from that age, and sent a target that was still cold its full share.

Change: the age of pulled records is that of their publication.

Measured: test_target_that_is_pulled_stays_cold fails on the code before (warm after 2 of 3 s).

--- a/oleanderpin/targets/received.py
+++ b/oleanderpin/targets/received.py
@@ -11,6 +11,7 @@
 # A renewal implies that the target has renewed within its lease of 3 s and that
 # its load is close to the published one. The push may take another 1 s.
 _RENEWED_AGE_MS = 4000
+_MAX_AGE_MS = 2**31 - 1
 
 
 @dataclass(slots=True)
@@ -19,6 +20,7 @@
     incarnation: int
     start_id: int
     received_s: float
+    published_s: float
 
     def remaining_s(self, now_s: float) -> float:
         return self.received_s + self.record.ttl_ms / 1000 - now_s
@@ -85,7 +87,9 @@
             self._drop_expired(now_s)
             for (origin, _kind, _name), received in self._records.items():
                 record = received.record
-                age_s = now_s - received.received_s
+                # Not the age that a renewal gives the load: the end of a cold
+                # start is counted from the publication.
+                age_s = now_s - received.published_s
                 group = (origin, received.incarnation, received.start_id)
                 grouped[group].append(
                     SoftRecord(
@@ -94,7 +98,7 @@
                         version=record.version,
                         payload=record.payload,
                         ttl_ms=int(received.remaining_s(now_s) * 1000),
-                        age_ms=record.age_ms + int(age_s * 1000),
+                        age_ms=min(int(age_s * 1000), _MAX_AGE_MS),
                         is_renewed=record.is_renewed,
                     )
                 )
@@ -108,8 +112,13 @@
         if known is not None:
             if order <= (known.incarnation, known.record.version):
                 return False
+        now_s = self._clock.now_s()
         self._records[key] = _ReceivedRecord(
-            record, update.incarnation, update.start_id, self._clock.now_s()
+            record,
+            update.incarnation,
+            update.start_id,
+            received_s=now_s,
+            published_s=now_s - record.age_ms / 1000,
         )
         return True
 
--- a/oleanderpin/tests/targets/test_exchange.py
+++ b/oleanderpin/tests/targets/test_exchange.py
@@ -306,3 +306,25 @@
     assert [exchange.pull_step() for _each in range(3)] == [False, False, True]
     assert asked[:2] == ['north-a', 'north-b']
     assert asked[2] in {'south-a', 'south-b'}
+
+
+def test_target_that_is_pulled_stays_cold() -> None:
+    """Guards against full load from an instance that has just started.
+
+    A renewal says nothing about the time at which a record was published.
+    """
+    clock = ManualClock()
+    origin, relay, new = build_fleet(['north-a'] * 3, clock=clock)
+    origin.plugin(TargetTable).announce(announcement(cold_s=3.0))
+    relay.plugin(Exchange).receive(origin.plugin(Exchange).update_after(0))
+    clock.advance(0.5)
+    version = origin.plugin(Exchange).published.version
+    renewal = origin.plugin(Exchange).update_after(version)
+    relay.plugin(Exchange).receive(renewal)
+    for update in relay.plugin(Exchange).all_pushes():
+        new.plugin(Exchange).receive(update)
+    (target,) = new.plugin(TargetTable).targets('desk')
+    clock.advance(2.0)
+    assert target.is_cold(clock.now_s())
+    clock.advance(1.0)
+    assert not target.is_cold(clock.now_s())
