Refuse as unknown while no instance owns parts

Cause: before the leader has committed the first owners, a control instance told gateways that the rate was used up, and callers were refused as over their rate.

Change: it replies that it cannot give tokens now, and the next one is asked.

Measured: test_accounts_are_not_over_their_rate_before_there_are_owners.

--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -162,8 +162,10 @@
 
     def _refresh(self) -> bool:
         """Use the newest state; return whether the parts may be used."""
-        self._use_state(self._view.state)
-        return self._may_use()
+        state = self._view.state
+        self._use_state(state)
+        has_owners = state.owners_of_parts.number > 0
+        return has_owners and self._may_use()
 
     def _may_use(self) -> bool:
         lease_s = self.kernel.settings.limits.part_lease_s
--- a/oleanderpin/tests/limits/test_part_owner.py
+++ b/oleanderpin/tests/limits/test_part_owner.py
@@ -198,3 +198,16 @@
     given = owner.give([Need(account=ACCOUNT, count=1)])[0]
     owner.stop()
     assert given.count == 0
+
+
+def test_accounts_are_not_over_their_rate_before_there_are_owners() -> None:
+    """Guards against a refusal that blames the caller after the first start."""
+    kernel = ScriptedKernel(lambda _address: Drawn(count=0, left=0.0))
+    view = kernel.plugin(ControlView)
+    view.state = view.state.without_record('part_owners', PART_OWNERS_KEY)
+    owner = PartOwner(kernel)
+    owner.start()
+    given = owner.give([Need(account=ACCOUNT, count=1)])[0]
+    owner.stop()
+    assert given.is_unknown
+    assert not given.is_exhausted
