Send cold targets nothing from gateways that are not chosen for them

Cause: the time of the last request to a cold target is minus infinity before the first one, and the interval of a gateway that is not chosen is infinity. Their sum is no number, every comparison with it is false, and each gateway sent one request.

Change: a gateway that is not chosen leaves the target out.

--- a/oleanderpin/gateway/eligibility.py
+++ b/oleanderpin/gateway/eligibility.py
@@ -98,6 +98,10 @@
     interval_s = question.known_gateways.cold_interval_s(
         candidate.target.target_id, rate_per_s
     )
+    if math.isinf(interval_s):
+        # Other gateways are chosen for this target. The sum with the time of a
+        # request that was never sent would be no number.
+        return math.inf
     until_s = candidate.health.cold_sent_s + interval_s
     return until_s if question.now_s < until_s else None
 
--- a/oleanderpin/tests/gateway/test_placement.py
+++ b/oleanderpin/tests/gateway/test_placement.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import pytest
+
 from ...gateway.admission import max_wait_s, return_after_s
 from ...gateway.known_gateways import KnownGateways
 from ...gateway.placement import (
@@ -220,3 +222,30 @@
         budget.note_request()
         repeated += budget.take()
     assert repeated <= 103
+
+
+@pytest.mark.parametrize('gateways', [11, 66, 530])
+def test_new_cold_target_gets_no_request_of_each_gateway(gateways: int) -> None:
+    """Guards against a crowd of first requests at a target that starts.
+
+    On plm-returns-grown nineteen of 57 gateways each sent one request within a
+    second. Gateways that are not chosen for a target must not send any.
+    """
+    names = [f'g{number}' for number in range(gateways)]
+    rate_per_s, slack = 5.1, 8
+    sent = 0
+    for name in names:
+        known = KnownGateways(name)
+        known.add(names)
+        groups = order_candidates(
+            'o1', [candidate('new', cold_until_s=13.0)], home='north'
+        )
+        placement = place(
+            groups,
+            needs(cold_rate_per_s=rate_per_s),
+            replicas=4,
+            now_s=10.0,
+            known_gateways=known,
+        )
+        sent += placement.candidate is not None
+    assert 0 < sent <= rate_per_s * 1.5 + slack
