Split the scope of probes from the prober, and owners from parts

No change of behaviour. Decisions about whom to probe, to sync with and to notify stand in membership/scope.py; who owns an account's parts stands with the other decisions about owners, under a name that is not that of the module on kinds of accounts.

--- a/oleanderpin/limits/part_owner.py
+++ b/oleanderpin/limits/part_owner.py
@@ -113,7 +113,7 @@
             Whole tokens, and when to ask again for those that are missing.
         """
         with self._lock:
-            if not self._refresh():
+            if not self._is_ready():
                 return [_refused(need) for need in needs]
             for need in needs:
                 if need.returned and need.account in self._parts:
@@ -146,7 +146,7 @@
     def give_owner(self, account: str, count: int) -> Drawn:
         """Return tokens for requests that wait at another owner."""
         with self._lock:
-            if not self._refresh() or account not in self._parts:
+            if not self._is_ready() or account not in self._parts:
                 return Drawn(count=0, left=0.0)
             taken = self._parts.take(account, count)
             self._activity.note_given_owner(taken)
@@ -155,12 +155,12 @@
     def applied_revision(self) -> int:
         """Return the revision by which parts are used from now on."""
         with self._lock:
-            # The state that is read next is at least as new.
+            # The state that is used next is at least as new.
             revision = self._view.revision
-            self._refresh()
+            self._use_state(self._view.state)
             return revision
 
-    def _refresh(self) -> bool:
+    def _is_ready(self) -> bool:
         """Use the newest state; return whether the parts may be used."""
         state = self._view.state
         self._use_state(state)
--- a/oleanderpin/limits/part_ownership.py
+++ b/oleanderpin/limits/part_ownership.py
@@ -13,15 +13,19 @@
 control group or with the fleet.
 """
 
+import itertools
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from ..control.sources import rendezvous_hash
-from ..control.state import PartOwners
+from ..control.state import Account, PartOwners
 
 # With a single failure domain, the loss of one owner leaves two of three parts.
 _MIN_OWNERS = 3
+# An account has fewer owners if its parts would have fewer tokens than this: a
+# part of one token is empty after each request.
+_MIN_PART_TOKENS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,3 +130,40 @@
         ranks[region] += 1
     for _rank, _position, address in sorted(ranked):
         yield address
+
+
+@dataclass(frozen=True, slots=True)
+class AccountOwners:
+    """Owners of one account, and how its rate and burst are divided.
+
+    ``owners`` may use their parts, and ``part_count`` parts make up the whole.
+    """
+
+    owners: tuple[str, ...]
+    part_count: int
+
+
+def owners_of(account: Account, record: PartOwners) -> AccountOwners:
+    """Return the owners of an account and the number of its parts.
+
+    During a hand-over an owner uses its part only if it has one before and
+    after it, and parts are as small as the smaller of both divisions.
+
+    Parameters
+    ----------
+    account : Account
+        Client account; it has fewer owners where the burst has fewer tokens.
+    record : PartOwners
+        Committed owners.
+    """
+    earlier = _chosen(account, record.owners)
+    later = _chosen(account, record.next_owners)
+    return AccountOwners(
+        owners=tuple(owner for owner in earlier if owner in later),
+        part_count=max(1, len(earlier), len(later)),
+    )
+
+
+def _chosen(account: Account, owners: Mapping[str, str]) -> tuple[str, ...]:
+    most = max(1, int(account.burst / _MIN_PART_TOKENS))
+    return tuple(itertools.islice(preferred(account.name, owners), most))
--- a/oleanderpin/limits/parts.py
+++ b/oleanderpin/limits/parts.py
@@ -9,14 +9,13 @@
 Who owns the parts is committed (`part_ownership`).
 """
 
-import itertools
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..control.state import Account, PartOwners
 from ..core.clock import Clock
-from .part_ownership import preferred
+from .part_ownership import owners_of
 
 # A token that was drawn by an instance without a part is used or lost within
 # this time.
@@ -26,46 +25,6 @@
 MAX_HOLD_S = 0.15
 # Draws that follow each other sooner take more tokens each.
 _FREQUENT_DRAW_S = 1.0
-# An account has fewer owners if its parts would have fewer tokens than this: a
-# part of one token is empty after each request.
-_MIN_PART_TOKENS = 2.0
-
-
-@dataclass(frozen=True, slots=True)
-class Division:
-    """Division of one account's rate and burst.
-
-    ``owners`` may use their parts, and ``part_count`` parts make up the whole.
-    """
-
-    owners: tuple[str, ...]
-    part_count: int
-
-
-def divide(account: Account, record: PartOwners) -> Division:
-    """Return the owners of an account and the number of its parts.
-
-    During a hand-over an owner uses its part only if it has one before and
-    after it, and parts are as small as the smaller of both divisions.
-
-    Parameters
-    ----------
-    account : Account
-        Client account; it has fewer owners where the burst has fewer tokens.
-    record : PartOwners
-        Committed owners.
-    """
-    earlier = _chosen(account, record.owners)
-    later = _chosen(account, record.next_owners)
-    return Division(
-        owners=tuple(owner for owner in earlier if owner in later),
-        part_count=max(1, len(earlier), len(later)),
-    )
-
-
-def _chosen(account: Account, owners: Mapping[str, str]) -> tuple[str, ...]:
-    most = max(1, int(account.burst / _MIN_PART_TOKENS))
-    return tuple(itertools.islice(preferred(account.name, owners), most))
 
 
 def _always() -> bool:
@@ -228,18 +187,18 @@
         self, account: Account, record: PartOwners, *, keeps_tokens: bool
     ) -> None:
         now_s = self._clock.now_s()
-        division = divide(account, record)
+        known = owners_of(account, record)
         part = self._parts.get(account.name)
         if part is None:
             is_lent = account.name in self._lent
             part = _Part(now_s + self._handover_s * is_lent)
             self._parts[account.name] = part
         part.refill(now_s)
-        part.owner_per_s = account.rate_per_s / division.part_count
-        part.owner_burst = account.burst / division.part_count
-        part.owners = division.owners
+        part.owner_per_s = account.rate_per_s / known.part_count
+        part.owner_burst = account.burst / known.part_count
+        part.owners = known.owners
         part.set_division(
-            is_owner=self._address in division.owners,
+            is_owner=self._address in known.owners,
             keeps_tokens=keeps_tokens,
         )
 
--- a/oleanderpin/tests/limits/test_parts.py
+++ b/oleanderpin/tests/limits/test_parts.py
@@ -8,7 +8,8 @@
 import pytest
 
 from ...control.state import Account, PartOwners
-from ...limits.parts import Parts, divide
+from ...limits.part_ownership import owners_of
+from ...limits.parts import Parts
 from ...testing import ManualClock
 from ...testing.builders import settled_owners
 
@@ -279,8 +280,8 @@
     """Guards against parts that never have a whole token."""
     members = [f'm{number}' for number in range(9)]
     for burst, count in ((1, 1), (4, 2), (9, 4), (40, 9)):
-        division = divide(account(4, burst), settled_owners(members))
-        assert len(division.owners) == division.part_count == count
+        known = owners_of(account(4, burst), settled_owners(members))
+        assert len(known.owners) == known.part_count == count
 
 
 def test_lowered_burst_takes_effect_at_once() -> None:
--- a/oleanderpin/tests/membership/test_dissemination.py
+++ b/oleanderpin/tests/membership/test_dissemination.py
@@ -13,7 +13,7 @@
     decode,
     encode,
 )
-from ...membership.probing import (
+from ...membership.scope import (
     members_to_notify,
     next_in_round,
     probe_scope,
