Propose changes of the leader in one place

Registering share holders and handing over parts each built a change, proposed it and turned errors and refusals into a problem. No change of behaviour.

--- a/oleanderpin/limits/holder_registrar.py
+++ b/oleanderpin/limits/holder_registrar.py
@@ -6,21 +6,16 @@
 """
 
 import logging
-import secrets
 import threading
-import time
 from typing import Any
 
-from ..control.change import Change
 from ..control.commands import SHARE_HOLDERS_ADD
 from ..control.log import ControlLog
+from ..control.proposals import propose_as_leader
 from ..core.background import background_thread
 from ..core.metrics import EVENTS
-from ..wire.generated.common.ttypes import NotLeader, Unavailable
 
 _LOG = logging.getLogger(__name__)
-_PROPOSAL_TIMEOUT_S = 2.0
-_ID_BYTES = 8
 # Instances that start within this time are registered by one change.
 _BATCH_DELAY_S = 0.02
 # Interval at which the idle thread checks whether the kernel stops. A failed
@@ -70,29 +65,17 @@
                 self._propose(names)
 
     def _propose(self, names: list[str]) -> None:
-        change = Change(
-            request_id=secrets.token_hex(_ID_BYTES),
-            command=SHARE_HOLDERS_ADD,
-            arguments={'names': names},
+        problem = propose_as_leader(
+            self._log,
+            SHARE_HOLDERS_ADD,
+            {'names': names},
             operator='share-ledger',
-            proposed_unix_s=time.time(),
         )
-        try:
-            outcome = self._log.propose(
-                change.encode(), timeout_s=_PROPOSAL_TIMEOUT_S
+        if problem:
+            EVENTS.labels('limits', 'holders_not_registered').inc()
+            _LOG.warning(
+                'share holders not registered',
+                extra={'names': names, 'problem': problem},
             )
-        except (NotLeader, Unavailable) as error:
-            _report_failure(names, str(error))
-            return
-        if outcome.kind != 'ok':
-            _report_failure(names, outcome.problem)
             return
         _LOG.info('share holders registered', extra={'names': names})
-
-
-def _report_failure(names: list[str], problem: str) -> None:
-    EVENTS.labels('limits', 'holders_not_registered').inc()
-    _LOG.warning(
-        'share holders not registered',
-        extra={'names': names, 'problem': problem},
-    )
--- a/oleanderpin/limits/part_handover.py
+++ b/oleanderpin/limits/part_handover.py
@@ -2,14 +2,12 @@
 
 import logging
 import math
-import secrets
-import time
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from ..control.change import Change
 from ..control.commands import PART_OWNERS_SET
 from ..control.log import ControlLog
+from ..control.proposals import propose_as_leader
 from ..control.state import ControlState, PartOwners
 from ..control.view import ControlView
 from ..core.background import background_thread
@@ -18,7 +16,6 @@
 from ..core.plugin import Plugin, plugins
 from ..membership.members import Status
 from ..membership.peers import Peers
-from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.network import PeerNetwork
 from .part_owner import PartOwner
 from .part_ownership import Candidate, choose_owners, next_record
@@ -26,8 +23,6 @@
 _LOG = logging.getLogger(__name__)
 _INTERVAL_S = 0.5
 _CALL_TIMEOUT_S = 0.5
-_PROPOSAL_TIMEOUT_S = 2.0
-_ID_BYTES = 8
 # A restart takes less time, and keeps the part.
 _REPLACE_AFTER_S = 10.0
 # Quartz clocks differ by less than 0.1%; the margin covers the time between
@@ -166,22 +161,15 @@
     def _propose(self, record: PartOwners, expected_number: int) -> None:
         arguments = asdict(record)
         arguments.pop('number')
-        change = Change(
-            request_id=secrets.token_hex(_ID_BYTES),
-            command=PART_OWNERS_SET,
-            arguments={**arguments, 'expected_number': expected_number},
-            operator='part-handover',
-            proposed_unix_s=time.time(),
+        arguments['expected_number'] = expected_number
+        problem = propose_as_leader(
+            self._log, PART_OWNERS_SET, arguments, operator='part-handover'
         )
-        try:
-            outcome = self._log.propose(
-                change.encode(), timeout_s=_PROPOSAL_TIMEOUT_S
+        if problem:
+            EVENTS.labels('limits', 'part_owners_not_set').inc()
+            _LOG.warning(
+                'owners of rate parts not set', extra={'problem': problem}
             )
-        except (NotLeader, Unavailable) as error:
-            _report_failure(str(error))
-            return
-        if outcome.kind != 'ok':
-            _report_failure(outcome.problem)
             return
         _LOG.info(
             'owners of rate parts changed',
@@ -191,8 +179,3 @@
                 'next_owners': sorted(record.next_owners),
             },
         )
-
-
-def _report_failure(problem: str) -> None:
-    EVENTS.labels('limits', 'part_owners_not_set').inc()
-    _LOG.warning('owners of rate parts not set', extra={'problem': problem})
