Compute distances in one place, and borders once a second

The border of each address was looked up by a scan of all members, each time with a copy of the table: the square of the fleet, once a second, at instances that push to all peers. It is one table for each count now. No change of behaviour.

--- a/oleanderpin/control/sources.py
+++ b/oleanderpin/control/sources.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from ..core.places import distance
 from ..core.settings import Settings
 from ..membership.peers import Peer
 from .state import ControlMember, ControlState
@@ -118,13 +119,7 @@
         for peer in peers
         if 'control' in peer.roles and peer.name != own.name
     ]
-    control.sort(
-        key=lambda peer: (
-            peer.failure_domain != own.failure_domain,
-            peer.region != own.region,
-            peer.name,
-        )
-    )
+    control.sort(key=lambda peer: (distance(own, peer), peer.name))
     near: list[str] = []
     if 'control' not in own.roles:
         near = [
--- a/oleanderpin/gateway/candidate.py
+++ b/oleanderpin/gateway/candidate.py
@@ -3,14 +3,10 @@
 from dataclasses import dataclass
 
 from ..core.logs import age_ms
+from ..core.places import OTHER_REGION
 from ..targets.announcement import Incarnation, Target
 from .target_health import TargetHealth
 
-# Distances of a target from this instance.
-OWN_FAILURE_DOMAIN = 0
-OWN_REGION = 1
-OTHER_REGION = 2
-
 
 @dataclass(slots=True)
 class Candidate:
--- a/oleanderpin/gateway/part_client.py
+++ b/oleanderpin/gateway/part_client.py
@@ -14,6 +14,7 @@
 from ..core.clock import monotonic_s
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS, OWNER_CALL_S, OWNER_CALLS
+from ..core.places import distance
 from ..limits.parts import MAX_HOLD_S
 from ..membership.peers import Peer, Peers
 from ..wire.generated.parts.ttypes import Given, Need
@@ -314,14 +315,13 @@
 
     def _preference(
         self, peer: Peer, own: Peer, now_s: float
-    ) -> tuple[float, bool, bool, bool, int]:
+    ) -> tuple[float, int, bool, int]:
         instance = self._instances.get(peer.peer_address)
         owners = self._view.state.owners_of_parts.owners
         avoid_s = instance.avoid_until_s - now_s if instance else 0.0
         return (
             max(0.0, avoid_s),
-            peer.failure_domain != own.failure_domain,
-            peer.region != own.region,
+            distance(own, peer),
             # An owner needs no other one to give a token.
             peer.peer_address not in owners,
             rendezvous_hash(own.name, peer.name),
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -14,10 +14,8 @@
 
 import xxhash
 
+from ..core.places import OTHER_REGION, OWN_FAILURE_DOMAIN, OWN_REGION
 from .candidate import (
-    OTHER_REGION,
-    OWN_FAILURE_DOMAIN,
-    OWN_REGION,
     Candidate,
     Needs,
 )
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -7,16 +7,14 @@
 
 from ..control.view import ControlView
 from ..core.clock import monotonic_s
+from ..core.places import distance
 from ..moves.drains import Drains
 from ..moves.split import ANY_VERSION
 from ..routing.region_loads import LoadKey
 from ..routing.target_limits import TargetLimits, parse_limit_per_s
-from ..targets.announcement import Incarnation, Target
+from ..targets.announcement import Incarnation
 from ..targets.table import TargetTable
 from .candidate import (
-    OTHER_REGION,
-    OWN_FAILURE_DOMAIN,
-    OWN_REGION,
     Candidate,
 )
 from .load_reports import LoadReporter
@@ -364,7 +362,7 @@
                 Candidate(
                     target,
                     observed,
-                    self._distance(target),
+                    distance(self._instance, target),
                     incarnation.generation,
                 )
             )
@@ -384,13 +382,6 @@
     def _new_service(self) -> ServiceTargets:
         return ServiceTargets(RegionSplit(self._instance.region, monotonic_s()))
 
-    def _distance(self, target: Target) -> int:
-        if target.failure_domain == self._instance.failure_domain:
-            return OWN_FAILURE_DOMAIN
-        if target.region == self._instance.region:
-            return OWN_REGION
-        return OTHER_REGION
-
     def _health_of_missing(
         self, current: Mapping[_HealthKey, TargetHealth]
     ) -> dict[_HealthKey, TargetHealth]:
--- a/oleanderpin/membership/peers.py
+++ b/oleanderpin/membership/peers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from ..core.places import distance
 from ..core.plugin import Plugin, plugins
 from ..wire.generated.membership import Membership
 from ..wire.generated.membership.ttypes import (
@@ -11,7 +12,7 @@
     PeerInfo,
     PingReply,
 )
-from ..wire.peer_traffic import Border, PeerTraffic
+from ..wire.peer_traffic import BORDERS, Border, PeerTraffic
 from ..wire.server import PeerServer
 from .gossip import Gossip
 from .members import MemberTable, Status, as_alive
@@ -67,7 +68,7 @@
             suspect_timeout_s=kernel.settings.peers.suspect_timeout_s,
         )
         self._cached: _CachedPeers = ((-1, False), ())
-        kernel.plugin(PeerTraffic).border_of = self._border_of
+        kernel.plugin(PeerTraffic).borders = self._borders
         gossip = Gossip(kernel, self.table)
         self.prober = Prober(kernel, self.table, gossip)
         kernel.plugin(PeerServer).register(
@@ -98,17 +99,13 @@
             self._cached = (state, peers)
         return peers
 
-    def _border_of(self, address: str) -> Border:
+    def _borders(self) -> dict[str, Border]:
+        """Return the border to each known member by its peer address."""
         own = self.table.own
-        for member in self.table.members():
-            if member.info.peer_address != address:
-                continue
-            if member.info.region != own.region:
-                return 'region'
-            if member.info.failure_domain != own.failure_domain:
-                return 'failure_domain'
-            return 'none'
-        return 'unknown'
+        return {
+            member.info.peer_address: BORDERS[distance(own, member.info)]
+            for member in self.table.members()
+        }
 
     def _find_alive(self, *, is_draining: bool) -> tuple[Peer, ...]:
         own = replace(_as_peer(self.table.own), draining=is_draining)
--- a/oleanderpin/membership/scope.py
+++ b/oleanderpin/membership/scope.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Mapping
 
+from ..core.places import distance
 from ..wire.generated.membership.ttypes import PeerInfo
 from .members import Member
 
@@ -95,16 +96,10 @@
     control = [member for member in running if 'control' in member.info.roles]
     if 'control' in own.roles or not control:
         return control or running
-
-    def distance(member: Member) -> tuple[bool, bool]:
-        info = member.info
-        return (
-            info.region != own.region,
-            info.failure_domain != own.failure_domain,
-        )
-
-    shortest = min(map(distance, control))
-    return [member for member in control if distance(member) == shortest]
+    shortest = min(distance(own, member.info) for member in control)
+    return [
+        member for member in control if distance(own, member.info) == shortest
+    ]
 
 
 def sync_interval_s(sync_count: int, member_count: int) -> float:
--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -13,6 +13,7 @@
 from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
+from ..core.places import distance
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peer, Peers
 from ..wire.generated.exchange import Exchange as ExchangeService
@@ -321,13 +322,9 @@
     """
     candidates = [peer for peer in others if peer.failure_domain not in asked]
 
-    def distance(peer: Peer) -> tuple[bool, bool, bool]:
-        return (
-            peer.region != own.region,
-            peer.failure_domain != own.failure_domain,
-            'control' not in peer.roles,
-        )
+    def preference(peer: Peer) -> tuple[int, bool]:
+        return (distance(own, peer), 'control' not in peer.roles)
 
-    shortest = min(map(distance, candidates), default=None)
-    nearest = [peer for peer in candidates if distance(peer) == shortest]
+    best = min(map(preference, candidates), default=None)
+    nearest = [peer for peer in candidates if preference(peer) == best]
     return random.choice(nearest) if nearest else None
--- a/oleanderpin/tests/wire/test_peer_traffic.py
+++ b/oleanderpin/tests/wire/test_peer_traffic.py
@@ -29,7 +29,7 @@
     kernel: Any = SimpleNamespace(clock=ManualClock(0.0))
     traffic = PeerTraffic(kernel)
     traffic.note('10.0.0.1:7220', 'Membership.join', 900)
-    traffic.border_of = lambda _address: 'region'
+    traffic.borders = lambda: {'10.0.0.1:7220': 'region'}
     kernel.clock.advance(11)
     traffic.note('10.0.0.1:7220', 'Membership.join', 100)
     assert logged_bytes(caplog) == {'Membership.join region': 1000}
@@ -54,7 +54,8 @@
             near.plugin(Peers).table.own,
             timeout_s=CALL_TIMEOUT_S,
         )
-        assert near.plugin(Peers)._border_of(address) in {'region', 'unknown'}
+        border = near.plugin(Peers)._borders().get(address, 'unknown')
+        assert border in {'region', 'unknown'}
     finally:
         for kernel in (near, far):
             kernel.stop()
--- a/oleanderpin/wire/peer_traffic.py
+++ b/oleanderpin/wire/peer_traffic.py
@@ -7,7 +7,7 @@
 import logging
 import threading
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Literal
 
 from ..core.metrics import PEER_CALL_BYTES
@@ -19,12 +19,14 @@
 _LOGGED_CALLS = 12
 
 Border = Literal['none', 'failure_domain', 'region', 'unknown']
+# By distance.
+BORDERS: tuple[Border, ...] = ('none', 'failure_domain', 'region')
 
 DATAGRAM = 'datagram'
 
 
-def _unknown_border(_address: str) -> Border:
-    return 'unknown'
+def _no_borders() -> Mapping[str, Border]:
+    return {}
 
 
 @plugins.register('peer-traffic')
@@ -44,7 +46,7 @@
         self._counted_s = kernel.clock.now_s()
         self._logged_s = self._counted_s
         # Set by the membership.
-        self.border_of: Callable[[str], Border] = _unknown_border
+        self.borders: Callable[[], Mapping[str, Border]] = _no_borders
 
     def note(self, address: str, call: str, byte_count: int) -> None:
         """Count bytes of a call.
@@ -69,8 +71,9 @@
         self._count(pending, now_s)
 
     def _count(self, pending: Counter[tuple[str, str]], now_s: float) -> None:
+        borders = self.borders()
         for (address, call), byte_count in pending.items():
-            border = self.border_of(address)
+            border = borders.get(address, 'unknown')
             PEER_CALL_BYTES.labels(call, border).inc(byte_count)
             self._logged[call, border] += byte_count
         interval_s = now_s - self._logged_s
