--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -544,7 +544,7 @@
     """Guards against a border that each change crosses for each instance.
 
     Relays watched the leader, and all instances did after a start, when no
-    other one was current: 6 of 11 MB that 63 instances sent between regions.
+    other one was current: 6 of 12 MB that 63 instances sent between regions.
     """
     peers = large_fleet()
     by_address = {each.peer_address: each for each in peers}
--- a/oleanderpin/wire/compression.py
+++ b/oleanderpin/wire/compression.py
@@ -4,6 +4,7 @@
 instances, over links between regions that bodies of requests need.
 """
 
+import io
 import struct
 import zlib
 
@@ -15,7 +16,7 @@
 _COMPRESSED_MARK = 0x78
 # Shorter frames hardly shrink.
 _MIN_COMPRESSED_BYTES = 256
-# Higher levels take two to three times the processor time for 10% fewer bytes.
+# Level 6 takes twice the processor time for 4% fewer bytes of a configuration.
 _COMPRESSION_LEVEL = 1
 
 
@@ -41,7 +42,7 @@
         self._socket = socket
         self._max_frame_bytes = max_frame_bytes
         self._compresses = compresses
-        self._unread = b''
+        self._unread = io.BytesIO()
 
     def isOpen(self) -> bool:  # noqa: N802
         """Return whether the socket is open."""
@@ -63,10 +64,10 @@
         TTransportException
             If a frame is too long or cannot be expanded.
         """
-        if not self._unread:
-            self._unread = self._read_frame()
-        chunk = self._unread[:sz]
-        self._unread = self._unread[sz:]
+        chunk = self._unread.read(sz)
+        if not chunk:
+            self._unread = io.BytesIO(self._read_frame())
+            chunk = self._unread.read(sz)
         return chunk
 
     def write(self, buf: bytes) -> None:
