--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -1,6 +1,7 @@
 """A gateway with scripted HTTP targets on loopback, for tests and benchmarks."""
 
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -32,6 +33,8 @@
 _READY_TIMEOUT_S = 15.0
 _READY_POLL_S = 0.05
 _SOCKET_TIMEOUT_S = 10.0
+# Linger is on, for zero seconds.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 Script = Callable[[bytes], bytes]
 
@@ -285,6 +288,87 @@
             self.closed.set()
 
 
+class CrashingTarget(LoopbackTarget):
+    """Ends when it begins to run a deadly request, with all its connections.
+
+    It listens again on the same port when it is started again. ``crashes``
+    counts its ends, and ``served`` the requests that it has responded to.
+
+    Parameters
+    ----------
+    name : str
+        Id that its health states.
+    deadly : bytes
+        What deadly requests contain.
+    """
+
+    def __init__(self, name: str, deadly: bytes = b'deadly') -> None:
+        """Start without connections."""
+        super().__init__()
+        self.name = name
+        self.crashes = 0
+        self.served = 0
+        self._deadly = deadly
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+
+    def start(self) -> Self:
+        """Listen on the port that it had before, or else on a free one."""
+        self._server = socket.create_server(('127.0.0.1', self.port))
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def crash(self) -> None:
+        """Close the listening socket and reset all connections."""
+        with self._lock:
+            server = self._server
+            self._server = None
+            opened = list(self._open)
+        if server is None:
+            return
+        self.crashes += 1
+        # A blocked accept keeps the port open otherwise.
+        server.shutdown(socket.SHUT_RDWR)
+        server.close()
+        for connection in opened:
+            reset(connection)
+
+    def serve(self, connection: socket.socket) -> None:
+        """Respond to one request after the other, until one ends the target."""
+        with self._lock:
+            self._open.add(connection)
+        buffer = bytearray()
+        try:
+            message = read_message(connection, buffer)
+            while message:
+                if self._deadly in message:
+                    self.crash()
+                    return
+                self.served += not message.startswith(b'GET /health')
+                extra = f'X-Target-Id: {self.name}\r\n'
+                connection.sendall(answer_bytes(message, extra=extra))
+                message = read_message(connection, buffer)
+        except OSError:
+            return
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+
+
+def reset(connection: socket.socket) -> None:
+    """Reset a connection that may be in use by another thread."""
+    try:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+        connection.shutdown(socket.SHUT_RD)
+        connection.close()
+    except OSError:
+        # The other end has closed it.
+        return
+
+
 @dataclass(slots=True)
 class GatewayFixture:
     """A running gateway that is the only member of its control group."""
