--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -9,11 +9,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from ..control.state import Service
 from ..core.clock import monotonic_s
 from ..core.errors import Refusal
 from ..core.metrics import RETRIES
-from ..moves.split import VersionSplit
 from ..routing.outcome import AttemptOutcome, AttemptResult, Observation
 from ..routing.router import Router
 from .admission import max_wait_s, return_after_s
@@ -94,7 +92,6 @@
         self._probes = Probes(
             kernel, dialect, self.pool, log, answers=self._answers
         )
-        self._split = kernel.plugin(VersionSplit)
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_budget_percent)
         self._retry_reserve = settings.retry_reserve
@@ -174,7 +171,7 @@
             raise self._final_refusal(routed, 'deadline')
         now_s = monotonic_s()
         targets = self._directory.for_service(routed.service.name)
-        version = self._version(routed.service, targets)
+        version = self._directory.choose_version(routed.service, targets)
         groups = targets.ordered(
             routed.object_key,
             version,
@@ -227,21 +224,6 @@
             known_gateways=self._known_gateways,
         )
 
-    def _version(self, service: Service, targets: ServiceTargets) -> str:
-        weights = self._split.weights(service)
-        versions = [
-            version for version, weight in weights.items() if weight > 0
-        ]
-        if len(versions) == 1:
-            return versions[0]
-        present = targets.versions()
-        usable = [
-            version for version in versions if not version or version in present
-        ] or versions
-        return self._random.choices(
-            usable, [weights[version] for version in usable]
-        )[0]
-
     async def _attempt(
         self, routed: RoutedRequest, candidate: Candidate
     ) -> Response | None:
--- a/oleanderpin/gateway/service_targets.py
+++ b/oleanderpin/gateway/service_targets.py
@@ -1,15 +1,17 @@
 """Targets of each service, with the health that this instance observed."""
 
 import math
+import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
+from ..control.state import Service
 from ..control.view import ControlView
 from ..core.clock import monotonic_s
 from ..core.places import distance
 from ..moves.drains import Drains
-from ..moves.split import ANY_VERSION
+from ..moves.split import ANY_VERSION, VersionSplit
 from ..routing.region_loads import LoadKey
 from ..routing.target_limits import TargetLimits, parse_limit_per_s
 from ..targets.announcement import Incarnation
@@ -227,6 +229,8 @@
         self._table = kernel.plugin(TargetTable)
         self._drains = kernel.plugin(Drains)
         self._view = kernel.plugin(ControlView)
+        self._split = kernel.plugin(VersionSplit)
+        self._random = random.Random()
         self._instance = kernel.settings.instance
         self.reporter = kernel.plugin(LoadReporter)
         self.states = TargetStates(
@@ -281,6 +285,30 @@
             candidate.target.target_id, limit_per_s, now_s
         )
 
+    def choose_version(self, service: Service, targets: ServiceTargets) -> str:
+        """Return the version for a request, by the split of the service.
+
+        Parameters
+        ----------
+        service : Service
+            Service of the request.
+        targets : ServiceTargets
+            Its targets; versions without any are left out.
+        """
+        weights = self._split.weights(service)
+        versions = [
+            version for version, weight in weights.items() if weight > 0
+        ]
+        if len(versions) == 1:
+            return versions[0]
+        present = targets.versions()
+        usable = [
+            version for version in versions if not version or version in present
+        ] or versions
+        return self._random.choices(
+            usable, [weights[version] for version in usable]
+        )[0]
+
     def note_leaving(self, candidate: Candidate, cause: str) -> None:
         """Record that a target said in a response that it leaves.
 
