Refuse requests that crash the targets that run them, on the platform's path

Cause: crashes by fingerprint were counted only on the threaded path. The event loop that serves callers remembers failures of targets and connections, none of requests, so that each resend at each gateway is a new request.

Change: a gateway counts a crash once the target refuses connections after a lost attempt. Crashes in a row that did not overlap add up over the fleet, with the reports that gateways send each second, and 0.2 s after a crash. At three crashes in a row without an answer the request is refused for ten minutes. A request that was answered within a minute is not suspected; a crash counts less while many other requests are lost.

--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -16,6 +16,7 @@
 from ..routing.router import Router
 from .admission import max_wait_s, return_after_s
 from .connection_pool import ConnectionPool
+from .crash_guard import CrashGuard
 from .dialect import Dialect
 from .known_gateways import KnownGateways
 from .messages import (
@@ -88,6 +89,7 @@
         self._log = log
         self._known_gateways = known_gateways
         self._directory = TargetDirectory(kernel, log)
+        self._crash_guard = CrashGuard(self._directory.reporter, log)
         self._answers = TargetAnswers(dialect, self._directory, log)
         self._probes = Probes(
             kernel, dialect, self.pool, log, answers=self._answers
@@ -140,6 +142,7 @@
         """
         self._budget.note_request()
         while True:
+            self._crash_guard.check(routed)
             candidate = self._choose(routed)
             response = await self._attempt(routed, candidate)
             if response is not None:
@@ -258,6 +261,8 @@
         except TargetFailure as failure:
             self._note_failure(routed, candidate, failure.result)
             routed.may_have_run = routed.may_have_run or failure.may_have_run
+            if failure.result == 'reset':
+                await self._crash_guard.note_lost(routed, candidate, started_s)
             self._require_retry(routed, failure.result)
             return None
         finally:
@@ -331,6 +336,7 @@
         self, routed: RoutedRequest, candidate: Candidate, duration_s: float
     ) -> None:
         health = candidate.health
+        self._crash_guard.note_answer(routed)
         if not routed.has_waited:
             work_s = duration_s - health.round_trip_s
             self._directory.durations.note(routed.route.route.name, work_s)
--- a/oleanderpin/routing/change_versions.py
+++ b/oleanderpin/routing/change_versions.py
@@ -9,6 +9,12 @@
 _VERSION_BITS = 31
 
 
+def is_same_numbering(version: int, other: int) -> bool:
+    """Return whether one process has numbered both versions."""
+    bits = _VERSION_BITS + 1
+    return version >> bits == other >> bits
+
+
 def _random_version() -> int:
     return secrets.randbits(_VERSION_BITS) << (_VERSION_BITS + 1)
 
@@ -34,6 +40,10 @@
         self.version += 1
         self._changed[key] = self.version
 
+    def has(self, key: KeyT) -> bool:
+        """Return whether an entry is shared."""
+        return key in self._changed
+
     def forget(self, key: KeyT) -> None:
         """Drop an entry that is no longer shared."""
         self._changed.pop(key, None)
--- a/oleanderpin/routing/region_loads.py
+++ b/oleanderpin/routing/region_loads.py
@@ -18,6 +18,7 @@
 from ..membership.peers import Peer
 from ..wire.generated.loads import Loads
 from ..wire.generated.loads.ttypes import (
+    CrashSuspects,
     DomainLoad,
     LeavingTarget,
     LoadReport,
@@ -26,6 +27,7 @@
     TargetLimit,
 )
 from ..wire.server import PeerServer
+from .crash_suspects import SharedSuspects
 from .leaving_targets import SharedLeaving
 from .target_limits import SharedLimits
 
@@ -163,8 +165,15 @@
             limits_version=version,
             leaving=leaving or None,
             leaving_version=leaving_version,
+            suspects=self.exchange_suspects(report.suspects)
+            if report.suspects
+            else None,
         )
 
+    def exchange_suspects(self, suspects: CrashSuspects) -> CrashSuspects:
+        """Record suspected requests; return what is new to the gateway."""
+        return self._aggregator.exchange_suspects(suspects)
+
     def domains(self) -> list[DomainLoad]:
         """Return the mean link load of each failure domain."""
         return [
@@ -190,6 +199,7 @@
         self._reports = ReportedLoads()
         self._limits = SharedLimits()
         self._leaving = SharedLeaving()
+        self._suspects = SharedSuspects()
         kernel.plugin(PeerServer).register(
             'Loads', Loads.Processor(LoadsHandler(self))
         )
@@ -223,6 +233,11 @@
             added = self._leaving.added_since(version, now_s)
             return added, self._leaving.version
 
+    def exchange_suspects(self, suspects: CrashSuspects) -> CrashSuspects:
+        """Record suspected requests; return those changed since a version."""
+        with self._lock:
+            return self._suspects.exchange(suspects, self.kernel.clock.now_s())
+
     def links(self) -> dict[str, list[float]]:
         """Return the link loads of the gateways by failure domain."""
         with self._lock:
--- a/oleanderpin/tests/gateway/test_crashing_requests.py
+++ b/oleanderpin/tests/gateway/test_crashing_requests.py
@@ -12,7 +12,10 @@
 from ...testing.gateway import (
     CrashingTarget,
     GatewayFixture,
+    ScriptedHttpTarget,
+    answer_bytes,
     configuration,
+    header_of,
     joined_gateway,
     request_bytes,
     started_gateway,
@@ -112,6 +115,8 @@
     problem = json.loads(last.partition(b'\r\n\r\n')[2])
     assert problem['reason'] == 'crashes_targets'
     assert problem['not_run'] is True
+    # The next copy is refused too, so the caller is told not to send it soon.
+    assert float(header_of(last, b'retry-after')) > 500
 
 
 def test_request_that_crashes_targets_is_known_to_all_gateways(
@@ -141,3 +146,34 @@
         request_bytes(path='/desk/1', method='POST', body=b'sound')
     )
     assert status_of(answer) == 200
+
+
+def test_lost_connections_are_no_crashes(gateway: GatewayFixture) -> None:
+    """Guards against refusing requests whose connections were reset."""
+
+    def respond(request: bytes) -> bytes:
+        if request.startswith(b'GET /health'):
+            return answer_bytes(request)
+        return b''
+
+    targets = [ScriptedHttpTarget(respond).start() for _each in range(6)]
+    for number, target in enumerate(targets):
+        gateway.announce(target, f't{number}')
+    for number in range(10):
+        request = request_bytes(request_id=f'r{number}')
+        (answer,) = gateway.ask(request)
+        problem = json.loads(answer.partition(b'\r\n\r\n')[2])
+        assert problem['reason'] != 'crashes_targets'
+        time.sleep(0.1)
+    for target in targets:
+        target.stop()
+
+
+def test_sound_requests_are_served_beside_a_deadly_one(
+    gateway: GatewayFixture, fleet: CrashingFleet
+) -> None:
+    """Guards against refusing what shares a path or an account with it."""
+    resend(fleet, [gateway], for_s=2)
+    for number in range(5):
+        sound = request_bytes(path=f'/desk/{number}', request_id=f's{number}')
+        assert status_of(gateway.ask(sound)[0]) == 200
--- a/oleanderpin/wire/loads.thrift
+++ b/oleanderpin/wire/loads.thrift
@@ -24,6 +24,30 @@
   4: i32 age_ms,
 }
 
+/** The end of a target while it ran a request. */
+struct Crash {
+  /** The same wherever the crash is known. */
+  1: i64 crash_id,
+  2: i32 started_age_ms,
+  3: i32 ended_age_ms,
+  /** Below 100 if many other requests were lost at the same time. */
+  4: i16 weight_percent,
+}
+
+/** A request that may crash the targets that run it. */
+struct CrashSuspect {
+  1: binary fingerprint,
+  2: list<Crash> crashes,
+  /** Time since a target has answered it; unset if none has. */
+  3: optional i32 answered_age_ms,
+}
+
+/** Suspects that are new since the version that the other side was told. */
+struct CrashSuspects {
+  1: list<CrashSuspect> suspects,
+  2: i64 version,
+}
+
 /** What one gateway has sent; the mean since its last report. */
 struct LoadReport {
   1: string instance,
@@ -40,6 +64,8 @@
   7: optional list<LeavingTarget> leaving,
   /** Version of the leaving targets that the last reply told. */
   8: optional i64 leaving_version,
+  /** Suspects that the gateway has not reported yet, and the told version. */
+  9: optional CrashSuspects suspects,
 }
 
 /** Mean over the gateways of a failure domain that have reported lately. */
@@ -59,9 +85,12 @@
   /** Leaving targets that are new since the version in the report. */
   5: optional list<LeavingTarget> leaving,
   6: optional i64 leaving_version,
+  7: optional CrashSuspects suspects,
 }
 
 service Loads {
   LoadSums report(1: LoadReport report),
   list<DomainLoad> domains(),
+  /** Exchanges suspects between two reports. */
+  CrashSuspects exchange_suspects(1: CrashSuspects suspects),
 }
