Let requests return slowly to a region that has lost targets

Six seconds after targets of a region were lost, its requests were held to 8% in other regions at once. The limit now follows what leaves and falls by 3% a second.

--- a/oleanderpin/gateway/region_split.py
+++ b/oleanderpin/gateway/region_split.py
@@ -41,6 +41,9 @@
 # For this long after targets of the own region were lost, its requests may go
 # wherever there is spare capacity.
 _TARGET_LOSS_WINDOW_S = 6.0
+# Limit on the fall of that fraction afterwards. With the change of the shares,
+# two adjacent windows of 2 s differ by at most 0.11.
+_MAX_OVERFLOW_CHANGE_PER_S = 0.03
 # Smallest share of objects that is moved, since every moved object has to be
 # loaded again.
 _MIN_SHARE_CHANGE = 0.1
@@ -134,6 +137,7 @@
         self._is_adjusting = False
         self._overflow_fraction = 0.0
         self._overflow_updated_s = now_s
+        self._overflow_limit = _MAX_OVERFLOW_FRACTION
 
     @property
     def local_share(self) -> float:
@@ -179,6 +183,7 @@
         """
         elapsed_s = now_s - self._updated_s
         self._updated_s = now_s
+        self._update_overflow_limit(elapsed_s, now_s)
         self._smooth_capacities(
             capacities, min(1.0, elapsed_s / _LOAD_TIME_CONSTANT_S)
         )
@@ -267,10 +272,9 @@
         home : str
             Home region of the object.
         """
-        is_own = home == self.own_region
-        if is_own and now_s - self._targets_lost_s < _TARGET_LOSS_WINDOW_S:
+        if home == self.own_region and self._has_lost_targets(now_s):
             return True
-        return self._overflow_fraction < _MAX_OVERFLOW_FRACTION
+        return self._overflow_fraction < self._overflow_limit
 
     def note_placed(self, now_s: float, *, leaves: bool) -> None:
         """Record a request, and whether it leaves its home region."""
@@ -304,6 +308,21 @@
         capacity = self._capacities.get(region)
         return capacity.load if capacity else 0.0
 
+    def _has_lost_targets(self, now_s: float) -> bool:
+        return now_s - self._targets_lost_s < _TARGET_LOSS_WINDOW_S
+
+    def _update_overflow_limit(self, elapsed_s: float, now_s: float) -> None:
+        """Follow the fraction after a loss, and let it fall slowly then."""
+        if self._has_lost_targets(now_s):
+            weight = min(1.0, elapsed_s / _LOAD_TIME_CONSTANT_S)
+            change = self._overflow_fraction - self._overflow_limit
+            limit = self._overflow_limit + change * weight
+        else:
+            limit = (
+                self._overflow_limit - _MAX_OVERFLOW_CHANGE_PER_S * elapsed_s
+            )
+        self._overflow_limit = max(_MAX_OVERFLOW_FRACTION, limit)
+
     def _smooth_capacities(
         self, capacities: Mapping[str, RegionCapacity], weight: float
     ) -> None:
--- a/oleanderpin/tests/gateway/test_region_split.py
+++ b/oleanderpin/tests/gateway/test_region_split.py
@@ -197,3 +197,38 @@
     shares = split.shares
     split.estimate_from_slots(SLOTS | {'south': 540.0}, 20.0)
     assert split.shares == shares
+
+
+# Of the requests of a region, at most this part may run in another region from
+# one window to the next.
+WINDOW_S = 2.0
+MAX_SHIFT = 0.15
+
+
+def test_requests_return_slowly_after_targets_were_lost() -> None:
+    """Guards against half of a region's requests returning at once.
+
+    Half of the region's targets have left, and half of the requests find no
+    room there, long after the time in which they may all go elsewhere.
+    """
+    split = busy_split()
+    split.note_target_loss(0.0)
+    left = Counter[int]()
+    asked = Counter[int]()
+    for number in range(4000):
+        now_s = number / 100
+        if not number % 25:
+            split.update(capacities(north=0.6, central=0.5, south=0.5), now_s)
+        leaves = bool(number % 2) and split.may_leave(now_s, home='north')
+        split.note_placed(now_s, leaves=leaves)
+        window = int(now_s / WINDOW_S)
+        left[window] += leaves
+        asked[window] += 1
+    fractions = [left[window] / asked[window] for window in sorted(asked)]
+    changes = [
+        abs(later - earlier)
+        for earlier, later in zip(fractions, fractions[1:], strict=False)
+    ]
+    assert max(changes) <= MAX_SHIFT
+    assert fractions[0] > 0.4
+    assert fractions[-1] < 0.15
