Use a slow target, or try a failing one, if no other is left

A gateway with a single target refused all requests (service_trial) once the target was slow or had failed, for as long as no request could run twice: only repeatable ones may be trials, and the averages change with responses alone.

If nothing but slow and failing targets is left, none of them only busy, any request may use a slow one, and one a second a failing one.

--- a/oleanderpin/gateway/candidate.py
+++ b/oleanderpin/gateway/candidate.py
@@ -65,6 +65,9 @@
         unknown. Requests with less time left are rejected.
     uses_leaving : bool
         Whether the request may go to a leaving target.
+    uses_degraded : bool
+        Whether the request may go to a slow target, or be the trial of a
+        failing one although it is not repeatable.
     """
 
     key: str
@@ -75,3 +78,4 @@
     is_repeatable: bool = False
     min_work_s: float = 0.0
     uses_leaving: bool = False
+    uses_degraded: bool = False
--- a/oleanderpin/gateway/eligibility.py
+++ b/oleanderpin/gateway/eligibility.py
@@ -131,13 +131,13 @@
 @checks.register('trial')
 def _check_trial(candidate: Candidate, question: Question) -> float | None:
     health, needs = candidate.health, question.needs
-    is_degraded = health.is_failing() or (
-        health.slowness(needs.usual_s) > _SLOW_FACTOR
-    )
-    if not is_degraded:
+    is_failing = health.is_failing()
+    is_slow = health.slowness(needs.usual_s) > _SLOW_FACTOR
+    if not is_failing and (not is_slow or needs.uses_degraded):
         return None
     until_s = health.sent_s + _TRIAL_INTERVAL_S
-    if needs.is_repeatable and question.now_s >= until_s:
+    may_be_trial = needs.is_repeatable or needs.uses_degraded
+    if may_be_trial and question.now_s >= until_s:
         return None
     return max(until_s, question.now_s)
 
--- a/oleanderpin/gateway/placement.py
+++ b/oleanderpin/gateway/placement.py
@@ -48,6 +48,8 @@
 
 # Targets that decline by their own word are replaced by those of other regions.
 _DECLINED = frozenset(('leaving', 'paused'))
+# Reasons that end as soon as a response or a token comes.
+_SOON_USABLE = frozenset(('busy', 'limited'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,15 @@
         """Whether only a leaving target may be left."""
         return self.candidate is None and 'leaving' in self.excluded
 
+    @property
+    def may_use_degraded(self) -> bool:
+        """Whether only slow or failing targets are left.
+
+        If others are only busy, the request may have room there soon.
+        """
+        is_alone = not (self.compared or self.excluded & _SOON_USABLE)
+        return self.candidate is None and is_alone and 'trial' in self.excluded
+
     def describe(self, needs: Needs) -> str:
         """Return the estimates behind a rejection, for logs."""
         return (
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -210,6 +210,9 @@
         if placement.may_use_leaving:
             with_leaving = replace(needs, uses_leaving=True)
             placement = self._place_in(groups, with_leaving, now_s)
+        if placement.may_use_degraded:
+            with_degraded = replace(needs, uses_degraded=True)
+            placement = self._place_in(near, with_degraded, now_s)
         if placement.candidate is None:
             routed.rejection = placement.describe(needs)
             routed.wait_s = placement.wait_s
