Let objects leave a region sooner whose targets hold more than their slots

Traced by a trial that printed each placement: central has lost a third of its slots and holds 1.2 to 1.4 requests a slot from 24 s on, other regions 0.3 to 0.6. Its objects leave at 2.5% a second, so that at 32 s, when callers stop, 0.60 of the requests still run there; the 39 after it, queued or refused there before, run there to 0.87.

After 2 s of such a load objects now leave at 5% a second. With what leaves for lack of room two windows differ by less than 0.15 (test). The new test of how long a region stays overloaded failed before (11.75 s; 8.0 follow from the rate).

--- a/oleanderpin/gateway/region_split.py
+++ b/oleanderpin/gateway/region_split.py
@@ -27,6 +27,10 @@
 # Limit on the change of the shares. Two adjacent windows of 2 s then differ by
 # at most 0.05.
 _MAX_SHARE_CHANGE_PER_S = 0.025
+# The same while the own region holds more requests than slots. It applies after
+# some seconds of this, when what leaves for lack of capacity no longer grows.
+_OVERLOADED_SHARE_CHANGE_PER_S = 0.05
+_OVERLOADED_S = 2.0
 # Load of all targets together, assumed before the first requests.
 _ASSUMED_LOAD = 0.6
 # Number of requests after which the measured load is meaningful.
@@ -135,6 +139,7 @@
         self._placed_requests = 0
         self._targets_lost_s = float('-inf')
         self._is_adjusting = False
+        self._overloaded_since_s = math.inf
         self._overflow_fraction = 0.0
         self._overflow_updated_s = now_s
         self._overflow_limit = _MAX_OVERFLOW_FRACTION
@@ -200,12 +205,27 @@
         )
         if not self._is_adjusting:
             return
-        fraction = min(1.0, _MAX_SHARE_CHANGE_PER_S * elapsed_s / moved)
+        limit = self._share_change_per_s(desired, now_s) * elapsed_s
+        fraction = min(1.0, limit / moved)
         self.shares = {
             region: self.shares.get(region, 0.0) + change * fraction
             for region, change in changes.items()
         }
 
+    def _share_change_per_s(
+        self, desired: Mapping[str, float], now_s: float
+    ) -> float:
+        """Return the limit; objects leave an overloaded region sooner."""
+        if self.load_of(self.own_region) <= 1:
+            self._overloaded_since_s = math.inf
+        elif math.isinf(self._overloaded_since_s):
+            self._overloaded_since_s = now_s
+        is_lasting = now_s - self._overloaded_since_s >= _OVERLOADED_S
+        is_leaving = desired.get(self.own_region, 0.0) < self.local_share
+        if is_lasting and is_leaving:
+            return _OVERLOADED_SHARE_CHANGE_PER_S
+        return _MAX_SHARE_CHANGE_PER_S
+
     def estimate_from_slots(
         self, slots: Mapping[str, float], now_s: float
     ) -> None:
--- a/oleanderpin/tests/gateway/test_region_split.py
+++ b/oleanderpin/tests/gateway/test_region_split.py
@@ -75,6 +75,24 @@
     assert max(changes) <= 0.15
 
 
+def test_objects_leave_a_region_that_has_lost_targets_soon() -> None:
+    """Guards against callers refused for long while others have room.
+
+    Half of the targets of a region have left: the others hold 1.4 requests a
+    slot, and those of other regions a third of one.
+    """
+    split = busy_split()
+    below_s = float('inf')
+    for step in range(200):
+        now_s = step * 0.25
+        load = split.local_share * 1.4
+        if load < 1.0:
+            below_s = min(below_s, now_s)
+        split.update(capacities(north=load, south=0.3), now_s)
+    # After 2 s of overload, 0.29 of the objects leave at 0.05 a second.
+    assert below_s <= 8.0
+
+
 def test_share_settles_below_full_load() -> None:
     """Guards against a small region that is kept at full load."""
     split = busy_split()
@@ -232,3 +250,30 @@
     assert max(changes) <= MAX_SHIFT
     assert fractions[0] > 0.4
     assert fractions[-1] < 0.15
+
+
+def test_requests_leave_an_overloaded_region_slowly() -> None:
+    """Guards against a jump when objects and single requests leave at once."""
+    split = busy_split()
+    elsewhere = Counter[int]()
+    asked = Counter[int]()
+    for number in range(4000):
+        now_s = number / 100
+        if not number % 25:
+            load = 0.5 if now_s < 4 else 1.4 * split.local_share
+            split.update(capacities(north=load, south=0.3), now_s)
+        # Requests whose home is elsewhere, and those that find no room.
+        has_left = number % 100 >= split.local_share * 100
+        wants_to_leave = not has_left and now_s > 4 and bool(number % 2)
+        leaves = wants_to_leave and split.may_leave(now_s, home='north')
+        split.note_placed(now_s, leaves=leaves)
+        window = int(now_s / WINDOW_S)
+        elsewhere[window] += has_left or leaves
+        asked[window] += 1
+    fractions = [elsewhere[window] / asked[window] for window in sorted(asked)]
+    changes = [
+        abs(later - earlier)
+        for earlier, later in zip(fractions, fractions[1:], strict=False)
+    ]
+    assert max(changes) <= MAX_SHIFT
+    assert fractions[-1] > 0.2
