--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -24,7 +24,7 @@
 from ..core.kernel import Kernel
 from ..gateway.plugin import Gateway
 from ..operators.actions import OperatorActions
-from ..targets.announcement import Announcement
+from ..targets.announcement import Announcement, Departure
 from ..targets.table import TargetTable
 from .builders import free_ports
 from .fleet import build_settings
@@ -421,6 +421,11 @@
             )
         )
 
+    def withdraw(self, name: str, *, service: str = 'desk') -> None:
+        """Tell the gateway that a target has left."""
+        departure = Departure(service=service, target_id=name)
+        self.kernel.plugin(TargetTable).leave(departure)
+
 
 def configuration(
     *,
