Let the soak send requests that crash their targets

While instances are paused, killed and restarted, callers send copies of one deadly request and sound ones to any gateway; targets start again and announce themselves. At gateways that are calm at most three attempts may reach targets 4 s after the third crash, and no sound request may be refused for it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,7 @@
         print(
             f'seed {seed}: {len(seen.confirmed)} changes, '
             f'{len(seen.faults)} faults, {seen.polls} readings, '
-            f'{len(seen.problems)} problems',
+            f'{len(seen.problems)} problems, {seen.requests}',
             flush=True,
         )
         for problem in seen.problems[:20]:
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -1,5 +1,7 @@
 """Changes of the control state while instances are paused, killed and restarted.
 
+Meanwhile callers send a request that crashes its targets, see `deadly`.
+
 Checks, from what the admin ports answer: a confirmed change is in force in time
 on every instance that can reach the control group, no process goes back to an
 older state, and nothing that was confirmed is lost at the end.
@@ -25,6 +27,8 @@
     stop_all,
 )
 
+from . import deadly
+
 CONTROL = 3
 GATEWAYS = 12
 _DOMAINS = (
@@ -66,6 +70,7 @@
     polls: int = 0
     problems: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    requests: str = ''
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def add_problem(self, problem: str) -> None:
@@ -368,7 +373,12 @@
     stopped = threading.Event()
     try:
         fleet.start()
+        deadly.configure(fleet)
+        targets = deadly.Targets(fleet, random.Random(f'{seed}/targets'))
+        callers = random.Random(f'{seed}/callers')
         tasks = [
+            targets,
+            deadly.Callers(fleet, seen, callers, targets),
             Changer(fleet, seen, random.Random(f'{seed}/changes')),
             Faults(fleet, seen, random.Random(f'{seed}/faults')),
             *(Poller(fleet, seen, each) for each in fleet.daemons),
@@ -384,6 +394,7 @@
         for thread in threads:
             thread.join()
         check_end(fleet, seen)
+        seen.requests = deadly.summary(targets)
     finally:
         stopped.set()
         stop_all(fleet.daemons)
