--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -178,7 +178,7 @@
     max_targets_per_object: Annotated[int, Field(ge=1, le=1000)] = 4
     retry_budget_percent: Annotated[float, Field(ge=0, le=100)] = 10.0
     # Retries that all gateways together may keep for later.
-    retry_reserve: Annotated[int, Field(ge=0, le=1000000)] = 60
+    retry_reserve: Annotated[float, Field(ge=0, le=1000000)] = 60.0
     max_buffered_bytes: Annotated[int, Field(ge=65536)] = 100 * 1024 * 1024
     max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
     max_response_head_bytes: Annotated[int, Field(ge=1024)] = 65536
--- a/oleanderpin/tests/core/test_settings.py
+++ b/oleanderpin/tests/core/test_settings.py
@@ -62,3 +62,13 @@
     assert str(path) in message
     for part in expected:
         assert part in message
+
+
+@pytest.mark.parametrize(('value', 'expected'), [('60', 60), ('28.857', 28)])
+def test_reserve_of_retries_may_be_a_fraction(
+    tmp_path: Path, value: str, expected: int
+) -> None:
+    """Guards against a fleet that does not start for a computed bound."""
+    extra = f'[gateway]\nretry_reserve = {value}\n'
+    settings = load_settings(write(tmp_path, valid_text(extra)))
+    assert int(settings.gateway.retry_reserve) == expected
