Take the ratio of retries from the platform instead of a fixed 19%

A deployment that allows fewer retries than a fifth would have been sent 19%. retry_budget_ratio keeps a margin of 5%, which is the same 19% on the present sites. The test failed before: the setting did not exist.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -15,6 +15,8 @@
 _UNIT_S = {'ms': 0.001, 's': 1.0}
 _ROLES = ('entry', 'control', 'gateway')
 _MAX_PORT = 65535
+# The rest of a ratio of retries covers requests counted in another window.
+_USED_RETRY_FRACTION = 0.95
 
 
 def _split_list(value: object) -> object:
@@ -177,6 +179,9 @@
     dialect: str = 'bearer'
     max_targets_per_object: Annotated[int, Field(ge=1, le=1000)] = 4
     retry_budget_percent: Annotated[float, Field(ge=0, le=100)] = 10.0
+    # Fraction of retries that the fleet may not exceed; used in place of the
+    # percentage, with a margin, if it is set.
+    retry_budget_ratio: Annotated[float, Field(ge=0, le=1)] | None = None
     # Retries that all gateways together may keep for later.
     retry_reserve: Annotated[float, Field(ge=0, le=1000000)] = 60.0
     max_buffered_bytes: Annotated[int, Field(ge=65536)] = 100 * 1024 * 1024
@@ -193,6 +198,13 @@
     # Rate of the instance's own link in each direction.
     link_mbit_per_s: Annotated[float, Field(gt=0, le=1000000)] = 1000.0
 
+    @property
+    def retry_percent(self) -> float:
+        """Retries that an instance may send for each hundred requests."""
+        if self.retry_budget_ratio is None:
+            return self.retry_budget_percent
+        return self.retry_budget_ratio * 100 * _USED_RETRY_FRACTION
+
 
 class LogSettings(_Section):
     """Log output."""
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -95,7 +95,7 @@
             kernel, dialect, self.pool, log, answers=self._answers
         )
         self._router = kernel.plugin(Router)
-        self._budget = RetryBudget(settings.retry_budget_percent)
+        self._budget = RetryBudget(settings.retry_percent)
         self._retry_reserve = settings.retry_reserve
         self._replicas = settings.max_targets_per_object
         self._random = random.Random()
--- a/oleanderpin/tests/core/test_settings.py
+++ b/oleanderpin/tests/core/test_settings.py
@@ -72,3 +72,10 @@
     extra = f'[gateway]\nretry_reserve = {value}\n'
     settings = load_settings(write(tmp_path, valid_text(extra)))
     assert int(settings.gateway.retry_reserve) == expected
+
+
+def test_retry_budget_follows_the_ratio(tmp_path: Path) -> None:
+    """Guards against a fixed budget where fewer retries are allowed."""
+    extra = '[gateway]\nretry_budget_ratio = 0.1\n'
+    settings = load_settings(write(tmp_path, valid_text(extra)))
+    assert 9 <= settings.gateway.retry_percent < 10
