Search the sources of the control state only after a change

Each watch request sorted all peers by their hashes, several times a second in each instance; a profile named it as the largest part of an idle gateway. The peers are a cached tuple, so the result is kept with it. The test failed before (10 searches instead of 1).

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -7,14 +7,14 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Literal
 
 from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.logs import age_ms
 from ..core.metrics import EVENTS
-from ..membership.peers import Peers
+from ..membership.peers import Peer, Peers
 from ..wire.generated.control.ttypes import WatchReply, WatchRequest
 from ..wire.network import PeerNetwork
 from .confirmations import Confirmations
@@ -89,6 +89,15 @@
         return (2 if is_silent else 1, self.failed_s)
 
 
+@dataclass(slots=True)
+class _FoundSources:
+    """Sources by preference, and the peers and leaders they were found for."""
+
+    peers: tuple[Peer, ...] = ()
+    leaders: tuple[str, ...] = ()
+    addresses: list[str] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class SourceWatch:
     """One of the sources that an instance watches at the same time.
@@ -101,11 +110,14 @@
         Peer address of the source; empty while there is none.
     reported_revision : int
         Confirmed revision that the source was told last.
+    found : _FoundSources
+        The sources to choose from.
     """
 
     is_standby: bool = False
     source: str = ''
     reported_revision: int = 0
+    found: _FoundSources = field(default_factory=_FoundSources)
 
 
 class Follower:
@@ -243,19 +255,12 @@
         if self._kernel.has(ControlLog):
             leadership = self._kernel.plugin(ControlLog).leadership()
             leader = leadership.leader_address or leader
-        own, peers = self._peers.own(), self._peers.alive()
-        configured = configured_members(self._kernel.settings)
-        control = control_sources(
-            own,
-            peers,
-            leaders=[leader, self._hinted_leader],
-            configured=[member.address for member in configured],
-        )
-        candidates = standby_sources if is_standby else sources
-        other = self._first if is_standby else self._standby
+        watch, other = self._first, self._standby
+        if is_standby:
+            watch, other = other, watch
         known = [
             address
-            for address in candidates(own, peers, control)
+            for address in self._find_sources(watch, leader)
             if not is_standby or address != other.source
         ]
         now_s = self._kernel.clock.now_s()
@@ -276,6 +281,29 @@
         # Sorting is stable and keeps the order of preference.
         return sorted(known, key=preference)
 
+    def _find_sources(self, watch: SourceWatch, leader: str) -> list[str]:
+        """Return the sources of a watch, found again after a change only.
+
+        Load pattern: each of several hundred instances asks several times a
+        second, and ordering the peers takes time for each of them.
+        """
+        peers = self._peers.alive()
+        leaders = (leader, self._hinted_leader)
+        found = watch.found
+        if found.peers is peers and found.leaders == leaders:
+            return found.addresses
+        configured = configured_members(self._kernel.settings)
+        control = control_sources(
+            self._peers.own(),
+            peers,
+            leaders=leaders,
+            configured=[member.address for member in configured],
+        )
+        candidates = standby_sources if watch.is_standby else sources
+        addresses = candidates(self._peers.own(), peers, control)
+        watch.found = _FoundSources(peers, leaders, addresses)
+        return addresses
+
     def _watch_request(self, hold_s: float, watch: SourceWatch) -> WatchRequest:
         revision = self._view.revision
         confirmed = self._confirmations.lowest_confirmed_revision(revision)
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -352,6 +352,25 @@
         return clock.now_s() - started_s
 
 
+def test_sources_are_searched_only_after_a_change(
+    chain: Chain, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against idle instances that sort all their peers all the time."""
+    searches = []
+
+    def search(*arguments: Any) -> list[str]:
+        searches.append(arguments)
+        return sources(*arguments)
+
+    monkeypatch.setattr('oleanderpin.control.follower.sources', search)
+    follower = chain.distribution(1).follower
+    before = [follower.ordered_sources() for _each in range(10)]
+    assert len(searches) == 1
+    chain.share_membership()
+    assert follower.ordered_sources() != before[-1]
+    assert len(searches) == 2
+
+
 def test_silent_relay_delays_a_change_less_than_two_seconds(
     chain: Chain,
 ) -> None:
