--- a/oleanderpin/tests/routing/test_crash_suspects.py
+++ b/oleanderpin/tests/routing/test_crash_suspects.py
@@ -9,6 +9,7 @@
     SharedSuspects,
 )
 from ...routing.loss_rate import LossRate
+from ...routing.recent_answers import RecentAnswers
 from ...testing.crash_simulation import DEADLY, CrashSimulation
 
 NAME = b'0123456789abcdef'
@@ -223,3 +224,19 @@
     fleet.crash_targets(10, within_s=2)
     fleet.run(32)
     assert set(fleet.refused) == {DEADLY}
+
+
+def test_answers_of_the_last_seconds_are_kept() -> None:
+    """Guards against suspecting a request that others have displaced.
+
+    A gateway answers 55 requests a second, and 200 more at the same moment.
+    """
+    answers = RecentAnswers()
+    for number in range(3300):
+        answers.note(b'old-%d' % number, number / 55)
+    hot = [b'hot-%d' % number for number in range(200)]
+    for name in hot:
+        answers.note(name, 60)
+    for number in range(110):
+        answers.note(b'new-%d' % number, 60 + number / 55)
+    assert all(answers.answered_s(name) == 60 for name in hot)
