--- a/review/harness.py
+++ b/review/harness.py
@@ -349,7 +349,9 @@
 
 def call(ip, port, method, path, document, timeout_s, redirects=2):
     """Return status and body; status 0 if there is no answer in time."""
-    body = None if document is None else json.dumps(document)
+    body = document
+    if document is not None and not isinstance(document, bytes):
+        body = json.dumps(document).encode()
     headers = {'Content-Type': 'application/json'} if body else {}
     for _hop in range(redirects + 1):
         connection = http.client.HTTPConnection(ip, port, timeout=timeout_s)
