Remove control members that are gone, and add removed ones again

The leader of a group that joins automatically now removes a member that has been silent for [control] member_timeout_s, if the group does not get weaker: from an even number of voters, or when another instance has caught up and no place is free. Silence counts only while the leader holds its lease and was not suspended. A removed member that returns asks to be added again; its identity, log and vote are on its disk.

--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -1,4 +1,4 @@
-"""Forms the initial group, or has an empty instance added to the group."""
+"""Forms the initial group, or has this instance added to the group."""
 
 import logging
 import secrets
@@ -21,6 +21,7 @@
 from .convert import members_to_wire
 from .leader import LeaderClient
 from .raft import RaftNode
+from .raft_state import Role
 from .records import Member, Members
 from .sources import configured_members
 
@@ -31,6 +32,8 @@
 # Short, since members are added one at a time and the others have to retry.
 _JOIN_RETRY_INTERVAL_S = 0.3
 _JOIN_TIMEOUT_S = 3.0
+# For a member that may have been removed; a leader is usually found earlier.
+_REJOIN_CHECK_INTERVAL_S = 1.0
 
 
 class Bootstrap:
@@ -50,20 +53,19 @@
         self._network = node.kernel.plugin(PeerNetwork)
 
     def start(self) -> None:
-        """Form or join a group in a thread, if the disk is empty."""
-        if self._node.state.identity.cluster_id:
-            return
+        """Form or join a group in a thread, and join it again if removed."""
         settings = self._node.kernel.settings
         addresses = self._initial_addresses()
-        if addresses[:1] == [settings.listen.peer]:
+        is_empty = not self._node.state.identity.cluster_id
+        if is_empty and addresses[:1] == [settings.listen.peer]:
             _start_thread(lambda: self._form_when_all_empty(addresses))
-            return
-        _LOG.info(
-            'member %s has an empty disk and waits to be added',
-            self._node.own_id,
-        )
+        elif is_empty:
+            _LOG.info(
+                'member %s has an empty disk and waits to be added',
+                self._node.own_id,
+            )
         if settings.control.join_automatically:
-            _start_thread(self._join)
+            _start_thread(self._stay_member)
 
     def _initial_addresses(self) -> list[str]:
         settings = self._node.kernel.settings
@@ -73,24 +75,47 @@
             return []
         return [member.address for member in configured_members(settings)]
 
-    def _join(self) -> None:
-        """Ask the leader to add this instance, until it belongs to a group."""
+    def _stay_member(self) -> None:
+        """Ask the leader to add this instance whenever it may be no member."""
         node = self._node
-        leader = node.kernel.plugin(LeaderClient)
-        own_address = node.kernel.settings.listen.peer
-        while node.kernel.wait_while_running(_JOIN_RETRY_INTERVAL_S):
-            if node.state.identity.cluster_id:
-                return
-            try:
-                leader.call(
-                    'Raft',
-                    'add_member',
-                    MemberAdd(address=own_address),
-                    timeout_s=_JOIN_TIMEOUT_S,
-                )
-            except (UnavailableError, MemberProblem) as error:
-                EVENTS.labels('control', 'join_waits').inc()
-                _LOG.info('not added to the control group yet: %s', error)
+        is_forming = self._initial_addresses()[:1] == [
+            node.kernel.settings.listen.peer
+        ]
+        while node.kernel.wait_while_running(self._join_interval_s()):
+            is_in_group = bool(node.state.identity.cluster_id)
+            if node.state.failure is not None:
+                continue
+            if is_in_group and self._hears_from_leader():
+                continue
+            if is_in_group or not is_forming:
+                self._ask_to_join()
+
+    def _join_interval_s(self) -> float:
+        if self._node.state.identity.cluster_id:
+            return _REJOIN_CHECK_INTERVAL_S
+        return _JOIN_RETRY_INTERVAL_S
+
+    def _hears_from_leader(self) -> bool:
+        """Return whether a leader replicates to this member, or it leads."""
+        node = self._node
+        with node.lock:
+            limit_s = node.now_s() - node.settings.election_timeout_max_s
+            is_leader = node.state.role is Role.LEADER
+            return is_leader or node.state.leader_contact_s > limit_s
+
+    def _ask_to_join(self) -> None:
+        """Ask the leader to add this instance; members are not added twice."""
+        node = self._node
+        try:
+            node.kernel.plugin(LeaderClient).call(
+                'Raft',
+                'add_member',
+                MemberAdd(address=node.kernel.settings.listen.peer),
+                timeout_s=_JOIN_TIMEOUT_S,
+            )
+        except (UnavailableError, MemberProblem) as error:
+            EVENTS.labels('control', 'join_waits').inc()
+            _LOG.info('not added to the control group yet: %s', error)
 
     def _form_when_all_empty(self, addresses: list[str]) -> None:
         node = self._node
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -286,7 +286,7 @@
             now_s = self.kernel.clock.now_s()
             if self.has_lease():
                 self._view.note_fresh(now_s)
-                members.promote_caught_up()
+                members.maintain()
 
 
 def _start_thread(target: Any, name: str) -> threading.Thread:
--- a/oleanderpin/control/members.py
+++ b/oleanderpin/control/members.py
@@ -1,6 +1,7 @@
 """Membership changes of the group, made one at a time by the leader."""
 
-from dataclasses import dataclass, replace
+import logging
+from dataclasses import dataclass
 
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
@@ -13,16 +14,19 @@
 )
 from ..wire.network import PeerNetwork
 from .convert import member_to_wire
+from .member_policy import MAX_VOTERS, count_places, next_members
 from .progress import majority_size, voter_ids
 from .raft import RaftNode
 from .raft_state import Role
 from .records import LogEntry, Member, Members
 
-MAX_MEMBERS = 7
+_LOG = logging.getLogger(__name__)
 # A learner is promoted when it is at most this many entries behind; the next
 # append request carries them all.
 _MAX_PROMOTION_LAG_ENTRIES = 64
 _IDENTITY_TIMEOUT_S = 2.0
+# A longer pause between two calls means that this process stood still.
+_MAX_UPKEEP_PAUSE_S = 1.0
 _NEVER_MS = -1
 
 
@@ -51,6 +55,8 @@
     def __init__(self, node: RaftNode) -> None:
         self._node = node
         self._network = node.kernel.plugin(PeerNetwork)
+        self._upkeep_s = float('-inf')
+        self._observed_since_s = float('inf')
 
     def add(self, address: str, *, timeout_s: float) -> None:
         """Add the instance at ``address`` as a learner.
@@ -100,30 +106,26 @@
             entry = self._node.append_members(remaining)
         self._require_applied(entry, timeout_s)
 
-    def promote_caught_up(self) -> None:
-        """Promote one learner that has caught up to a voter.
+    def maintain(self) -> None:
+        """Make at most one change that the members' responses call for.
 
-        An older voter at the same address has lost its disk; it is removed
-        first, so that the number of voters does not grow.
+        A learner that has caught up becomes a voter. An older voter at the same
+        address has lost its disk and is removed first. In a group whose members
+        join automatically, members that are gone are removed.
         """
         node = self._node
         with node.lock:
+            self._note_upkeep()
             if not node.has_lease() or self._is_change_in_progress():
                 return
             members = node.state.log.members
-            learner = self._find_caught_up_learner(members)
-            if learner is None:
-                return
-            others = tuple(each for each in members if each != learner)
-            remaining = tuple(
-                each for each in others if each.address != learner.address
+            changed = next_members(
+                members,
+                ready=self._find_caught_up_learner(members),
+                silent=self._silent_members(members),
             )
-            EVENTS.labels('control', 'member_promoted').inc()
-            if len(remaining) == len(others):
-                promoted = replace(learner, is_voter=True)
-                node.append_members((*remaining, promoted))
-            else:
-                node.append_members((*remaining, learner))
+            if changed != members:
+                self._append(members, changed)
 
     def status(self) -> MembersReply:
         """Return the status of all members as known to the leader."""
@@ -180,12 +182,14 @@
         return identity
 
     def _check_addition(self, address: str, members: Members) -> None:
-        others = [each for each in members if each.address != address]
-        if len(others) >= MAX_MEMBERS:
+        others = tuple(each for each in members if each.address != address)
+        silent_ids = {each.member_id for each in self._silent_members(members)}
+        places = count_places(others, silent_ids)
+        if places >= MAX_VOTERS:
             raise MemberProblem(
                 kind='invalid_input',
-                problem=f'the group has {len(others)} members already, '
-                f'at most {MAX_MEMBERS} are possible',
+                problem=f'the group has {places} members already, '
+                f'at most {MAX_VOTERS} are possible',
                 remedy='remove one first',
             )
 
@@ -239,6 +243,58 @@
                 remedy='wait until the members command shows no such change',
             )
 
+    def _note_upkeep(self) -> None:
+        """Restart the observation of silence if this member could not listen.
+
+        While it had no lease or the process stood still, a member's silence
+        says nothing about that member.
+        """
+        now_s = self._node.now_s()
+        if now_s - self._upkeep_s > _MAX_UPKEEP_PAUSE_S:
+            self._observed_since_s = now_s
+        self._upkeep_s = now_s
+
+    def _silent_members(self, members: Members) -> list[Member]:
+        """Return the members that may be gone, the longest silent one first."""
+        node = self._node
+        if not node.settings.join_automatically:
+            return []
+        limit_s = node.now_s() - node.settings.member_timeout_s
+        if self._observed_since_s > limit_s:
+            return []
+        heard_s = {
+            member.member_id: self._last_heard_s(member) for member in members
+        }
+        silent = [each for each in members if heard_s[each.member_id] < limit_s]
+        return sorted(silent, key=lambda each: heard_s[each.member_id])
+
+    def _last_heard_s(self, member: Member) -> float:
+        node = self._node
+        progress = node.state.progress.get(member.member_id)
+        if member.member_id == node.own_id or progress is None:
+            return node.now_s()
+        return max(progress.acked_s, progress.created_s)
+
+    def _append(self, members: Members, changed: Members) -> None:
+        """Append a change of the members and log what it changes."""
+        kept_ids = {each.member_id for each in changed}
+        removed = [each for each in members if each.member_id not in kept_ids]
+        event = 'member_removed' if removed else 'member_promoted'
+        EVENTS.labels('control', event).inc()
+        _LOG.info(
+            'members of the control group change',
+            extra={
+                'members': [each.name for each in changed],
+                'voter_count': len(voter_ids(changed)),
+                'removed': [each.name for each in removed],
+                'removed_silent_s': [
+                    round(self._node.now_s() - self._last_heard_s(each), 1)
+                    for each in removed
+                ],
+            },
+        )
+        self._node.append_members(changed)
+
     def _is_change_in_progress(self) -> bool:
         state = self._node.state
         return state.log.members_index > state.commit_index
--- a/oleanderpin/control/progress.py
+++ b/oleanderpin/control/progress.py
@@ -12,11 +12,13 @@
 class Progress:
     """Replication progress of one member.
 
-    ``acked_s`` is when the last acknowledged message was sent, by the
-    monotonic clock of the leader.
+    ``created_s`` is when the leader began to replicate to the member and
+    ``acked_s`` when the last acknowledged message was sent, by the monotonic
+    clock of the leader.
     """
 
     next_index: int
+    created_s: float
     match_index: int = 0
     sent_s: float = _NEVER_S
     acked_s: float = _NEVER_S
--- a/oleanderpin/control/raft.py
+++ b/oleanderpin/control/raft.py
@@ -236,12 +236,14 @@
 
     def append_members(self, members: Members) -> LogEntry:
         """Append an entry that sets the members, and replicate to new ones."""
+        earlier_ids = {each.member_id for each in self.state.log.members}
         entry = self.append_entry(EntryKind.MEMBERS, encode_members(members))
+        progress = self.state.progress
         for member in members:
-            if member.member_id != self.own_id:
-                self.state.progress.setdefault(
-                    member.member_id, Progress(next_index=entry.index)
-                )
+            member_id = member.member_id
+            is_known = member_id in earlier_ids and member_id in progress
+            if member_id != self.own_id and not is_known:
+                progress[member_id] = Progress(entry.index, self.now_s())
         self.on_members_changed()
         return entry
 
--- a/oleanderpin/control/replication.py
+++ b/oleanderpin/control/replication.py
@@ -56,18 +56,22 @@
         try:
             while self._is_replication_needed(term, member):
                 self._replicate_once(term, member)
-        finally:
+        except BaseException:
             with self._node.lock:
                 self._running.discard((term, member.member_id))
+            raise
 
     def _is_replication_needed(self, term: int, member: Member) -> bool:
         """Return whether to continue.
 
-        A removed member gets entries until its removal is committed.
+        A removed member gets entries until its removal is committed. The thread
+        is deregistered under the same lock, so that a member that is added again
+        gets a new one.
         """
         node = self._node
         with node.lock:
             if node.kernel.stopping.is_set() or not node.is_leading(term):
+                self._running.discard((term, member.member_id))
                 return False
             log = node.state.log
             members = log.members
@@ -76,6 +80,7 @@
             is_member = member.member_id in {each.member_id for each in members}
             if not is_member:
                 node.state.progress.pop(member.member_id, None)
+                self._running.discard((term, member.member_id))
             return is_member
 
     def _replicate_once(self, term: int, member: Member) -> None:
@@ -85,7 +90,7 @@
                 return
             progress = node.state.progress.setdefault(
                 member.member_id,
-                Progress(next_index=node.state.log.last_index + 1),
+                Progress(node.state.log.last_index + 1, node.now_s()),
             )
             progress.sent_s = node.now_s()
             is_behind = progress.next_index < node.state.log.first_index
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -113,8 +113,9 @@
     ``initial_members`` lists ``name=peer address`` of the instances that
     form the initial Raft group; it is used only while none of them has stored
     state. With ``form_from_seeds`` the seeds form the group instead, and with
-    ``join_automatically`` an instance without stored state asks the group to
-    add it.
+    ``join_automatically`` an instance asks the group to add it if it is no
+    member, and the leader removes a member that has not responded for
+    ``member_timeout_s`` if the group does not get weaker.
     """
 
     initial_members: Annotated[
@@ -122,6 +123,8 @@
     ] = ()
     form_from_seeds: bool = False
     join_automatically: bool = False
+    # Longer than a restart, so that restarts leave the members as they are.
+    member_timeout_s: Annotated[Seconds, Field(ge=0.5, le=86400)] = 10.0
     heartbeat_interval_s: Annotated[float, Field(ge=0.02, le=5)] = 0.3
     election_timeout_min_s: Annotated[float, Field(ge=0.05, le=30)] = 1.0
     election_timeout_max_s: Annotated[float, Field(ge=0.1, le=60)] = 2.0
--- a/oleanderpin/tests/control/group.py
+++ b/oleanderpin/tests/control/group.py
@@ -19,6 +19,7 @@
 
 # Long enough for a busy machine; conditions are met much sooner.
 WAIT_S = 60.0
+MEMBER_TIMEOUT_S = 1.5
 _EXTRA = """
 heartbeat_interval_s = 0.1
 election_timeout_min_s = 0.5
@@ -62,10 +63,20 @@
         Number of instances.
     initial : int
         Number of instances that form the initial group.
+    joins_automatically : bool
+        Whether instances ask the group to add them.
     """
 
-    def __init__(self, directory: Path, *, size: int = 3, initial: int = 3):
+    def __init__(
+        self,
+        directory: Path,
+        *,
+        size: int = 3,
+        initial: int = 3,
+        joins_automatically: bool = False,
+    ):
         """Allocate the ports."""
+        self._joins_automatically = joins_automatically
         ports = free_ports(size * 3)
         self.names = [f'c{number}' for number in range(size)]
         self.directory = directory
@@ -85,15 +96,20 @@
         """Start instances, by default those of the initial group."""
         for name in names or self._initial:
             peer_ports = {each: port[2] for each, port in self._ports.items()}
+            seeds = list(peer_ports.values())
+            if self._joins_automatically:
+                seeds = [
+                    peer_ports[each] for each in (*self._initial, *self.kernels)
+                ]
             text = settings_text(
                 name=name,
                 ports=self._ports[name],
-                seeds=list(peer_ports.values()),
+                seeds=seeds,
                 control_members=[
                     (each, peer_ports[each]) for each in self._initial
                 ],
                 data_dir=str(self.directory / name),
-                extra=_EXTRA,
+                extra=_EXTRA + self._join_settings(name),
             )
             path = self.directory / f'{name}.ini'
             path.write_text(text)
@@ -102,6 +118,15 @@
             self.kernels[name] = kernel
             kernel.start()
 
+    def _join_settings(self, name: str) -> str:
+        if not self._joins_automatically:
+            return ''
+        return (
+            'join_automatically = true\n'
+            f'form_from_seeds = {name in self._initial}\n'
+            f'member_timeout_s = {MEMBER_TIMEOUT_S}\n'
+        )
+
     def stop(self, *names: str) -> None:
         """Stop instances without draining them, by default all."""
         for name in names or tuple(self.kernels):
--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -73,7 +73,7 @@
                 parts.FAULTS.get(parts_scope, ()),
                 limit,
             )
-    scopes = ('terms', 'failures', 'full') if is_full else ('terms', 'failures')
+    scopes = tuple(log.SCOPES) if is_full else ('terms', 'failures')
     for scope_name in scopes:
         yield from _check(
             f'log {scope_name}',
--- a/specs/log.py
+++ b/specs/log.py
@@ -4,7 +4,8 @@
 members; a step that is not taken models a lost message or a partition. An
 entry is a pair of its term and the voting members that take effect with it,
 or None for an entry that leaves the membership unchanged. A membership change
-adds member 3 as the replacement.
+adds member 3 as the replacement; in the scopes with removals it may also remove
+a voter, which keeps its vote and its log, or add a removed one again.
 """
 
 from collections.abc import Iterator
@@ -26,6 +27,7 @@
         'minority commits',
     ),
     'failures': ('vote is not synced', 'wiped disk keeps its identity'),
+    'removals': ('replaces a voter in one change',),
     'full': ('vote is not synced', 'wiped disk keeps its identity'),
 }
 
@@ -38,6 +40,7 @@
     wipes: int
     restarts: int
     can_add_member: bool
+    can_remove_member: bool = False
 
 
 # Many terms expose faults of overwritten entries; few terms suffice for wiped
@@ -45,17 +48,31 @@
 SCOPES = {
     'terms': Scope(4, 1, wipes=0, restarts=0, can_add_member=False),
     'failures': Scope(2, 2, wipes=1, restarts=1, can_add_member=True),
+    'removals': Scope(
+        2,
+        3,
+        wipes=0,
+        restarts=0,
+        can_add_member=True,
+        can_remove_member=True,
+    ),
     'full': Scope(3, 2, wipes=1, restarts=1, can_add_member=True),
 }
 
 
 class Member(NamedTuple):
-    """Durable and volatile state of one member."""
+    """Durable and volatile state of one member.
+
+    ``has_followed`` is set, in the scopes with removals, once the member has
+    accepted an entry of its term's leader; it can no longer win that term's
+    election then. Without removals its candidacy goes on, which is harmless.
+    """
 
     term: int = 0
     voted_for: int = -1
     is_leader: bool = False
     log: Log = ()
+    has_followed: bool = False
 
 
 class State(NamedTuple):
@@ -100,7 +117,8 @@
     for number, member in enumerate(state.members):
         if number in _voters(member) and member.term < scope.max_term:
             yield f'{number} stands', _start_election(state, number)
-        if not member.is_leader and member.voted_for == number:
+        is_candidate = member.voted_for == number and not member.has_followed
+        if is_candidate and not member.is_leader:
             yield from _vote_steps(state, number, fault)
         if member.is_leader:
             yield from _leader_steps(state, number, fault, scope)
@@ -172,7 +190,7 @@
 ) -> Iterator[tuple[str, State]]:
     leader = state.members[number]
     if len(leader.log) < scope.max_entries:
-        for name, entry in _proposals(state, leader, scope):
+        for name, entry in _proposals(state, leader, fault, scope):
             appended = leader._replace(log=(*leader.log, entry))
             yield f'{number} {name}', _replace(state, number, appended)
     for other, follower in enumerate(state.members):
@@ -181,7 +199,7 @@
         if not can_receive:
             continue
         if other != number and follower.term <= leader.term and is_behind:
-            copied = _copy_next_entry(follower, leader)
+            copied = _copy_next_entry(follower, leader, scope)
             yield f'{number} copies to {other}', _replace(state, other, copied)
     committed = _committed_prefix(state, number, fault)
     if len(committed) > len(state.committed):
@@ -193,7 +211,7 @@
 
 
 def _proposals(
-    state: State, leader: Member, scope: Scope
+    state: State, leader: Member, fault: str, scope: Scope
 ) -> list[tuple[str, Entry]]:
     proposals: list[tuple[str, Entry]] = [('appends', (leader.term, None))]
     is_committed = state.committed[: len(leader.log)] == leader.log
@@ -203,13 +221,30 @@
     if scope.can_add_member and is_committed and has_own_term_entry:
         # One membership change at a time, and only after an entry of the
         # leader's own term is committed.
-        if _REPLACEMENT not in _voters(leader):
-            added = (*_voters(leader), _REPLACEMENT)
-            proposals.append(('adds a member', (leader.term, added)))
+        for name, voters in _member_changes(_voters(leader), fault, scope):
+            proposals.append((name, (leader.term, voters)))
     return proposals
 
 
-def _copy_next_entry(follower: Member, leader: Member) -> Member:
+def _member_changes(
+    voters: tuple[int, ...], fault: str, scope: Scope
+) -> Iterator[tuple[str, tuple[int, ...]]]:
+    if _REPLACEMENT not in voters:
+        yield 'adds a member', (*voters, _REPLACEMENT)
+    if not scope.can_remove_member:
+        return
+    for number in voters:
+        remaining = tuple(each for each in voters if each != number)
+        if fault == 'replaces a voter in one change':
+            yield f'replaces {number}', (*remaining, _REPLACEMENT)
+        elif len(remaining) > 1:
+            yield f'removes {number}', remaining
+    for number in _FIRST_MEMBERS:
+        if number not in voters:
+            yield f'adds {number} again', (*voters, number)
+
+
+def _copy_next_entry(follower: Member, leader: Member, scope: Scope) -> Member:
     voted_for = follower.voted_for if follower.term == leader.term else -1
     # Appends one entry after the longest common prefix of both logs.
     common_length = 0
@@ -218,7 +253,11 @@
             break
         common_length += 1
     return Member(
-        leader.term, voted_for, False, leader.log[: common_length + 1]
+        leader.term,
+        voted_for,
+        False,
+        leader.log[: common_length + 1],
+        has_followed=scope.can_remove_member,
     )
 
 
