Let a move end after a configuration has removed its service

move.finish as done and service.put now have an outcome without the service, and the move controller ends such a move as rolled back. A member that cannot apply an entry takes no part in the group, shows the reason and tries again; it never skips the entry, as the revision advances only with it. The threads of the log outlive unexpected errors.

--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -2,10 +2,10 @@
 
 import logging
 import secrets
-import threading
 from collections.abc import Callable
 from dataclasses import replace
 
+from ..core.background import background_thread
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..membership.peers import Peers
@@ -58,14 +58,17 @@
         addresses = self._initial_addresses()
         is_empty = not self._node.state.identity.cluster_id
         if is_empty and addresses[:1] == [settings.listen.peer]:
-            _start_thread(lambda: self._form_when_all_empty(addresses))
+            self._start_thread(lambda: self._form_when_all_empty(addresses))
         elif is_empty:
             _LOG.info(
                 'member %s has an empty disk and waits to be added',
                 self._node.own_id,
             )
         if settings.control.join_automatically:
-            _start_thread(self._stay_member)
+            self._start_thread(self._stay_member)
+
+    def _start_thread(self, loop: Callable[[], None]) -> None:
+        background_thread(self._node.kernel, loop, name='log-bootstrap').start()
 
     def _initial_addresses(self) -> list[str]:
         settings = self._node.kernel.settings
@@ -213,7 +216,3 @@
                 member.name,
                 error,
             )
-
-
-def _start_thread(target: Callable[[], None]) -> None:
-    threading.Thread(target=target, name='log-bootstrap', daemon=True).start()
--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -171,8 +171,9 @@
     _require(state, 'profiles', arguments.profile)
     for account in arguments.accounts:
         _require(state, 'accounts', account)
-    if _running_move(state, arguments.name) is not None:
-        current = state.services[arguments.name]
+    current = state.services.get(arguments.name)
+    is_moving = _running_move(state, arguments.name) is not None
+    if current is not None and is_moving:
         if arguments.version != current.version:
             raise ValidationError(
                 f'version {arguments.version!r} differs from the version '
@@ -195,7 +196,7 @@
 def _adopt_version(
     state: ControlState, arguments: ServiceAdoptVersion, _unix_s: float
 ) -> ControlState:
-    service = _require(state, 'services', arguments.name)
+    service = _require_service(state, arguments.name)
     is_unchanged = service.version == arguments.previous
     if not is_unchanged or _running_move(state, service.name) is not None:
         return state
@@ -327,7 +328,7 @@
 def _start_move(
     state: ControlState, arguments: MoveStart, unix_s: float
 ) -> ControlState:
-    service = _require(state, 'services', arguments.service)
+    service = _require_service(state, arguments.service)
     if _running_move(state, service.name) is not None:
         raise ValidationError(
             f'service {service.name!r} has a running move',
@@ -384,6 +385,11 @@
 ) -> ControlState:
     move = _require_running_move(state, arguments.service)
     is_done = arguments.status == 'done'
+    if is_done:
+        # A configuration may have removed the service since the proposal.
+        service = _require_service(state, move.service)
+        service = replace(service, version=move.to_version)
+        state = state.with_record('services', service.name, service)
     finished = replace(
         move,
         status=arguments.status,
@@ -391,12 +397,7 @@
         reason=arguments.reason,
         evidence=arguments.evidence,
     )
-    state = state.with_record('moves', move.service, finished)
-    if is_done:
-        service = state.services[move.service]
-        service = replace(service, version=move.to_version)
-        state = state.with_record('services', service.name, service)
-    return state
+    return state.with_record('moves', move.service, finished)
 
 
 class BlocksPut(Arguments):
@@ -533,6 +534,11 @@
         ) from None
 
 
+def _require_service(state: ControlState, name: str) -> Service:
+    service: Service = _require(state, 'services', name)
+    return service
+
+
 def _running_move(state: ControlState, service: str) -> Move | None:
     move = state.moves.get(service)
     if move is not None and move.status == 'running':
--- a/oleanderpin/control/disk.py
+++ b/oleanderpin/control/disk.py
@@ -169,7 +169,8 @@
             try:
                 for batch in batches:
                     self._write(batch)
-            except (OSError, StorageError) as error:
+            except Exception as error:
+                # Whatever the reason is, later writes must not be confirmed.
                 self._fail(error)
                 if not self._recover():
                     return
@@ -179,7 +180,7 @@
         while self._wait_for_retry():
             try:
                 contents = self._storage.reopen()
-            except (OSError, StorageError) as error:
+            except Exception as error:
                 EVENTS.labels('control', 'disk_retry_failed').inc()
                 self._note_failure(error)
                 continue
--- a/oleanderpin/control/log.py
+++ b/oleanderpin/control/log.py
@@ -2,29 +2,28 @@
 
 import logging
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from ..core.background import background_thread
 from ..core.errors import StorageAccessError, StorageError, ValidationError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
 from ..wire.generated.common.ttypes import Unavailable
-from ..wire.generated.raft import Raft
-from ..wire.server import PeerServer
+from .applying import Applying
 from .bootstrap import Bootstrap
 from .change import Change, Outcome
-from .commit_checkpoint import CommitCheckpoint
 from .members import MemberChanges, OwnMember, describe_own_member
 from .raft import RaftNode
 from .raft_service import RaftHandler
 from .receiver import Receiver
-from .records import EntryKind, LogEntry
+from .records import EntryKind
 from .replication import Replication
-from .snapshots import Snapshots
 from .storage import LogStorage, StoredState
 from .view import ControlView
-from .view_entries import is_written_by_log, view_entry
+from .view_entries import is_written_by_log
 from .voting import Voting
 
 _LOG = logging.getLogger(__name__)
@@ -55,7 +54,7 @@
         self._node: RaftNode | None = None
         self._failure: StorageError | None = None
         self._apply_thread: threading.Thread | None = None
-        self._start_thread: threading.Thread | None = None
+        self._loading_thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Load the log from the disk and take part in the group.
@@ -65,12 +64,14 @@
         access; damaged files need an operator.
         """
         if not self._try_start():
-            self._start_thread = _start_thread(self._retry_start, 'log-start')
+            self._loading_thread = self._start_thread(
+                self._retry_start, 'log-start'
+            )
 
     def stop(self) -> None:
         """Stop taking part in the group and close the files."""
-        if self._start_thread is not None:
-            self._start_thread.join(_THREAD_JOIN_TIMEOUT_S)
+        if self._loading_thread is not None:
+            self._loading_thread.join(_THREAD_JOIN_TIMEOUT_S)
         node = self._node
         if node is None:
             return
@@ -251,10 +252,11 @@
             node, voting=voting, receiver=receiver, members=members
         )
         self._node = node
-        self.kernel.plugin(PeerServer).register('Raft', Raft.Processor(handler))
+        handler.register()
         node.disk.start()
-        self._apply_thread = _start_thread(self._apply_all, 'log-apply')
-        _start_thread(lambda: self._upkeep(members), 'log-upkeep')
+        applying = Applying(node, self._view)
+        self._apply_thread = self._start_thread(applying.run, 'log-apply')
+        self._start_thread(lambda: self._upkeep(members), 'log-upkeep')
         voting.start()
         Bootstrap(node).start()
 
@@ -266,39 +268,6 @@
             )
         return self._node
 
-    def _apply_all(self) -> None:
-        node = self._require_node()
-        snapshots = Snapshots(node, self._view)
-        commit_checkpoint = CommitCheckpoint(node)
-        while not self.kernel.stopping.is_set():
-            entries = self._committed_entries()
-            if not entries:
-                continue
-            self._view.apply([view_entry(entry) for entry in entries])
-            with node.lock:
-                applied = max(node.state.applied_index, entries[-1].index)
-                node.state.applied_index = applied
-                node.lock.notify_all()
-            commit_checkpoint.update()
-            try:
-                snapshots.take_if_due()
-            except StorageError as error:
-                _LOG.warning(
-                    'cannot take a snapshot of the control state: %s', error
-                )
-
-    def _committed_entries(self) -> list[LogEntry]:
-        node = self._require_node()
-        state = node.state
-        with node.lock:
-            node.lock.wait_for(
-                lambda: (
-                    self.kernel.stopping.is_set()
-                    or state.commit_index > state.applied_index
-                )
-            )
-            return state.log.batch(state.applied_index + 1, state.commit_index)
-
     def _upkeep(self, members: MemberChanges) -> None:
         while self.kernel.wait_while_running(_UPKEEP_INTERVAL_S):
             # The time is read before the lease is checked, so that the lease
@@ -308,8 +277,9 @@
                 self._view.note_fresh(now_s)
                 members.maintain()
 
-
-def _start_thread(target: Any, name: str) -> threading.Thread:
-    thread = threading.Thread(target=target, name=name, daemon=True)
-    thread.start()
-    return thread
+    def _start_thread(
+        self, loop: Callable[[], None], name: str
+    ) -> threading.Thread:
+        thread = background_thread(self.kernel, loop, name=name)
+        thread.start()
+        return thread
--- a/oleanderpin/control/machine.py
+++ b/oleanderpin/control/machine.py
@@ -70,6 +70,9 @@
         ------
         ValueError
             If an entry is skipped or repeated.
+        Exception
+            If the entry cannot be applied. Nothing has changed then: an entry
+            is never skipped.
         """
         if revision != self.revision + 1:
             raise ValueError(
@@ -77,6 +80,13 @@
                 f'directly after revision {self.revision}'
             )
         self.revision = revision
+        try:
+            return self._apply_payload(payload)
+        except Exception:
+            self.revision = revision - 1
+            raise
+
+    def _apply_payload(self, payload: bytes) -> Outcome | None:
         if not payload:
             return None
         change = Change.decode(payload)
--- a/oleanderpin/control/raft.py
+++ b/oleanderpin/control/raft.py
@@ -290,11 +290,23 @@
                 self.advance_commit()
 
     def mark_failed(self, error: StorageError) -> None:
-        """Step down and take no part in the group."""
+        """Step down and take no part in the group; the disk failed."""
         with self.lock:
-            self.state.failure = error
-            self.become_follower(self.state.hard_state.term)
-            self.state.leader_address = ''
+            self.state.disk_failure = error
+            self._step_down()
+
+    def mark_apply_failed(self, error: StorageError) -> None:
+        """Step down and take no part until entries are applied again."""
+        with self.lock:
+            self.state.apply_failure = error
+            self._step_down()
+
+    def clear_apply_failure(self) -> None:
+        """Take part again unless the disk failed."""
+        with self.lock:
+            self.state.apply_failure = None
+            self.postpone_election()
+            self.lock.notify_all()
 
     def restore(
         self, contents: StoredState, resume: Callable[[], None]
@@ -317,7 +329,7 @@
             state.commit_index = max(first_index, contents.commit_index)
             state.applied_index = max(first_index, state.applied_index)
             state.durable_index = log.last_index
-            state.failure = None
+            state.disk_failure = None
             self.postpone_election()
             self.lock.notify_all()
             _LOG.info(
@@ -341,6 +353,10 @@
                 return False
             return self.state.log.term_at(entry.index) == entry.term
 
+    def _step_down(self) -> None:
+        self.become_follower(self.state.hard_state.term)
+        self.state.leader_address = ''
+
     def _is_decided(self, entry: LogEntry) -> bool:
         state = self.state
         if state.applied_index >= entry.index:
--- a/oleanderpin/control/raft_service.py
+++ b/oleanderpin/control/raft_service.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from ..wire.generated.raft import Raft
 from ..wire.generated.raft.ttypes import (
     AdoptRequest,
     AppendReply,
@@ -15,6 +16,7 @@
     VoteReply,
     VoteRequest,
 )
+from ..wire.server import PeerServer
 from .convert import members_from_wire
 from .members import MemberChanges
 from .raft import RaftNode
@@ -40,6 +42,11 @@
         self._receiver = receiver
         self._members = members
 
+    def register(self) -> None:
+        """Serve the methods on the peer address."""
+        server = self._node.kernel.plugin(PeerServer)
+        server.register('Raft', Raft.Processor(self))
+
     def pre_vote(self, request: VoteRequest) -> VoteReply:
         """Return whether a vote would be granted."""
         return self._voting.pre_vote(request)
--- a/oleanderpin/control/raft_state.py
+++ b/oleanderpin/control/raft_state.py
@@ -26,7 +26,8 @@
     ``leader_contact_s`` is when a leader last sent a message, ``elected_s``
     when this member last became leader, ``election_deadline_s`` when the next
     election may begin, and ``read_barrier_s`` when a read barrier was last
-    requested.
+    requested. ``disk_failure`` and ``apply_failure`` tell why this member takes
+    no part in the group.
     """
 
     identity: Identity
@@ -44,4 +45,10 @@
     term_start_index: int = 0
     read_barrier_s: float = _NEVER_S
     progress: dict[str, Progress] = field(default_factory=dict)
-    failure: StorageError | None = None
+    disk_failure: StorageError | None = None
+    apply_failure: StorageError | None = None
+
+    @property
+    def failure(self) -> StorageError | None:
+        """Why this member takes no part in the group; None if it does."""
+        return self.disk_failure or self.apply_failure
--- a/oleanderpin/moves/controller.py
+++ b/oleanderpin/moves/controller.py
@@ -206,9 +206,11 @@
         self._sync_progress(state, now_s)
         for service, progress in list(self._progress.items()):
             if service not in state.services:
-                # A configuration removed the service, which ends the move.
+                reason = 'a configuration removed the service'
+                self._propose(progress, _roll_back(reason))
                 continue
-            profile = state.profiles[state.services[service].profile]
+            profile_name = state.services[service].profile
+            profile = state.profiles.get(profile_name, Profile(profile_name))
             targets = self._table.targets(service)
             version = progress.move.to_version
             with self._lock:
--- a/oleanderpin/tests/control/test_log.py
+++ b/oleanderpin/tests/control/test_log.py
@@ -10,10 +10,12 @@
 
 import pytest
 
-from ...control.change import Outcome
+from ...control import configuration  # noqa: F401 - registers commands
+from ...control.change import Change, Outcome
 from ...control.members import MemberChanges
 from ...core.http import HttpRequest
 from ...core.metrics import EVENTS
+from ...moves import controller  # noqa: F401 - registers the plug-in
 from ...operators.admin import Admin
 from ...wire.generated.common.ttypes import NotLeader, Unavailable
 from ...wire.generated.raft.ttypes import MemberProblem
@@ -314,3 +316,78 @@
     # Without a majority it is neither fresh nor able to accept changes.
     assert not view.is_fresh()
     assert not group.log('c0').has_lease()
+
+
+def test_member_that_cannot_apply_an_entry_answers_nothing(
+    group: Group, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a thread that ends unseen, and a state without an entry.
+
+    The group goes on without the member, which shows the reason and takes part
+    again once it can apply the entry.
+    """
+    name = next(each for each in group.names[:3] if each != group.leader())
+    view = group.view(name)
+    apply = view.apply
+
+    def fail(_entries: object) -> None:
+        raise KeyError('service')
+
+    monkeypatch.setattr(view, 'apply', fail)
+    assert group.change(1, through=group.leader()).kind == 'ok'
+    wait_until('problem', lambda: 'cannot apply' in group.log(name).problem)
+    assert readiness(group, name) == 503
+    assert not group.log(name).has_lease()
+    assert group.change(2, through=group.leader()).kind == 'ok'
+    monkeypatch.setattr(view, 'apply', apply)
+    wait_until('applied', lambda: 'a2' in view.state.accounts)
+    wait_until('ready', lambda: readiness(group, name) == 200)
+
+
+def test_move_ends_with_its_service(group: Group) -> None:
+    """Guards against the removal of a service that ends the log for good.
+
+    The move's end is proposed against a state that still has the service and is
+    applied after a configuration that has removed it; members that start later
+    apply the same entries.
+    """
+    leader = group.leader()
+    changes = [
+        ('profile.put', {'name': 'p'}),
+        ('service.put', {'name': 's', 'profile': 'p', 'version': 'v1'}),
+        (
+            'move.start',
+            {'service': 's', 'to_version': 'v2', 'deadline_s': 600},
+        ),
+        (
+            'configuration.replace',
+            {'number': 1, 'based_on': 0, 'objects': {}},
+        ),
+        (
+            'move.finish',
+            {'service': 's', 'status': 'done', 'reason': 'completed'},
+        ),
+    ]
+    kinds = [
+        group.log(leader)
+        .propose(
+            Change(
+                request_id=f'request-{number}',
+                command=command,
+                arguments=arguments,
+            ).encode(),
+            timeout_s=10,
+        )
+        .kind
+        for number, (command, arguments) in enumerate(changes)
+    ]
+    assert kinds[:4] == ['ok'] * 4
+    assert kinds[4] in {'not_found', 'conflict'}
+    wait_until(
+        'ended',
+        lambda: group.view(leader).state.moves['s'].status == 'taken_back',
+    )
+    group.stop()
+    group.start()
+    assert group.change(1).kind == 'ok'
+    group.wait_for_same_revision()
