Refuse orders that their sender may have given up

An instance now knows when it was paused and refuses, as not carried out, what its sender may have given up. The proposal names the revision that it refers to, and the log refuses it if its object was changed since, so that a pause or a retry after the check does no harm either. An instance whose copy is behind proposes an order again as long as it is valid.

--- a/oleanderpin/control/change.py
+++ b/oleanderpin/control/change.py
@@ -17,7 +17,9 @@
 
     ``expected_revision`` is the revision of the object on which the change is
     based; 0 means that the object must not exist yet. ``request_id`` identifies
-    the change when it is resent.
+    the change when it is resent. ``unchanged_since`` is the revision of the
+    control state that the sender refers to: the change is refused if its object
+    was created, changed or removed after that.
     """
 
     model_config = ConfigDict(extra='forbid', frozen=True)
@@ -26,12 +28,14 @@
     command: Annotated[str, Field(max_length=64)]
     arguments: dict[str, Any] = {}
     expected_revision: Annotated[int, Field(ge=0)] | None = None
+    unchanged_since: Annotated[int, Field(ge=0)] | None = None
     operator: Annotated[str, Field(max_length=64)] = 'unknown'
     proposed_unix_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the change as JSON."""
-        return self.model_dump_json().encode()
+        unused = {'unchanged_since'} if self.unchanged_since is None else None
+        return self.model_dump_json(exclude=unused).encode()
 
     @classmethod
     def decode(cls, payload: bytes) -> 'Change':
--- a/oleanderpin/control/machine.py
+++ b/oleanderpin/control/machine.py
@@ -192,6 +192,14 @@
             return None
         exists = name in getattr(self.state, command.table)
         meta = self.state.metas.get(_meta_key(command.table, name))
+        since = change.unchanged_since
+        if since is not None and meta is not None and meta.revision > since:
+            return self._conflict(
+                meta.revision,
+                f'{name!r} was changed at revision {meta.revision}, after the '
+                f'revision {since} that the change refers to',
+                meta,
+            )
         current = meta.revision if meta is not None and exists else 0
         creates = change.command.endswith(('.put', '.add', '.start'))
         if not exists and not creates:
@@ -205,14 +213,20 @@
         expected = change.expected_revision
         if expected is None or expected == current:
             return None
+        return self._conflict(
+            current,
+            f'{name!r} is at revision {current}, not at the expected {expected}',
+            meta,
+        )
+
+    def _conflict(
+        self, object_revision: int, problem: str, meta: ObjectMeta | None
+    ) -> Outcome:
         return Outcome(
             'conflict',
             self.revision,
-            object_revision=current,
-            problem=(
-                f'{name!r} is at revision {current}, '
-                f'not at the expected {expected}'
-            ),
+            object_revision=object_revision,
+            problem=problem,
             remedy='read the object again and repeat the change against it',
             winner_request_id=meta.request_id if meta else '',
             winner_operator=meta.operator if meta else '',
--- a/oleanderpin/core/event_loop.py
+++ b/oleanderpin/core/event_loop.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from .pauses import TICK_INTERVAL_S, PauseWatch
 from .plugin import Plugin, plugins
 
 _LOG = logging.getLogger(__name__)
@@ -33,6 +34,18 @@
         """Start the thread."""
         self._thread.start()
 
+    def watch_pauses(self) -> PauseWatch:
+        """Return a watch of pauses of this process, which the loop updates."""
+        watch = PauseWatch(self.kernel.clock)
+
+        async def tick() -> None:
+            while True:
+                watch.tick()
+                await asyncio.sleep(TICK_INTERVAL_S)
+
+        self.submit(tick())
+        return watch
+
     def stop(self) -> None:
         """Stop the loop; tasks that are still running are abandoned."""
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/oleanderpin/operators/actions.py
+++ b/oleanderpin/operators/actions.py
@@ -16,7 +16,7 @@
 from ..control.log import ControlLog
 from ..control.state import ControlState, Move
 from ..control.view import ControlView
-from ..core.errors import OleanderpinError
+from ..core.errors import OleanderpinError, UnavailableError
 from ..core.plugin import Plugin, plugins
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 
@@ -76,38 +76,83 @@
         """Update and remove individual objects of the current configuration."""
         return self._propose(EDIT, change.model_dump(mode='json'))
 
-    def drain_failure_domain(self, name: str) -> Outcome:
-        """Stop sending new requests to the targets of a failure domain."""
-        return self._propose(
-            'drain.start', {'name': name, 'kind': 'failure_domain'}
+    def drain_failure_domain(
+        self, name: str, *, valid_until_s: float
+    ) -> Outcome:
+        """Stop sending new requests to the targets of a failure domain.
+
+        Parameters
+        ----------
+        name : str
+            The failure domain.
+        valid_until_s : float
+            Monotonic time at which the operator gives up the order.
+
+        Raises
+        ------
+        UnavailableError
+            If the order may have been given up, or no leader is reached.
+        """
+        return self._propose_order(
+            'drain.start',
+            {'name': name, 'kind': 'failure_domain'},
+            valid_until_s,
         )
 
-    def return_failure_domain(self, name: str) -> Outcome:
-        """Resume sending requests to targets of a drained failure domain."""
-        outcome = self._propose('drain.cancel', {'name': name})
+    def return_failure_domain(
+        self, name: str, *, valid_until_s: float
+    ) -> Outcome:
+        """Resume sending requests to targets of a drained failure domain.
+
+        Takes the same parameters as `drain_failure_domain` and raises the same
+        errors.
+        """
+        outcome = self._propose_order(
+            'drain.cancel', {'name': name}, valid_until_s
+        )
         if outcome.kind == 'not_found':
             # Idempotent: a repeated command, or a domain that was not drained.
             return Outcome('ok', outcome.revision)
         return outcome
 
     def start_move(
-        self, service: str, to_version: str, *, deadline_s: float
+        self,
+        service: str,
+        to_version: str,
+        *,
+        deadline_s: float,
+        valid_until_s: float,
     ) -> Outcome:
         """Start moving a service to another version.
 
         The command is idempotent: an existing move to the same version,
         running or ended, is left unchanged.
+
+        Parameters
+        ----------
+        service, to_version : str
+            The service and its new version.
+        deadline_s : float
+            Time for the move, in seconds.
+        valid_until_s : float
+            Monotonic time at which the operator gives up the order.
+
+        Raises
+        ------
+        UnavailableError
+            If the order may have been given up, or no leader is reached.
         """
         current = self._view.state.moves.get(service)
         if current is not None and current.to_version == to_version:
             return Outcome('ok', self._view.revision)
-        outcome = self._propose(
+        outcome = self._propose_order(
             'move.start',
             {
                 'service': service,
                 'to_version': to_version,
                 'deadline_s': deadline_s,
             },
+            valid_until_s,
         )
         current = self._view.state.moves.get(service)
         if current is not None and current.to_version == to_version:
@@ -148,11 +193,40 @@
             return 'running'
         return 'completed'
 
-    def _propose(self, command: str, arguments: dict[str, Any]) -> Outcome:
+    def _propose_order(
+        self, command: str, arguments: dict[str, Any], valid_until_s: float
+    ) -> Outcome:
+        """Propose an order that must not act after its sender gave it up.
+
+        The sender may have sent the order, and later ones, to other instances
+        by then. Hence the change refers to the revision that was known while
+        the order was valid, and the log refuses it if its object was changed
+        since then: a pause at any later moment does no harm.
+        """
+        unchanged_since = self._view.revision
+        while True:
+            if self.kernel.clock.now_s() > valid_until_s:
+                raise UnavailableError(
+                    f'{command} came too late: its sender may have given it up',
+                    remedy='send it again',
+                )
+            outcome = self._propose(command, arguments, unchanged_since)
+            if outcome.kind != 'conflict':
+                return outcome
+            # The own copy of the state was older than the order.
+            unchanged_since = outcome.revision
+
+    def _propose(
+        self,
+        command: str,
+        arguments: dict[str, Any],
+        unchanged_since: int | None = None,
+    ) -> Outcome:
         change = Change(
             request_id=secrets.token_hex(_REQUEST_ID_BYTES),
             command=command,
             arguments=arguments,
+            unchanged_since=unchanged_since,
             operator='operator',
             proposed_unix_s=time.time(),
         )
--- a/oleanderpin/tests/control/test_machine.py
+++ b/oleanderpin/tests/control/test_machine.py
@@ -71,3 +71,33 @@
     apply(machine, put_account('request-3', rate_per_s=20))
     assert copied.state == restored.state
     assert 'request-3' not in copied.outcomes
+
+
+def test_change_of_what_it_does_not_refer_to_is_refused() -> None:
+    """Guards against an old order that acts on a later object of its name.
+
+    Removing the object and creating it again does not make the order new.
+    """
+    machine = StateMachine()
+    steps = [
+        ('drain.start', None, 'ok'),
+        ('drain.cancel', 1, 'ok'),
+        ('drain.cancel', 1, 'conflict'),
+        ('drain.start', 1, 'conflict'),
+        ('drain.start', 4, 'ok'),
+        ('drain.cancel', 1, 'conflict'),
+        ('drain.cancel', 5, 'ok'),
+    ]
+    for revision, (command, since, kind) in enumerate(steps, start=1):
+        fields = {'name': 'north-a'}
+        if command == 'drain.start':
+            fields['kind'] = 'failure_domain'
+        change = Change(
+            request_id=f'request-{revision}',
+            command=command,
+            arguments=fields,
+            unchanged_since=since,
+        )
+        outcome = machine.apply(revision, change.encode())
+        assert outcome is not None
+        assert outcome.kind == kind, (revision, outcome)
