Refuse the departure of a target that is not known yet

Until it has pulled the records of others, an instance refuses the departure of a target that it does not know, so that the target sends it elsewhere.

--- a/oleanderpin/targets/departures.py
+++ b/oleanderpin/targets/departures.py
@@ -78,6 +78,22 @@
             maybe_applied=True,
         )
 
+    def require_known_targets(self) -> None:
+        """Check that a target which is not known here has left or never was.
+
+        Raises
+        ------
+        UnavailableError
+            If this instance has not received the records of others since its
+            start.
+        """
+        if not self._exchange.has_all_records:
+            EVENTS.labels('targets', 'leave_of_unknown_target').inc()
+            raise UnavailableError(
+                'this instance does not know all targets yet',
+                remedy='send it to another instance',
+            )
+
     def _is_widely_known(self, confirmed_by: Collection[str]) -> bool:
         """Return whether a leave known to these peers takes effect everywhere.
 
--- a/oleanderpin/targets/exchange.py
+++ b/oleanderpin/targets/exchange.py
@@ -72,6 +72,7 @@
         self._has_first_record = threading.Event()
         # Failure domains in which an instance was asked for all records.
         self._asked_domains: set[str] = set()
+        self._has_pulled = False
         # Notified when a peer has replied to a push.
         self.confirmed = threading.Condition()
         kernel.plugin(PeerServer).register(
@@ -204,6 +205,13 @@
             start_id=self.start_id,
         )
 
+    @property
+    def has_all_records(self) -> bool:
+        """Whether the records that existed at the start are known here."""
+        own_address = self.kernel.settings.listen.peer
+        seeds = self.kernel.settings.peers.seed_addresses()
+        return self._has_pulled or set(seeds) <= {own_address}
+
     def renew_interval_s(self) -> float:
         """Return the interval of pushes to a peer while nothing changes."""
         count = len(self._pushers)
@@ -270,7 +278,6 @@
             )
 
     def _update_loop(self) -> None:
-        has_pulled = False
         is_running = True
         while is_running:
             _own, *others = self._peers.alive()
@@ -281,8 +288,8 @@
                 is_running = self.kernel.wait_while_running(_UPDATE_INTERVAL_S)
             else:
                 self._has_first_record.wait(_UPDATE_INTERVAL_S)
-            if others and not has_pulled:
-                has_pulled = self.pull_step()
+            if others and not self._has_pulled:
+                self._has_pulled = self.pull_step()
             is_running = is_running and not self.kernel.stopping.is_set()
 
     def _update_pushers(self, others: list[Peer]) -> None:
