--- a/oleanderpin/control/entries.py
+++ b/oleanderpin/control/entries.py
@@ -98,6 +98,23 @@
             chosen.append(entry)
         return chosen
 
+    def size_bytes_after(self, index: int) -> int:
+        """Return the size in bytes of the entries after ``index``."""
+        position = max(0, index + 1 - self.first_index)
+        return sum(len(entry.payload) for entry in self._entries[position:])
+
+    def count_up_to(
+        self, index: int, *, max_entries: int, max_bytes: int
+    ) -> int:
+        """Return how many entries up to ``index`` are within both limits."""
+        end = max(0, index + 1 - self.first_index)
+        size_bytes = 0
+        for count, entry in enumerate(reversed(self._entries[:end])):
+            size_bytes += len(entry.payload)
+            if count >= max_entries or size_bytes > max_bytes:
+                return count
+        return min(end, len(self._entries))
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Add entries; the first one may replace a conflicting suffix."""
         kept = entries[0].index - self.first_index
--- a/oleanderpin/control/snapshots.py
+++ b/oleanderpin/control/snapshots.py
@@ -8,6 +8,11 @@
 from .view import ControlView
 
 _CAPTURE_ATTEMPTS = 5
+# Entries of this size are written before the next snapshot, or as much as the
+# last snapshot, so that snapshots at most double what is written.
+_MIN_INTERVAL_BYTES = 8 * 1024 * 1024
+# Size of the entries before a snapshot that are kept for slow followers.
+_MAX_KEPT_BYTES = 4 * 1024 * 1024
 _COMMIT_TIMEOUT_S = 2.0
 _SYNC_TIMEOUT_S = 60.0
 
@@ -19,11 +24,15 @@
 
 
 class Snapshots:
-    """Takes a snapshot after each ``snapshot_every_entries`` entries."""
+    """Takes a snapshot after ``snapshot_every_entries`` entries, or some MB.
+
+    Load pattern: hundreds of changes that each carry the entire configuration.
+    """
 
     def __init__(self, node: RaftNode, view: ControlView) -> None:
         self._node = node
         self._view = view
+        self._last_size_bytes = 0
 
     def take_if_due(self) -> None:
         """Take a snapshot when enough entries were applied since the last.
@@ -33,19 +42,27 @@
         StorageError
             If it cannot be written.
         """
-        node = self._node
-        interval_entries = node.settings.snapshot_every_entries
-        with node.lock:
-            state = node.state
-            if (
-                state.applied_index - state.log.snapshot_info.index
-                < interval_entries
-            ):
-                return
+        if not self._is_due():
+            return
         capture = self._capture()
         info = self._committed_position(capture) if capture else None
         if capture is not None and info is not None:
-            self._write(info, capture.content, keep=interval_entries)
+            self._write(info, capture.content)
+            self._last_size_bytes = len(capture.content)
+
+    def _is_due(self) -> bool:
+        node = self._node
+        limit_bytes = max(_MIN_INTERVAL_BYTES, self._last_size_bytes)
+        with node.lock:
+            log = node.state.log
+            covered = log.snapshot_info.index
+            applied = node.state.applied_index
+            if applied - covered >= node.settings.snapshot_every_entries:
+                return True
+            return (
+                applied > covered
+                and log.size_bytes_after(covered) >= limit_bytes
+            )
 
     def _capture(self) -> _Capture | None:
         for _ in range(_CAPTURE_ATTEMPTS):
@@ -75,9 +92,15 @@
             members = log.members_at(capture.revision)
             return SnapshotInfo(capture.revision, term, members)
 
-    def _write(self, info: SnapshotInfo, content: bytes, *, keep: int) -> None:
+    def _write(self, info: SnapshotInfo, content: bytes) -> None:
         node = self._node
         storage = node.storage
+        with node.lock:
+            keep = node.state.log.count_up_to(
+                info.index,
+                max_entries=node.settings.snapshot_every_entries,
+                max_bytes=_MAX_KEPT_BYTES,
+            )
 
         def save_and_compact() -> None:
             # One write: entries are kept if the snapshot is lost in a failure.
--- a/oleanderpin/control/view.py
+++ b/oleanderpin/control/view.py
@@ -20,6 +20,8 @@
 
 _LOG = logging.getLogger(__name__)
 _MAX_RECENT_ENTRIES = 2000
+# A peer that lacks more gets a snapshot.
+_MAX_RECENT_BYTES = 8 * 1024 * 1024
 
 Listener = Callable[[ControlState], None]
 
@@ -33,7 +35,8 @@
         super().__init__(kernel)
         self._changed = threading.Condition()
         self._machine = StateMachine()
-        self._recent_entries: deque[Entry] = deque(maxlen=_MAX_RECENT_ENTRIES)
+        self._recent_entries: deque[Entry] = deque()
+        self._recent_bytes = 0
         self._fresh_as_of_s = float('-inf')
         self._listeners: list[Listener] = []
 
@@ -89,7 +92,7 @@
                 outcomes.append(
                     self._machine.apply(entry.revision, entry.payload)
                 )
-                self._recent_entries.append(entry)
+                self._keep_recent(entry)
             CONTROL_REVISION.set(self._machine.revision)
             self._changed.notify_all()
         if outcomes:
@@ -110,6 +113,7 @@
                 return False
             self._machine = machine
             self._recent_entries.clear()
+            self._recent_bytes = 0
             CONTROL_REVISION.set(machine.revision)
             self._changed.notify_all()
         self._notify_listeners()
@@ -167,6 +171,16 @@
         with self._changed:
             return list(self._machine.history)
 
+    def _keep_recent(self, entry: Entry) -> None:
+        recent = self._recent_entries
+        recent.append(entry)
+        self._recent_bytes += len(entry.payload)
+        while len(recent) > 1 and (
+            len(recent) > _MAX_RECENT_ENTRIES
+            or self._recent_bytes > _MAX_RECENT_BYTES
+        ):
+            self._recent_bytes -= len(recent.popleft().payload)
+
     def _notify_listeners(self) -> None:
         state = self.state
         for listener in self._listeners:
