--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -1,9 +1,14 @@
 """Free ports and settings for loopback instances in tests."""
 
+import fcntl
+import functools
 import itertools
 import os
 import socket
+import tempfile
 from collections.abc import Iterable, Iterator, Sequence
+from pathlib import Path
+from typing import BinaryIO
 
 from ..control.state import PartOwners
 from ..membership.peers import Peer
@@ -18,12 +23,12 @@
 
     The ports lie below the system's ephemeral port range, so that no outgoing
     connection can take one before it is bound. A process does not get the same
-    port twice.
+    port twice, and no other process gets it while this one runs.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = next(_CANDIDATES)
-        if _is_free(port):
+        if _is_reserved(port) and _is_free(port):
             ports.append(port)
     return ports
 
@@ -36,6 +41,22 @@
         yield _FIRST_PORT + offset % span
 
 
+@functools.cache
+def _reservations() -> BinaryIO:
+    """Return a file that test processes share; a byte for each port."""
+    path = Path(tempfile.gettempdir()) / f'oleanderpin-ports-{os.getuid()}'
+    return path.open('ab')
+
+
+def _is_reserved(port: int) -> bool:
+    """Lock a port for this process; return whether no other one has it."""
+    try:
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except BlockingIOError:
+        return False
+    return True
+
+
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
