Forget removed files in the stand-in for disks

test_confirmed_changes_outlive_a_full_disk_and_a_loss_of_power failed once in a run of tests/control beside load: "EntryPosition.__init__() got an unexpected keyword argument 'voted_for'". The stand-in gave a new, not synced file the content of a removed one, whose inode it had got: no disk does that.

A file whose content no longer starts with what was synced is another file.

--- a/oleanderpin/testing/power.py
+++ b/oleanderpin/testing/power.py
@@ -69,8 +69,20 @@
                 self._contents[inode] = path.read_bytes()
                 self._inodes.setdefault(path, inode)
 
+    def _is_recorded_file(self, path: Path, inode: int) -> bool:
+        """Return whether the inode is still that of the recorded file.
+
+        Files are written once or appended to, so that another start means that
+        the file was removed and a new one has its inode.
+        """
+        recorded = self._contents.get(inode, b'')
+        return path.is_dir() or path.read_bytes().startswith(recorded)
+
     def _record_folder(self, folder: Path) -> None:
         existing = {path: path.stat().st_ino for path in folder.iterdir()}
+        for path, inode in existing.items():
+            if not self._is_recorded_file(path, inode):
+                self._contents.pop(inode, None)
         self._unstored_inodes = {
             inode: each
             for inode, each in self._unstored_inodes.items()
