--- a/oleanderpin/testing/__init__.py
+++ b/oleanderpin/testing/__init__.py
@@ -1,6 +1,6 @@
 """Public helpers for tests of code that embeds this package."""
 
-from .builders import free_ports, settings_text
+from .builders import free_network, free_ports, settings_text
 from .clock import ManualClock
 from .scripted import ScriptedConnection, ScriptedTarget, answer_all
 from .targets import FakeTarget
@@ -11,6 +11,7 @@
     'ScriptedConnection',
     'ScriptedTarget',
     'answer_all',
+    'free_network',
     'free_ports',
     'settings_text',
 )
--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -1,5 +1,6 @@
 """Free ports and settings for loopback instances in tests."""
 
+import errno
 import fcntl
 import functools
 import itertools
@@ -16,6 +17,7 @@
 _FIRST_PORT = 10000
 _LAST_PORT = 32000
 _PORTS_PER_PROCESS = 97
+_NETWORKS = range(80, 200)
 
 
 def free_ports(count: int) -> list[int]:
@@ -41,6 +43,24 @@
         yield _FIRST_PORT + offset % span
 
 
+def free_network() -> str:
+    """Return the first two numbers of a loopback network for this process.
+
+    No other process gets it while this one runs.
+
+    Raises
+    ------
+    OSError
+        If all networks are taken.
+    """
+    for number in _NETWORKS:
+        if _is_reserved(_LAST_PORT + number):
+            return f'127.{number}'
+    raise OSError(
+        errno.EADDRNOTAVAIL, f'all {len(_NETWORKS)} loopback networks are taken'
+    )
+
+
 @functools.cache
 def _reservations() -> BinaryIO:
     """Return a file that test processes share; a byte for each port."""
--- a/oleanderpin/tests/testing/test_ports.py
+++ b/oleanderpin/tests/testing/test_ports.py
@@ -10,13 +10,13 @@
 import itertools, sys
 from oleanderpin.testing import builders
 builders._CANDIDATES = itertools.count(int(sys.argv[1]))
-print(*builders.free_ports(int(sys.argv[2])))
+print(*builders.free_ports(int(sys.argv[2])), builders.free_network())
 sys.stdin.read()
 """
 
 
-def test_processes_get_different_ports() -> None:
-    """Guards against two test runs that take the same free ports.
+def test_processes_get_different_ports_and_networks() -> None:
+    """Guards against two test runs that take the same ports or network.
 
     Both processes look for ports from the same one on, and neither has bound
     those that it got.
@@ -37,6 +37,6 @@
         found.extend(process.stdout.readline().split())
     for process in processes:
         process.communicate()
-    assert len(found) == 2 * _PORTS
+    assert len(found) == 2 * _PORTS + 2
     assert len(set(found)) == len(found)
     assert str(first) not in found
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,8 @@
 import tempfile
 from pathlib import Path
 
+from oleanderpin.testing import free_network
+
 from . import changes
 
 _MAX_SEED = 10**6
@@ -29,11 +31,11 @@
     parser.add_argument('--keep', type=Path, help='folder for logs')
     parser.add_argument(
         '--network',
-        default='127.80',
-        help='first two numbers of the loopback addresses; another one for '
-        'each soak that runs at the same time',
+        help='first two numbers of the loopback addresses; left out, one that '
+        'no other soak uses at the same time',
     )
     parsed = parser.parse_args()
+    network = parsed.network or free_network()
     fresh = [secrets.randbelow(_MAX_SEED) for _each in range(parsed.count)]
     failed = []
     for number, seed in enumerate([*parsed.seeds, *fresh]):
@@ -46,7 +48,7 @@
                 seed,
                 duration_s=parsed.duration,
                 folder=folder,
-                network=f'{parsed.network}.{number % _NETWORKS}',
+                network=f'{network}.{number % _NETWORKS}',
             )
         print(
             f'seed {seed}: {len(seen.confirmed)} changes, '
