Store commits again after a full disk

A write of the commit checkpoint that a failed disk has lost left its mark set, so that the member stored no checkpoint any more until it was started again: a fault of the recovery from full disks, found by reading it again. After a loss of all power the member's gateways would wait for the next leader.

The mark names the recovery before which the write was queued.

--- a/oleanderpin/control/commit_checkpoint.py
+++ b/oleanderpin/control/commit_checkpoint.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import threading
 
 from ..core.metrics import EVENTS
 from .raft import RaftNode
@@ -31,19 +30,23 @@
 
     def __init__(self, node: RaftNode) -> None:
         self._node = node
-        self._is_write_pending = threading.Event()
+        # Recoveries of the disk before the queued write, which a failure loses;
+        # None if no write is queued.
+        self._queued_after_recoveries: int | None = None
         self._has_failed = False
         self._synced_s = float('-inf')
 
     def update(self) -> None:
         """Queue a write of the position of the last applied entry."""
-        if not self._is_write_pending.is_set():
-            self._is_write_pending.set()
-            self._node.disk.submit(self._write)
+        disk = self._node.disk
+        recoveries = disk.recovery_count
+        if self._queued_after_recoveries != recoveries:
+            self._queued_after_recoveries = recoveries
+            disk.submit(self._write)
 
     def _write(self) -> None:
         # Entries that are applied from here on need another write.
-        self._is_write_pending.clear()
+        self._queued_after_recoveries = None
         node = self._node
         with node.lock:
             index = node.state.applied_index
--- a/oleanderpin/control/disk.py
+++ b/oleanderpin/control/disk.py
@@ -79,6 +79,7 @@
         self._failure: StorageError | None = None
         self._submitted_ticket = 0
         self._completed_ticket = 0
+        self._recovery_count = 0
         self._lost: deque[_LostWrites] = deque(maxlen=_MAX_REMEMBERED_FAILURES)
         self._is_stopping = False
         self._thread = threading.Thread(
@@ -104,6 +105,12 @@
         with self._condition:
             return self._submitted_ticket
 
+    @property
+    def recovery_count(self) -> int:
+        """Number of recoveries from failures, each of which lost writes."""
+        with self._condition:
+            return self._recovery_count
+
     def submit_entries(self, entries: Sequence[LogEntry]) -> None:
         """Queue entries for appending; those queued together share one sync."""
         with self._condition:
@@ -205,6 +212,7 @@
                         self._failure,
                     )
                 )
+            self._recovery_count += 1
             # State that is read from here on depends on no lost write.
             self._submitted_ticket += 1
             self._completed_ticket = self._submitted_ticket
--- a/oleanderpin/tests/control/test_full_disks.py
+++ b/oleanderpin/tests/control/test_full_disks.py
@@ -213,3 +213,30 @@
     assert account_change(5).arguments['name'] in (
         group.view(leader).state.accounts
     )
+
+
+def test_commit_is_stored_again_after_a_full_disk(
+    group: Group, synced: SyncedFiles
+) -> None:
+    """Guards against a start without configuration until the next election.
+
+    The failure loses a write of the commit checkpoint.
+    """
+    name = next(each for each in group.names if each != group.leader())
+    group.change(0)
+    synced.full_folders = {group.directory / name}
+    group.change(1)
+    wait_until('failed', lambda: group.log(name).problem)
+    synced.full_folders = set()
+    wait_until('works', lambda: not group.log(name).problem)
+    group.change(2)
+    revision = group.wait_for_same_revision()
+    wait_until(
+        'applied from the log',
+        lambda: group.log(name).own_member().revision >= revision,
+    )
+    group.stop()
+    group.start(name)
+    view = group.view(name)
+    wait_until('applied', lambda: view.revision >= revision)
+    assert not group.log(name).has_lease()
