Say once who forms the group, and which members hold a place

The question whether this instance forms the group was asked in two places; the loop that stays a member had three conditions for one decision; count_places was used once and built a set for what a list says; _is_reserved reserved what it asked for; nested conditions in service.put are one.

--- a/oleanderpin/control/bootstrap.py
+++ b/oleanderpin/control/bootstrap.py
@@ -54,22 +54,25 @@
 
     def start(self) -> None:
         """Form or join a group in a thread, and join it again if removed."""
-        settings = self._node.kernel.settings
-        addresses = self._initial_addresses()
         is_empty = not self._node.state.identity.cluster_id
-        if is_empty and addresses[:1] == [settings.listen.peer]:
-            self._start_thread(lambda: self._form_when_all_empty(addresses))
+        if is_empty and self._forms_group():
+            self._start_thread(self._form_when_all_empty)
         elif is_empty:
             _LOG.info(
                 'member %s has an empty disk and waits to be added',
                 self._node.own_id,
             )
-        if settings.control.join_automatically:
+        if self._node.settings.join_automatically:
             self._start_thread(self._stay_member)
 
     def _start_thread(self, loop: Callable[[], None]) -> None:
         background_thread(self._node.kernel, loop, name='log-bootstrap').start()
 
+    def _forms_group(self) -> bool:
+        """Return whether this instance is the first of the initial members."""
+        own_address = self._node.kernel.settings.listen.peer
+        return self._initial_addresses()[:1] == [own_address]
+
     def _initial_addresses(self) -> list[str]:
         settings = self._node.kernel.settings
         control = settings.control
@@ -81,18 +84,15 @@
     def _stay_member(self) -> None:
         """Ask the leader to add this instance whenever it may be no member."""
         node = self._node
-        is_forming = self._initial_addresses()[:1] == [
-            node.kernel.settings.listen.peer
-        ]
         while node.kernel.wait_while_running(self._join_interval_s()):
-            is_in_group = bool(node.state.identity.cluster_id)
-            if node.state.failure is not None:
-                continue
-            if is_in_group and self._hears_from_leader():
-                continue
-            if is_in_group or not is_forming:
+            if node.state.failure is None and self._may_be_no_member():
                 self._ask_to_join()
 
+    def _may_be_no_member(self) -> bool:
+        if self._node.state.identity.cluster_id:
+            return not self._hears_from_leader()
+        return not self._forms_group()
+
     def _join_interval_s(self) -> float:
         if self._node.state.identity.cluster_id:
             return _REJOIN_CHECK_INTERVAL_S
@@ -120,8 +120,9 @@
             EVENTS.labels('control', 'join_waits').inc()
             _LOG.info('not added to the control group yet: %s', error)
 
-    def _form_when_all_empty(self, addresses: list[str]) -> None:
+    def _form_when_all_empty(self) -> None:
         node = self._node
+        addresses = self._initial_addresses()
         while not node.state.identity.cluster_id:
             members = self._collect_empty_members(addresses)
             if members:
--- a/oleanderpin/control/commands.py
+++ b/oleanderpin/control/commands.py
@@ -173,13 +173,12 @@
         _require(state, 'accounts', account)
     current = state.services.get(arguments.name)
     is_moving = _running_move(state, arguments.name) is not None
-    if current is not None and is_moving:
-        if arguments.version != current.version:
-            raise ValidationError(
-                f'version {arguments.version!r} differs from the version '
-                f'{current.version!r} of the running move',
-                remedy='wait for the move to end or cancel it',
-            )
+    if is_moving and current and arguments.version != current.version:
+        raise ValidationError(
+            f'version {arguments.version!r} differs from the version '
+            f'{current.version!r} of the running move',
+            remedy='wait for the move to end or cancel it',
+        )
     service = Service(**arguments.model_dump())
     return state.with_record('services', service.name, service)
 
--- a/oleanderpin/control/member_policy.py
+++ b/oleanderpin/control/member_policy.py
@@ -12,7 +12,7 @@
 disk asks to be added again; it is still bound by its votes.
 """
 
-from collections.abc import Sequence, Set
+from collections.abc import Sequence
 from dataclasses import replace
 
 from .progress import voter_ids
@@ -56,11 +56,6 @@
     return members
 
 
-def count_places(members: Members, silent_ids: Set[str]) -> int:
-    """Return how many members hold a place that no other instance can take."""
-    return sum(each.member_id not in silent_ids for each in members)
-
-
 def _same_address(members: Members, ready: Member | None) -> Member | None:
     if ready is None:
         return None
--- a/oleanderpin/control/members.py
+++ b/oleanderpin/control/members.py
@@ -14,7 +14,7 @@
 )
 from ..wire.network import PeerNetwork
 from .convert import member_to_wire
-from .member_policy import MAX_VOTERS, count_places, next_members
+from .member_policy import MAX_VOTERS, next_members
 from .progress import majority_size, voter_ids
 from .raft import RaftNode
 from .raft_state import Role
@@ -182,13 +182,16 @@
         return identity
 
     def _check_addition(self, address: str, members: Members) -> None:
-        others = tuple(each for each in members if each.address != address)
-        silent_ids = {each.member_id for each in self._silent_members(members)}
-        places = count_places(others, silent_ids)
-        if places >= MAX_VOTERS:
+        silent = self._silent_members(members)
+        others = [
+            each
+            for each in members
+            if each.address != address and each not in silent
+        ]
+        if len(others) >= MAX_VOTERS:
             raise MemberProblem(
                 kind='invalid_input',
-                problem=f'the group has {places} members already, '
+                problem=f'the group has {len(others)} members already, '
                 f'at most {MAX_VOTERS} are possible',
                 remedy='remove one first',
             )
--- a/oleanderpin/core/pauses.py
+++ b/oleanderpin/core/pauses.py
@@ -43,7 +43,7 @@
         Parameters
         ----------
         read_s : float
-            Monotonic time at which the data was read, a moment ago.
+            Monotonic time at which the data was read.
 
         Returns
         -------
--- a/oleanderpin/testing/builders.py
+++ b/oleanderpin/testing/builders.py
@@ -30,7 +30,7 @@
     ports: list[int] = []
     while len(ports) < count:
         port = next(_CANDIDATES)
-        if _is_reserved(port) and _is_free(port):
+        if _reserve(port) and _is_free(port):
             ports.append(port)
     return ports
 
@@ -54,7 +54,7 @@
         If all networks are taken.
     """
     for number in _NETWORKS:
-        if _is_reserved(_LAST_PORT + number):
+        if _reserve(_LAST_PORT + number):
             return f'127.{number}'
     raise OSError(
         errno.EADDRNOTAVAIL, f'all {len(_NETWORKS)} loopback networks are taken'
@@ -63,15 +63,18 @@
 
 @functools.cache
 def _reservations() -> BinaryIO:
-    """Return a file that test processes share; a byte for each port."""
+    """Return a file that test processes share.
+
+    It has a byte for each port and, after the last one, for each network.
+    """
     path = Path(tempfile.gettempdir()) / f'oleanderpin-ports-{os.getuid()}'
     return path.open('ab')
 
 
-def _is_reserved(port: int) -> bool:
-    """Lock a port for this process; return whether no other one has it."""
+def _reserve(position: int) -> bool:
+    """Lock a byte for this process; return whether no other one has it."""
     try:
-        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, position)
     except BlockingIOError:
         return False
     return True
