Show that a restart of all instances denies routes, and searches in series

Cause: not mended here. After a loss of all power, control instances hand out the configuration that their stored commit position names, which may lack the last change; gateways answer 404 by it. A late gateway then tries one source after the other, out of a list that may hold none that it reaches.

--- a/oleanderpin/testing/gateway_fleet.py
+++ b/oleanderpin/testing/gateway_fleet.py
@@ -213,6 +213,11 @@
 
     def configure(self, change: ConfigurationReplace) -> None:
         """Put a configuration in force on all gateways."""
+        self.configure_without_waiting(change)
+        wait_for('configuration in force', self._is_in_force)
+
+    def configure_without_waiting(self, change: ConfigurationReplace) -> None:
+        """Put a configuration; return when it is confirmed."""
         actions = self.kernels[self.leader()].plugin(OperatorActions)
 
         def is_accepted() -> bool:
@@ -222,16 +227,22 @@
                 return False
 
         wait_for('configuration accepted', is_accepted)
-        wait_for('configuration in force', self._is_in_force)
 
     def ask(
-        self, gateway: str, account: str, *, deadline_ms: int, number: int = 0
+        self,
+        gateway: str,
+        account: str,
+        *,
+        deadline_ms: int,
+        number: int = 0,
+        path: str = '/desk/1',
     ) -> AskedRequest:
         """Send one request over a connection of its own."""
         port = self._instances[gateway].ports[0]
         sent_s = monotonic_s()
         message = request_bytes(
             request_id=f'{account}-{number}',
+            path=path,
             key=key_of(account),
             deadline_ms=deadline_ms,
         )
@@ -330,29 +341,37 @@
 
 def accounts_configuration(
     rates: dict[str, tuple[float, float]],
+    *,
+    number: int = 1,
+    added_prefixes: Iterable[str] = (),
 ) -> ConfigurationReplace:
-    """Return a configuration with one route below ``/desk/``.
+    """Return a configuration with a route below ``/desk/``.
 
     Parameters
     ----------
     rates : dict
         Rate per second and burst of each client account; a rate of 0 is no
         limit.
+    number : int
+        Number of the configuration, based on the one before.
+    added_prefixes : iterable of str
+        Path prefixes of further routes.
     """
     return ConfigurationReplace(
-        number=1,
-        based_on=0,
+        number=number,
+        based_on=number - 1,
         objects=Objects(
             profiles={'counter': ProfileDocument(is_repeatable=True)},
             services={'desk': ServiceDocument(profile='counter')},
             routes={
-                'desk': RouteDocument(
+                prefix.strip('/'): RouteDocument(
                     host='shop.example',
-                    path_prefix='/desk/',
+                    path_prefix=prefix,
                     profile='counter',
                     services=('desk',),
                     weights=(1.0,),
                 )
+                for prefix in ('/desk/', *added_prefixes)
             },
             accounts={
                 name: AccountDocument(
