Catch up with any peer that is known to be newer

Callers saw: after a loss of all power a gateway used the configuration before the last confirmed one for 7 to 14 s. Cause: an instance knew only what its two sources told it, and looked for better ones in a fixed list, one time-out after the other; peers in it are dead, starting or as old as itself. Change: each datagram of the failure detector carries the revision of its sender, so an instance knows which peer is newer and asks that one. While no source has replied for two hold times it asks 16 members at once. Such a reply gives no authority, so that confirmations never go round in a circle.

--- a/oleanderpin/control/distribution.py
+++ b/oleanderpin/control/distribution.py
@@ -11,6 +11,7 @@
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..membership.peers import Peers
 from ..wire.generated.common.ttypes import NotLeader, Unavailable
 from ..wire.generated.control import Control
 from ..wire.generated.control.ttypes import (
@@ -23,7 +24,7 @@
 from ..wire.server import PeerServer
 from .change import Change, Outcome
 from .confirmations import Confirmations, WatcherId
-from .follower import OUTDATED_FRACTION, Follower
+from .follower import Follower
 from .leader import LeaderClient
 from .log import ControlLog
 from .state import ControlState
@@ -76,6 +77,9 @@
         )
         self.follower = Follower(kernel, self.confirmations)
         self._view.subscribe(self._record_applied_revision)
+        kernel.plugin(Peers).gossip.share_revision(
+            lambda: self._view.revision, self._view.note_peer_revision
+        )
         kernel.plugin(PeerServer).register(
             'Control', Control.Processor(_ControlHandler(self))
         )
@@ -200,7 +204,8 @@
     def handle_watch(self, request: WatchRequest) -> WatchReply:
         """Reply to a long poll with changes, or without after the hold time."""
         arrived_s = self.kernel.clock.now_s()
-        self.handle_confirm(request)
+        if not request.is_catch_up:
+            self.handle_confirm(request)
         self._view.wait_for(
             request.revision + 1, timeout_s=self._hold_s(request)
         )
@@ -209,9 +214,10 @@
         if self._view.is_fresh():
             # The watcher is recorded and the age is read before the entries, so
             # that the entries include every change that the freshness covers.
-            self.confirmations.record_grant(
-                _watcher_id(request), self._view.revision
-            )
+            if not request.is_catch_up:
+                self.confirmations.record_grant(
+                    _watcher_id(request), self._view.revision
+                )
             age_ms = self._freshness_age_at_ms(arrived_s)
         if request.wants_revision_only:
             entries: list[Entry] | None = []
@@ -229,9 +235,8 @@
     def _hold_s(self, request: WatchRequest) -> float:
         """Return how long a watcher may wait here for the next change."""
         hold_s = request.hold_ms / 1000
-        limit_s = self.kernel.settings.control.freshness_limit_s
         self.follower.check_leadership()
-        if self._view.freshness_age_s() <= limit_s * OUTDATED_FRACTION:
+        if self._view.freshness_age_s() <= self._view.outdated_after_s():
             return hold_s
         return min(hold_s, _OUTDATED_HOLD_S)
 
--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -31,9 +31,6 @@
 # Longer than a round trip on a link whose queue is half a second long in both
 # directions.
 _CALL_MARGIN_S = 1.0
-# Fraction of the freshness limit from which on a source counts as outdated. In
-# a fleet without faults a relay's copy is younger than two hold times.
-OUTDATED_FRACTION = 0.25
 # Delay after all known sources failed or were outdated.
 _RETRY_DELAY_S = 0.2
 # Interval at which a leader renews its own freshness.
@@ -55,6 +52,13 @@
 _FIRST_SOURCE_S = 0.4
 
 
+# Interval at which an instance whose sources are silent asks other members for
+# their revisions, and the number that it asks at once.
+_CATCH_UP_INTERVAL_S = 0.5
+_ASKED_PEERS = 16
+# Hold times after which the copy would be fresher if a source replied.
+_WATCHED_HOLDS = 2
+
 _WatchResult = Literal['fresh', 'outdated', 'silent']
 
 
@@ -142,8 +146,9 @@
         self._backoffs: dict[str, _BackOff] = {}
         self._silent_asked_s = float('-inf')
         self._hinted_leader = ''
-        limit_s = kernel.settings.control.freshness_limit_s
-        self._outdated_s = limit_s * OUTDATED_FRACTION
+        self._outdated_s = self._view.outdated_after_s()
+        hold_s = kernel.settings.control.watch_hold_s
+        self._watched_age_s = _WATCHED_HOLDS * hold_s
         self._start_id = random.getrandbits(31)
         self._first = SourceWatch()
         self._standby = SourceWatch(is_standby=True)
@@ -158,6 +163,7 @@
         threads: list[tuple[Callable[..., None], tuple[SourceWatch, ...]]] = [
             (self._watch_loop, ()),
             (self._report_loop, (self._first,)),
+            (self._catch_up_loop, ()),
         ]
         # Control instances have no second source.
         if 'control' not in self._kernel.settings.instance.roles:
@@ -211,10 +217,62 @@
             known_revision = self._view.revision
             requested_s = self._kernel.clock.now_s()
             reply = self._send_watch(address, request)
+        self._take_over(reply)
+        if self._is_fresh_for(reply, requested_s):
+            self._view.note_fresh(_as_of_s(reply, requested_s))
+        self._log_received(reply, known_revision, address)
+        return reply
+
+    def catch_up(self) -> None:
+        """Get the changes that a peer is known to hold from that peer.
+
+        The sources of this instance may be silent or as old as itself, while
+        the peer has sent a datagram a moment ago. It waits for no confirmation
+        of this reply, so that confirmations never go round in a circle.
+        """
+        revision, _address = self._view.wait_for_newer(
+            timeout_s=_CATCH_UP_INTERVAL_S
+        )
+        is_watching = self._view.freshness_age_s() < self._watched_age_s
+        if not revision:
+            if not is_watching:
+                self._peers.ask_revisions(_ASKED_PEERS)
+            return
+        if is_watching and self._view.wait_for(
+            revision, timeout_s=_FIRST_SOURCE_S
+        ):
+            return
+        revision, address = self._view.wait_for_newer(timeout_s=0)
+        if not address:
+            return
+        request = self._watch_request(0, SourceWatch())
+        request.is_catch_up = True
+        known_revision = self._view.revision
+        requested_s = self._kernel.clock.now_s()
+        try:
+            reply = self._send_watch(address, request)
+        except UnavailableError as error:
+            EVENTS.labels('control', 'catch_up_failed').inc()
+            _LOG.warning('cannot catch up with a peer: %s', error)
+            return
+        EVENTS.labels('control', 'caught_up').inc()
+        self._take_over(reply)
+        if self._is_fresh_for(reply, requested_s):
+            self._view.note_current(_as_of_s(reply, requested_s))
+        self._log_received(reply, known_revision, address)
+
+    def _catch_up_loop(self) -> None:
+        while not self._kernel.stopping.is_set():
+            self.catch_up()
+
+    def _take_over(self, reply: WatchReply) -> None:
         if reply.snapshot:
             self._view.install(reply.snapshot)
         self._view.apply(reply.entries)
-        self._update_freshness(reply, requested_s)
+
+    def _log_received(
+        self, reply: WatchReply, known_revision: int, address: str
+    ) -> None:
         has_content = bool(reply.entries or reply.snapshot)
         if has_content and self._view.revision > known_revision:
             _LOG.info(
@@ -224,9 +282,9 @@
                     'configuration': self._view.state.configuration.number,
                     'source': address,
                     'source_age_ms': reply.freshness_age_ms,
+                    'standing': self._view.standing().value,
                 },
             )
-        return reply
 
     def _send_watch(self, address: str, request: WatchRequest) -> WatchReply:
         return self._network.call(
@@ -316,14 +374,13 @@
             start_id=self._start_id,
         )
 
-    def _update_freshness(self, reply: WatchReply, requested_s: float) -> None:
+    def _is_fresh_for(self, reply: WatchReply, requested_s: float) -> bool:
+        """Return whether a reply shows that the copy is fresh."""
         if reply.freshness_age_ms < 0 or self._view.revision < reply.revision:
-            return
-        as_of_s = requested_s - reply.freshness_age_ms / 1000
+            return False
         # Freshness from before the start may belong to a lower revision than
         # the one that an earlier process of this instance used.
-        if as_of_s >= self._started_s:
-            self._view.note_fresh(as_of_s)
+        return _as_of_s(reply, requested_s) >= self._started_s
 
     def _watch_loop(self) -> None:
         was_leader = False
@@ -464,3 +521,8 @@
         except UnavailableError:
             # The next watch request reports the same revision.
             EVENTS.labels('control', 'confirm_failed').inc()
+
+
+def _as_of_s(reply: WatchReply, requested_s: float) -> float:
+    """Return the time up to which the reply holds all accepted changes."""
+    return requested_s - reply.freshness_age_ms / 1000
--- a/oleanderpin/control/view.py
+++ b/oleanderpin/control/view.py
@@ -16,9 +16,13 @@
 from ..wire.generated.control.ttypes import Entry
 from .change import Outcome
 from .machine import StateMachine
+from .standing import CopyAge, Standing
 from .state import ControlState
 
 _LOG = logging.getLogger(__name__)
+# Fraction of the freshness limit from which on a copy counts as outdated. In a
+# fleet without faults a relay's copy is younger than two hold times.
+OUTDATED_FRACTION = 0.25
 _MAX_RECENT_ENTRIES = 2000
 # A peer that lacks more gets a snapshot.
 _MAX_RECENT_BYTES = 8 * 1024 * 1024
@@ -38,6 +42,7 @@
         self._recent_entries: deque[Entry] = deque()
         self._recent_bytes = 0
         self._fresh_as_of_s = float('-inf')
+        self._age = CopyAge(kernel.clock, aged_after_s=self.outdated_after_s())
         self._listeners: list[Listener] = []
 
     @property
@@ -59,6 +64,66 @@
         limit_s = self.kernel.settings.control.freshness_limit_s
         return self.freshness_age_s() < limit_s
 
+    def outdated_after_s(self) -> float:
+        """Return the age from which on a copy counts as outdated."""
+        limit_s = self.kernel.settings.control.freshness_limit_s
+        return float(limit_s * OUTDATED_FRACTION)
+
+    def standing(self) -> Standing:
+        """Return how current the copy is known to be."""
+        return self._age.standing()
+
+    def is_known_current(self) -> bool:
+        """Return whether the copy holds all that was accepted until lately.
+
+        Only then is it certain that something is not configured.
+        """
+        return self.standing() is Standing.CURRENT
+
+    def is_known_outdated(self) -> bool:
+        """Return whether the copy must not be used, as others are newer."""
+        return self.standing() is Standing.OUTDATED
+
+    def note_current(self, as_of_s: float) -> None:
+        """Record that the copy held all accepted changes, without authority.
+
+        The instance that told it does not wait for a confirmation from here.
+
+        Parameters
+        ----------
+        as_of_s : float
+            Time on the monotonic clock of this instance, in seconds.
+        """
+        self._age.note_current(as_of_s)
+
+    def note_peer_revision(self, revision: int, address: str) -> None:
+        """Record the revision of the copy of a peer.
+
+        Parameters
+        ----------
+        revision : int
+            Revision that the peer has applied.
+        address : str
+            Its peer address.
+        """
+        if self._age.note_peer(revision, address, self.revision):
+            with self._changed:
+                self._age.note_revision(self._machine.revision)
+                self._changed.notify_all()
+
+    def wait_for_newer(self, *, timeout_s: float) -> tuple[int, str]:
+        """Wait until a peer is known to hold a newer revision.
+
+        Returns
+        -------
+        tuple
+            The revision and the address of the peer; 0 and an empty address if
+            there is none within ``timeout_s`` seconds.
+        """
+        with self._changed:
+            self._changed.wait_for(lambda: self._age.newest()[0], timeout_s)
+            return self._age.newest()
+
     def note_fresh(self, as_of_s: float) -> None:
         """Record that the copy holds all changes accepted by ``as_of_s``.
 
@@ -69,6 +134,7 @@
         """
         with self._changed:
             self._fresh_as_of_s = max(self._fresh_as_of_s, as_of_s)
+        self._age.note_current(as_of_s)
 
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` with the new state after each change."""
@@ -93,6 +159,7 @@
                     self._machine.apply(entry.revision, entry.payload)
                 )
                 self._keep_recent(entry)
+            self._age.note_revision(self._machine.revision)
             CONTROL_REVISION.set(self._machine.revision)
             self._changed.notify_all()
         if outcomes:
@@ -114,6 +181,7 @@
             self._machine = machine
             self._recent_entries.clear()
             self._recent_bytes = 0
+            self._age.note_revision(machine.revision)
             CONTROL_REVISION.set(machine.revision)
             self._changed.notify_all()
         self._notify_listeners()
--- a/oleanderpin/membership/gossip.py
+++ b/oleanderpin/membership/gossip.py
@@ -8,6 +8,7 @@
 import random
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -60,8 +61,26 @@
         self._lock = threading.Lock()
         self._pending: dict[int, threading.Event] = {}
         self._relayed: OrderedDict[int, _RelayedPing] = OrderedDict()
+        self._own_revision: Callable[[], int] = int
+        self._note_revision: Callable[[int, str], None] = _ignore_revision
         self._datagrams.on_datagram(self._handle_datagram)
 
+    def share_revision(
+        self, own: Callable[[], int], note: Callable[[int, str], None]
+    ) -> None:
+        """Exchange revisions of the control state with each datagram.
+
+        Parameters
+        ----------
+        own : callable
+            Returns the revision of the own copy.
+        note : callable
+            Told of the revision and the address of each peer that is heard
+            from; revision 0 for peers that send none.
+        """
+        self._own_revision = own
+        self._note_revision = note
+
     def ping(self, address: str, *, name: str = '') -> threading.Event:
         """Send a ping.
 
@@ -121,6 +140,12 @@
                 if event is not answered
             }
 
+    def ask_revision(self, address: str) -> None:
+        """Ask a peer for its revision; the answer is told like any other."""
+        self._send(
+            address, MessageKind.ping, self._next_sequence(), is_short=True
+        )
+
     def notify(self, address: str, status: Status = Status.alive) -> None:
         """Send the status of this instance to one peer; no ack is expected."""
         own = encode(self._table.own_update(status))
@@ -145,8 +170,9 @@
         subject_address: str | None = None,
         extra: bytes | None = None,
         wants_info: bool | None = None,
+        is_short: bool = False,
     ) -> None:
-        updates = self._table.piggyback()
+        updates = [] if is_short else self._table.piggyback()
         if extra is not None:
             updates.append(extra)
         known_update = (
@@ -162,6 +188,7 @@
             subject_address=subject_address,
             updates=updates,
             wants_info=wants_info,
+            revision=self._own_revision() or None,
         )
         self._datagrams.send(address, serialize(message, PROTOCOL))
 
@@ -171,6 +198,7 @@
         )
         for encoded in message.updates:
             self._table.merge(decode(encoded))
+        self._note_revision(message.revision or 0, address)
         if message.kind == MessageKind.ping:
             self._handle_ping(address, message)
         elif message.kind == MessageKind.ack:
@@ -216,3 +244,7 @@
             if len(self._relayed) > _MAX_RELAYED:
                 self._relayed.popitem(last=False)
         self._send(message.subject_address, MessageKind.ping, sequence)
+
+
+def _ignore_revision(_revision: int, _address: str) -> None:
+    """Stand for a receiver until there is one."""
--- a/oleanderpin/membership/peers.py
+++ b/oleanderpin/membership/peers.py
@@ -1,5 +1,6 @@
 """The set of live instances, kept up to date by gossip."""
 
+import random
 import time
 from dataclasses import dataclass, replace
 from typing import Any
@@ -69,8 +70,8 @@
         )
         self._cached: _CachedPeers = ((-1, False), ())
         kernel.plugin(PeerTraffic).borders = self._borders
-        gossip = Gossip(kernel, self.table)
-        self.prober = Prober(kernel, self.table, gossip)
+        self.gossip = Gossip(kernel, self.table)
+        self.prober = Prober(kernel, self.table, self.gossip)
         kernel.plugin(PeerServer).register(
             'Membership',
             Membership.Processor(_MembershipHandler(self.table)),
@@ -85,6 +86,22 @@
         self.table.leave()
         self.prober.notify(Status.left)
 
+    def ask_revisions(self, count: int) -> None:
+        """Ask random running members for the revisions of their copies.
+
+        Parameters
+        ----------
+        count : int
+            Number of members that are asked at most.
+        """
+        addresses = [
+            member.info.peer_address
+            for member in self.table.members()
+            if member.is_running
+        ]
+        for address in random.sample(addresses, min(count, len(addresses))):
+            self.gossip.ask_revision(address)
+
     def own(self) -> Peer:
         """Return this instance as its peers see it."""
         return self.alive()[0]
--- a/oleanderpin/wire/control.thrift
+++ b/oleanderpin/wire/control.thrift
@@ -35,6 +35,11 @@
   5: i32 start_id,
   /** Reply without the changes; the other source of the instance sends them. */
   6: optional bool wants_revision_only,
+  /**
+   * The instance asks once, for changes that it missed. The reply gives it no
+   * authority, so its confirmation is not waited for.
+   */
+  7: optional bool is_catch_up,
 }
 
 struct WatchReply {
--- a/oleanderpin/wire/membership.thrift
+++ b/oleanderpin/wire/membership.thrift
@@ -38,6 +38,8 @@
   6: list<binary> updates,
   /** The sender of this message does not know its receiver. */
   7: optional bool wants_info,
+  /** Revision of the sender's copy of the control state. */
+  8: optional i64 revision,
 }
 
 struct PingReply {
