Deny nothing, and serve nothing, by a copy that others know to be old

Callers saw: 404 for a route that had been confirmed 12 s before, and requests forwarded by the configuration before it. Cause: a gateway that had just started used whatever copy it was given, also one that no leader had confirmed since its start, and took each of them for the truth.

--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -32,6 +32,8 @@
 # Longest wait for a share of the rate, as a fraction of the time left.
 _RATE_WAIT_FRACTION = 0.2
 _NO_CONFIGURATION_RETRY_S = 0.5
+# Other instances are likely to be current already.
+_OUTDATED_RETRY_S = 0.5
 _DRAIN_POLL_S = 0.05
 # Time after the start in which an instance learns of all others by gossip.
 _MEMBERSHIP_SETTLED_S = 5.0
@@ -243,6 +245,7 @@
         is_ready = (
             request.path() == _READY_PATH
             and self._configuration().number > 0
+            and not self._view.is_known_outdated()
             and not self.kernel.draining.is_set()
         )
         return Response(200 if is_ready else 503)
@@ -313,8 +316,15 @@
                 'this instance has no configuration yet',
                 retry_after_s=_NO_CONFIGURATION_RETRY_S,
             )
+        if self._view.is_known_outdated():
+            raise not_run_refusal(
+                'configuration_outdated',
+                'other instances have a newer configuration',
+                retry_after_s=_OUTDATED_RETRY_S,
+            )
         route = self._routes.find(request.host(), request.path())
         if route is None:
+            self._require_current('the route')
             raise Refusal(
                 'no_route',
                 f'no route for {request.host()!r} {request.path()!r}',
@@ -334,6 +344,8 @@
         if route.route.is_open or not state.accounts:
             return account
         if account is None:
+            if key:
+                self._require_current('the key')
             raise Refusal(
                 'unknown_key' if key else 'missing_key',
                 'the key is unknown or revoked' if key else 'a key is needed',
@@ -349,6 +361,24 @@
             )
         return account
 
+    def _require_current(self, what: str) -> None:
+        """Raise unless it is certain that something is not configured.
+
+        The caller would take a refusal for final, although another instance may
+        serve the request.
+
+        Raises
+        ------
+        Refusal
+            If the configuration may have been changed.
+        """
+        if not self._view.is_known_current():
+            raise not_run_refusal(
+                'configuration_unconfirmed',
+                f'{what} may have been added since this instance was updated',
+                retry_after_s=_OUTDATED_RETRY_S,
+            )
+
     def _caller_timeout_s(self, request: CallerRequest) -> float:
         value = request.header(self._dialect.deadline_ms)
         if value is not None and value.isdigit():
