Count the bytes of refused bodies that have arrived unread

Cause: the load of the link counted what a gateway reads. A refused body is not read, but what has arrived of it has used the link, so that the traffic lines of gateways that reached no other instance showed a link that was 0.3 full. Change: a leg of its own for these bytes, part of the load of the link, by which look-ups choose gateways.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -1,6 +1,9 @@
 """Server side of a caller's HTTP/1.1 connection, with pipelining."""
 
+import array
 import asyncio
+import fcntl
+import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -276,6 +279,9 @@
             self._timer.cancel()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(_LINGER_S, self._transport.abort)
+        # What has arrived of the body has used the link.
+        received = unread_bytes(self._transport.get_extra_info('socket'))
+        self._listener.meter.add_bytes('unread_from_callers', received)
 
     def give_up_blocking(self) -> None:
         """Give up requests whose missing response holds back complete ones.
@@ -388,6 +394,13 @@
         self._transport.close()
 
 
+def unread_bytes(connection: Any) -> int:
+    """Return the bytes that a socket has received and nobody has read."""
+    size = array.array('i', [0])
+    fcntl.ioctl(connection.fileno(), termios.FIONREAD, size)
+    return size[0]
+
+
 def encode_response(response: Response, *, closes: bool) -> bytes:
     """Return a response as HTTP/1.1 with ``Content-Length``."""
     reason = response.reason or _REASON_PHRASES.get(response.status, b'')
--- a/oleanderpin/gateway/traffic.py
+++ b/oleanderpin/gateway/traffic.py
@@ -20,7 +20,13 @@
 _LOAD_TIME_CONSTANT_S = 1.5
 _BYTES_PER_MBIT = 125_000
 
-Leg = Literal['from_callers', 'to_callers', 'from_targets', 'to_targets']
+Leg = Literal[
+    'from_callers',
+    'unread_from_callers',
+    'to_callers',
+    'from_targets',
+    'to_targets',
+]
 Part = Literal['rate', 'connect', 'target']
 
 
