Check by model that a restart leads to no denial by an old copy

Cause: specs/freshness.py has no restart that loses the last commits. Change: specs/restart.py, with a loss of all power, stored commit positions that lag behind, and the new age of copies.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -14,7 +14,7 @@
 
 from minicheck import Protocol, check_safety
 
-from . import freshness, log, parts, shares
+from . import freshness, log, parts, restart, shares
 
 _MAX_STATES = 3_000_000
 # A seeded fault breaks an invariant within a few steps, so the search does not
@@ -59,6 +59,7 @@
     if is_full:
         limit = _MAX_STATES_WITH_FAULT_FULL
     yield from _check('freshness', freshness.build, freshness.FAULTS, limit)
+    yield from _check('restart', restart.build, restart.FAULTS, limit)
     yield from _check(
         'shares',
         lambda fault: shares.build(fault, total_units=total_units),
