Pause after a failed attempt to catch up, and forget peers that are gone

Cause: an instance that knew of a newer peer asked it again without a pause when the call failed at once, and refused all requests for good if that peer, the only one with that revision, never came back. Change: a pause of 0.2 s; a revision that no peer has told for 6 s is forgotten; the call may take 4 s, since the peer has just sent a datagram and a late reply waits on a full link; callers return after 1 s, which leaves room on such a link. Result: two tests that fail without it (thousands of calls in a second; refused for good).

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -56,6 +56,8 @@
 # their revisions, and the number that it asks at once.
 _CATCH_UP_INTERVAL_S = 0.5
 _ASKED_PEERS = 16
+# The peer is alive, so a reply that is late waits behind others on a full link.
+_CATCH_UP_TIMEOUT_S = 4.0
 
 _WatchResult = Literal['fresh', 'outdated', 'silent']
 
@@ -248,15 +250,21 @@
         known_revision = self._view.revision
         requested_s = self._kernel.clock.now_s()
         try:
-            reply = self._send_watch(address, request)
+            reply = self._send_watch(
+                address, request, margin_s=_CATCH_UP_TIMEOUT_S
+            )
         except UnavailableError as error:
             EVENTS.labels('control', 'catch_up_failed').inc()
             _LOG.warning('cannot catch up with a peer: %s', error)
+            self._kernel.wait_while_running(_RETRY_DELAY_S)
             return
         EVENTS.labels('control', 'caught_up').inc()
         self._take_over(reply)
         self._note_current(reply, requested_s)
         self._log_received(reply, known_revision, address)
+        if self._view.revision == known_revision:
+            # The peer has restarted since it told its revision.
+            self._kernel.wait_while_running(_RETRY_DELAY_S)
 
     def _catch_up_loop(self) -> None:
         while not self._kernel.stopping.is_set():
@@ -283,13 +291,19 @@
                 },
             )
 
-    def _send_watch(self, address: str, request: WatchRequest) -> WatchReply:
+    def _send_watch(
+        self,
+        address: str,
+        request: WatchRequest,
+        *,
+        margin_s: float = _CALL_MARGIN_S,
+    ) -> WatchReply:
         return self._network.call(
             address,
             'Control',
             'watch',
             request,
-            timeout_s=request.hold_ms / 1000 + _CALL_MARGIN_S,
+            timeout_s=request.hold_ms / 1000 + margin_s,
         )
 
     def _has_changes(self, reply: WatchReply) -> bool:
--- a/oleanderpin/control/standing.py
+++ b/oleanderpin/control/standing.py
@@ -12,6 +12,8 @@
 # Longest time without a datagram of any peer in which an unconfirmed copy may
 # be used: several intervals of the failure detector.
 _ISOLATION_LIMIT_S = 2.0
+# A revision that no peer has told for so long is held by none that is reached.
+_FORGOTTEN_AFTER_S = 6.0
 
 
 class Standing(Enum):
@@ -71,6 +73,7 @@
         self._current_as_of_s = float('-inf')
         self._heard_s = clock.now_s()
         self._newer: deque[_NewerRevision] = deque()
+        self._newer_told_s = float('-inf')
 
     def note_current(self, as_of_s: float) -> None:
         """Record that the copy held all accepted changes at a time.
@@ -104,6 +107,7 @@
             return False
         found = _NewerRevision(revision, address, self._heard_s)
         with self._lock:
+            self._newer_told_s = self._heard_s
             known = self._newer
             if known and known[-1].revision >= revision:
                 # Keeps the time since which the copy is known to be old.
@@ -134,6 +138,7 @@
             Revision 0 and an empty address if no peer holds a newer one.
         """
         with self._lock:
+            self._forget_untold()
             if not self._newer:
                 return 0, ''
             return self._newer[-1].revision, self._newer[-1].holder_address
@@ -146,6 +151,7 @@
         """Return what is known about the copy at present."""
         now_s = self._clock.now_s()
         with self._lock:
+            self._forget_untold()
             known_s = self._newer[0].heard_s if self._newer else None
         if self._current_as_of_s == float('-inf'):
             is_isolated = now_s - self._heard_s > _ISOLATION_LIMIT_S
@@ -158,3 +164,7 @@
         if known_s is not None or is_aged:
             return Standing.AGED
         return Standing.CURRENT
+
+    def _forget_untold(self) -> None:
+        if self._clock.now_s() - self._newer_told_s > _FORGOTTEN_AFTER_S:
+            self._newer.clear()
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -32,8 +32,9 @@
 # Longest wait for a share of the rate, as a fraction of the time left.
 _RATE_WAIT_FRACTION = 0.2
 _NO_CONFIGURATION_RETRY_S = 0.5
-# Other instances are likely to be current already.
-_OUTDATED_RETRY_S = 0.5
+# Most instances have caught up by then; a shorter time would fill the links of
+# those that have not with bodies.
+_OUTDATED_RETRY_S = 1.0
 _DRAIN_POLL_S = 0.05
 # Time after the start in which an instance learns of all others by gossip.
 _MEMBERSHIP_SETTLED_S = 5.0
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -1,5 +1,6 @@
 """Freshness, confirmations, choice of sources and order of revisions."""
 
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,7 @@
 from ...control.view import ControlView
 from ...core.errors import Refusal
 from ...core.kernel import Kernel
+from ...core.metrics import EVENTS
 from ...membership.members import as_alive
 from ...membership.peers import Peer, Peers
 from ...testing.clock import ManualClock
@@ -494,6 +496,24 @@
     assert leaf.seconds_until(revision) < LIMIT_S
 
 
+def test_catching_up_with_a_peer_that_is_gone_pauses(
+    fleet: list[Kernel],
+) -> None:
+    """Guards against an instance that calls a stopped peer without a pause."""
+    leaf = fleet[4]
+    wait_until('leaf is fresh', leaf.plugin(ControlView).is_fresh)
+    faults = LinkFaults(leaf)
+    faults.cut(*fleet[:4], *fleet[5:])
+    view = leaf.plugin(ControlView)
+    failed = EVENTS.labels('control', 'catch_up_failed')
+    before = failed._value.get()
+    view.note_peer_revision(view.revision + 1, fleet[1].settings.listen.peer)
+    wait_until('catches up', lambda: failed._value.get() > before)
+    time.sleep(1.0)
+    # One call in 0.2 s; a loop without a pause makes thousands.
+    assert failed._value.get() - before < 50
+
+
 def test_proposal_reaches_the_leader_through_others(chain: Chain) -> None:
     """Guards against failed proposals while the link to the leader is cut."""
     chain.share_membership()
--- a/oleanderpin/tests/control/test_standing.py
+++ b/oleanderpin/tests/control/test_standing.py
@@ -86,3 +86,16 @@
     assert age.newest() == (9, 'c')
     age.note_revision(9)
     assert age.newest() == (0, '')
+
+
+def test_revision_that_nobody_holds_any_more_is_forgotten(
+    clock: ManualClock, age: CopyAge
+) -> None:
+    """Guards against refusing for good because of a peer that is gone."""
+    age.note_peer(9, PEER, 5)
+    for _step in range(4):
+        clock.advance(2.0)
+        age.note_current(clock.now_s())
+        age.note_peer(5, PEER, 5)
+    assert age.newest() == (0, '')
+    assert age.standing() is Standing.CURRENT
