Deny no service by an old copy in look-ups and on the threaded path

Cause: the same as for routes of gateways: an instance that had just started answered 404 for a service that was added before all power was lost. Change: 503, not run, unless a leader has confirmed the copy of late; the check is in one place, used by the gateway as well. Result: the two new tests fail without it (404 instead of 503) and pass.

--- a/oleanderpin/control/authority.py
+++ b/oleanderpin/control/authority.py
@@ -13,6 +13,40 @@
 from .view import ControlView
 
 
+# Most instances have caught up by then; a shorter time would fill the links of
+# those that have not with bodies.
+OUTDATED_RETRY_S = 1.0
+
+
+def require_current(view: ControlView, what: str) -> None:
+    """Raise unless it is certain that something is not configured.
+
+    A caller takes a refusal with 401 or 404 for final, although the control
+    state of another instance may allow the request.
+
+    Parameters
+    ----------
+    view : ControlView
+        Copy of the control state by which the request would be refused.
+    what : str
+        What is not configured, for the message.
+
+    Raises
+    ------
+    Refusal
+        If the control state may have been changed.
+    """
+    if not view.is_known_current():
+        raise Refusal(
+            'configuration_unconfirmed',
+            f'{what} may have been added since this instance was updated',
+            remedy='try another instance, or this one after the given time',
+            details=RefusalDetails(
+                retry_after_s=OUTDATED_RETRY_S, suggest_instances=True
+            ),
+        )
+
+
 def hash_key(key: str) -> str:
     """Return the SHA-256 of a key's text, in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/oleanderpin/forwarding/forwarder.py
+++ b/oleanderpin/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 from contextlib import ExitStack, contextmanager
 from typing import Any
 
-from ..control.authority import Authority
+from ..control.authority import Authority, require_current
 from ..control.state import Profile, Service
 from ..control.view import ControlView
 from ..core.errors import Refusal, RefusalDetails
@@ -152,6 +152,7 @@
     def _find_service(self, name: str) -> Service:
         service: Service | None = self._view.state.services.get(name)
         if service is None:
+            require_current(self._view, f'service {name!r}')
             raise bad_request(
                 'unknown_service',
                 f'no service {name!r}',
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -4,7 +4,11 @@
 import logging
 from typing import Any
 
-from ..control.authority import hash_key
+from ..control.authority import (
+    OUTDATED_RETRY_S,
+    hash_key,
+    require_current,
+)
 from ..control.state import Account, Configuration
 from ..control.view import ControlView
 from ..core.clock import monotonic_s
@@ -32,9 +36,6 @@
 # Longest wait for a share of the rate, as a fraction of the time left.
 _RATE_WAIT_FRACTION = 0.2
 _NO_CONFIGURATION_RETRY_S = 0.5
-# Most instances have caught up by then; a shorter time would fill the links of
-# those that have not with bodies.
-_OUTDATED_RETRY_S = 1.0
 _DRAIN_POLL_S = 0.05
 # Time after the start in which an instance learns of all others by gossip.
 _MEMBERSHIP_SETTLED_S = 5.0
@@ -321,11 +322,11 @@
             raise not_run_refusal(
                 'configuration_outdated',
                 'other instances have a newer configuration',
-                retry_after_s=_OUTDATED_RETRY_S,
+                retry_after_s=OUTDATED_RETRY_S,
             )
         route = self._routes.find(request.host(), request.path())
         if route is None:
-            self._require_current('the route')
+            require_current(self._view, 'the route')
             raise Refusal(
                 'no_route',
                 f'no route for {request.host()!r} {request.path()!r}',
@@ -346,7 +347,7 @@
             return account
         if account is None:
             if key:
-                self._require_current('the key')
+                require_current(self._view, 'the key')
             raise Refusal(
                 'unknown_key' if key else 'missing_key',
                 'the key is unknown or revoked' if key else 'a key is needed',
@@ -362,24 +363,6 @@
             )
         return account
 
-    def _require_current(self, what: str) -> None:
-        """Raise unless it is certain that something is not configured.
-
-        The caller would take a refusal for final, although another instance may
-        serve the request.
-
-        Raises
-        ------
-        Refusal
-            If the configuration may have been changed.
-        """
-        if not self._view.is_known_current():
-            raise not_run_refusal(
-                'configuration_unconfirmed',
-                f'{what} may have been added since this instance was updated',
-                retry_after_s=_OUTDATED_RETRY_S,
-            )
-
     def _caller_timeout_s(self, request: CallerRequest) -> float:
         value = request.header(self._dialect.deadline_ms)
         if value is not None and value.isdigit():
--- a/oleanderpin/lookup/answer.py
+++ b/oleanderpin/lookup/answer.py
@@ -11,6 +11,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from ..control.authority import require_current
 from ..control.state import Drain
 from ..control.view import ControlView
 from ..core.errors import Refusal, RefusalDetails
@@ -56,10 +57,12 @@
         Raises
         ------
         Refusal
-            If the service is unknown or the client address is malformed.
+            If the service is unknown, or may be, or the client address is
+            malformed.
         """
         name = request.path.removeprefix(PATH_PREFIX)
         if name not in self._view.state.services:
+            require_current(self._view, f'service {name!r}')
             raise Refusal(
                 'unknown_service',
                 f'no service {name!r}',
--- a/oleanderpin/tests/forwarding/harness.py
+++ b/oleanderpin/tests/forwarding/harness.py
@@ -206,6 +206,7 @@
         self.is_fresh = True
         view = SimpleNamespace(
             is_fresh=lambda: self.is_fresh,
+            is_known_current=lambda: self.is_fresh,
             state=SimpleNamespace(
                 members={},
                 services={'desk': self.service},
--- a/oleanderpin/tests/forwarding/test_keys.py
+++ b/oleanderpin/tests/forwarding/test_keys.py
@@ -57,3 +57,14 @@
     instance.use_targets(ScriptedTarget(answer_all))
     headers = {'Cookie': 'a=b', 'X-Data': base64.b64encode(b'text').decode()}
     assert instance.request(path='/a?b=%20c', headers=headers).status == 200
+
+
+@pytest.mark.parametrize(('is_fresh', 'status'), [(True, 404), (False, 503)])
+def test_service_is_denied_by_a_current_copy_only(
+    instance: Instance, is_fresh: bool, status: int
+) -> None:
+    """Guards against 404 for a service that was added before power was lost."""
+    instance.is_fresh = is_fresh
+    response = instance.request(headers={'Host': 'other'})
+    assert response.status == status
+    assert response.problem['not_run'] is True
--- a/oleanderpin/tests/lookup/test_answer.py
+++ b/oleanderpin/tests/lookup/test_answer.py
@@ -9,6 +9,7 @@
 
 from ...control.state import Block, ControlState, Drain, Service
 from ...control.view import ControlView
+from ...core.errors import Refusal
 from ...lookup.answer import Lookup
 from ...lookup.blocks import BlockIndex, ClientBlocks
 from ...lookup.order import MAX_INSTANCES
@@ -68,6 +69,10 @@
         )
         plugins[Drains] = Drains(kernel)
         self.lookup = Lookup(kernel)
+        self.is_current = True
+
+    def is_known_current(self) -> bool:
+        return self.is_current
 
     def names(self, client_ip: str) -> list[str]:
         return [entry.name for entry in self.lookup.entries(client_ip)]
@@ -188,3 +193,15 @@
     assert len(document['instances']) == len(PEERS)
     harness.peers = (make_peer('a-1-x-0', draining=True),)
     assert json.loads(harness.lookup.answer(request).body)['instances'] == []
+
+
+@pytest.mark.parametrize(('is_current', 'status'), [(True, 404), (False, 503)])
+def test_service_is_denied_by_a_current_copy_only(
+    harness: LookupHarness, is_current: bool, status: int
+) -> None:
+    """Guards against 404 for a service that was added before power was lost."""
+    harness.is_current = is_current
+    request: Any = SimpleNamespace(path='/lookup/other', query='', client_ip='')
+    with pytest.raises(Refusal) as refused:
+        harness.lookup.answer(request)
+    assert refused.value.details.status == status
