--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ...control.configuration import ProfileDocument
+from ...control.view import ControlView
 from ...daemon import Kernel  # noqa: F401
 from ...testing.gateway import (
     GatewayFixture,
@@ -326,3 +327,26 @@
     results = sum((Counter(each['results']) for each in waits), Counter())
     assert results.total() == len(statuses)
     assert results['ok'] == statuses.count(200)
+
+
+def test_instance_that_is_left_behind_refuses(
+    repeating: GatewayFixture,
+) -> None:
+    """Guards against forwarding by a configuration that others have replaced.
+
+    An instance had been ready for 14 s when it did.
+    """
+    view = repeating.kernel.plugin(ControlView)
+    # No instance listens there.
+    view.note_peer_revision(view.revision + 100, '127.0.0.1:1')
+
+    def is_refused() -> bool:
+        (response,) = repeating.ask(request_bytes())
+        return b'configuration_outdated' in response
+
+    wait_until('refuses', is_refused)
+    # The peer with the newer revision is not heard from again.
+    wait_until('serves', lambda: not is_refused())
+    repeating.announce(ScriptedHttpTarget().start(), 't1')
+    (response,) = repeating.ask(request_bytes())
+    assert status_of(response) == 200
