Keep the age of a copy in 64 bits, and test that a held watch does not add to it

Cause: a source that was cut off for more than 24 days would have failed to reply, as its age does not fit 32 bits; the new age had no test. Change: the field is 64 bits wide; a test; the table of newer revisions reads more plainly.

--- a/oleanderpin/control/standing.py
+++ b/oleanderpin/control/standing.py
@@ -2,13 +2,14 @@
 
 import threading
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ..core.clock import Clock
 
-# Peers that hold newer revisions and are remembered at the same time.
-_MAX_HOLDERS = 16
+# Newer revisions that are remembered at the same time; the first and the last
+# ones matter.
+_MAX_REVISIONS = 16
 # Longest time without a datagram of any peer in which an unconfirmed copy may
 # be used: several intervals of the failure detector.
 _ISOLATION_LIMIT_S = 2.0
@@ -105,22 +106,9 @@
         self._heard_s = self._clock.now_s()
         if revision <= own_revision:
             return False
-        found = _NewerRevision(revision, address, self._heard_s)
         with self._lock:
             self._newer_told_s = self._heard_s
-            known = self._newer
-            if known and known[-1].revision >= revision:
-                # Keeps the time since which the copy is known to be old.
-                found = _NewerRevision(
-                    known[-1].revision, address, known[-1].heard_s
-                )
-                if known[-1].revision > revision:
-                    return True
-                known[-1] = found
-            else:
-                known.append(found)
-                if len(known) > _MAX_HOLDERS:
-                    del known[1]
+            self._add(_NewerRevision(revision, address, self._heard_s))
         return True
 
     def note_revision(self, own_revision: int) -> None:
@@ -165,6 +153,18 @@
             return Standing.AGED
         return Standing.CURRENT
 
+    def _add(self, told: _NewerRevision) -> None:
+        """Keep each revision once, with the time at which it was first told."""
+        known = self._newer
+        last = known[-1] if known else None
+        if last is None or told.revision > last.revision:
+            known.append(told)
+            if len(known) > _MAX_REVISIONS:
+                del known[1]
+        elif told.revision == last.revision:
+            # This holder was heard from last, so it is likely to be alive.
+            known[-1] = replace(last, holder_address=told.holder_address)
+
     def _forget_untold(self) -> None:
         if self._clock.now_s() - self._newer_told_s > _FORGOTTEN_AFTER_S:
             self._newer.clear()
--- a/oleanderpin/tests/control/test_distribution.py
+++ b/oleanderpin/tests/control/test_distribution.py
@@ -158,6 +158,30 @@
     assert reply.freshness_age_ms == 0
 
 
+def test_time_in_a_held_watch_does_not_age_the_copy(chain: Chain) -> None:
+    """Guards against 503 for what is not configured, in a calm fleet.
+
+    The age of a copy that its standing is based on was counted from the request
+    of each of three hops, which are held for 0.5 s each.
+    """
+    relay = chain.view(1)
+
+    def hold(revision: int, *, timeout_s: float) -> bool:
+        chain.clock.advance(1.0)
+        chain.watch(1)
+        return False
+
+    relay.wait_for = hold  # type: ignore[method-assign]
+    chain.watch(2)
+    age_s = chain.clock.now_s() - chain.view(2).current_as_of_s()
+    assert age_s <= 0.1
+    chain.clock.advance(1.0)
+    relay.wait_for = lambda *_, **__: False  # type: ignore[method-assign]
+    chain.watch(2)
+    age_s = chain.clock.now_s() - chain.view(2).current_as_of_s()
+    assert age_s >= 1.0
+
+
 def test_revoked_key_stops_working_on_a_cut_off_instance(
     chain: Chain,
 ) -> None:
--- a/oleanderpin/wire/control.thrift
+++ b/oleanderpin/wire/control.thrift
@@ -58,7 +58,7 @@
    * Time from the arrival of the request to the moment up to which this copy is
    * known to hold all accepted changes; negative if that is earlier.
    */
-  6: optional i32 current_after_arrival_ms,
+  6: optional i64 current_after_arrival_ms,
 }
 
 service Control {
