Let the test of a loss of power wait until a position is synced

The set-up made one change and waited for a sync of its position; when another entry had been synced less than a second before, none follows, and the wait of 30 s ends. That this was the error is suspected. Change: changes are made until a position is synced.

--- a/oleanderpin/tests/gateway/test_loss_of_all_power.py
+++ b/oleanderpin/tests/gateway/test_loss_of_all_power.py
@@ -29,6 +29,7 @@
 # Time over which gateways are asked after there is a leader.
 WATCHED_S = 4.0
 STATUS_NOT_FOUND = 404
+_SYNC_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,8 @@
 
     fleet: GatewayFleet
     started_s: float
+    # Number of the configuration with the added route.
+    number: int
 
     def is_led(self) -> bool:
         """Return whether there is a leader."""
@@ -82,9 +85,12 @@
     fleet = GatewayFleet(tmp_path, DOMAINS, domains)
     with SyncedFiles(tmp_path) as synced:
         fleet.start()
-        before = _configure_until_stored(fleet, synced)
+        number = _configure_until_stored(fleet, synced) + 1
+        before = synced.contents()
         fleet.configure(
-            accounts_configuration(RATES, number=3, added_prefixes=['/added/'])
+            accounts_configuration(
+                RATES, number=number, added_prefixes=['/added/']
+            )
         )
         at_confirmation = _without_last_positions(synced.contents(), before)
         fleet.stop()
@@ -94,26 +100,32 @@
     names = list(fleet.names)
     random.Random(1).shuffle(names)
     fleet.start(names)
-    yield Restart(fleet, monotonic_s())
+    yield Restart(fleet, monotonic_s(), number)
     fleet.stop()
 
 
-def _configure_until_stored(
-    fleet: GatewayFleet, synced: SyncedFiles
-) -> dict[Path, bytes]:
-    """Return the synced files once they name a configuration as committed."""
+def _configure_until_stored(fleet: GatewayFleet, synced: SyncedFiles) -> int:
+    """Return the number of the configuration by which one is stored.
+
+    Positions of committed entries are synced once in a second, with the next
+    entry, so a single change may not be followed by a sync.
+    """
+    number = 1
     fleet.configure(accounts_configuration(RATES))
-    # Positions are synced once in a second, with the next entry.
-    time.sleep(1.0)
     earlier = _commit_positions(synced)
-    fleet.configure(accounts_configuration(RATES, number=2))
-
-    def are_stored() -> bool:
-        stored = _commit_positions(synced)
-        return all(stored[path] != earlier.get(path) for path in stored)
-
-    wait_for('positions', are_stored)
-    return synced.contents()
+    while not _have_changed(earlier, _commit_positions(synced)):
+        time.sleep(_SYNC_INTERVAL_S)
+        number += 1
+        fleet.configure(accounts_configuration(RATES, number=number))
+    return number
+
+
+def _have_changed(
+    earlier: dict[Path, bytes], stored: dict[Path, bytes]
+) -> bool:
+    return len(stored) == len(DOMAINS) and all(
+        content != earlier.get(path) for path, content in stored.items()
+    )
 
 
 def _without_last_positions(
@@ -170,10 +182,15 @@
         fleet.faults[name].silence(fleet.kernels[late])
     fleet.configure_without_waiting(
         accounts_configuration(
-            RATES, number=4, added_prefixes=['/added/', '/later/']
+            RATES,
+            number=restart.number + 1,
+            added_prefixes=['/added/', '/later/'],
         )
     )
     confirmed_s = monotonic_s()
     view = fleet.kernels[late].plugin(ControlView)
-    wait_for('change', lambda: view.state.configuration.number == 4)
+    wait_for(
+        'change',
+        lambda: view.state.configuration.number == restart.number + 1,
+    )
     assert monotonic_s() - confirmed_s < IN_FORCE_S
