Decide once what a reply says of the age of a copy

Cause: freshness and the new age of a copy each checked the revision of a reply and the start of the process; the standing, which is asked for each request, read the clock twice. Change: one check serves both, one reading of the clock; two docstrings in the usual words. No behaviour changes.

--- a/oleanderpin/control/follower.py
+++ b/oleanderpin/control/follower.py
@@ -218,8 +218,9 @@
             requested_s = self._kernel.clock.now_s()
             reply = self._send_watch(address, request)
         self._take_over(reply)
-        if self._is_fresh_for(reply, requested_s):
-            self._view.note_fresh(_as_of_s(reply, requested_s))
+        as_of_s = requested_s - reply.freshness_age_ms / 1000
+        if reply.freshness_age_ms >= 0 and self._is_known_for(reply, as_of_s):
+            self._view.note_fresh(as_of_s)
         self._note_current(reply, requested_s)
         self._log_received(reply, known_revision, address)
         return reply
@@ -228,8 +229,8 @@
         """Get the changes that a peer is known to hold from that peer.
 
         The sources of this instance may be silent or as old as itself, while
-        the peer has sent a datagram a moment ago. It waits for no confirmation
-        of this reply, so that confirmations never go round in a circle.
+        the peer has sent a datagram recently. It waits for no confirmation of
+        this reply, so that confirmations never go round in a circle.
         """
         revision, _address = self._view.wait_for_newer(
             timeout_s=_CATCH_UP_INTERVAL_S
@@ -393,19 +394,20 @@
         Authority is counted without it, as clocks may differ in their rates.
         """
         after_ms = reply.current_after_arrival_ms
-        if after_ms is None or self._view.revision < reply.revision:
+        if after_ms is None:
             return
         as_of_s = requested_s + after_ms / 1000
-        if as_of_s >= self._started_s:
+        if self._is_known_for(reply, as_of_s):
             self._view.note_current(as_of_s)
 
-    def _is_fresh_for(self, reply: WatchReply, requested_s: float) -> bool:
-        """Return whether a reply shows that the copy is fresh."""
-        if reply.freshness_age_ms < 0 or self._view.revision < reply.revision:
-            return False
-        # Freshness from before the start may belong to a lower revision than
-        # the one that an earlier process of this instance used.
-        return _as_of_s(reply, requested_s) >= self._started_s
+    def _is_known_for(self, reply: WatchReply, as_of_s: float) -> bool:
+        """Return whether the own copy holds all changes up to ``as_of_s``.
+
+        A time before the start may belong to a lower revision than the one that
+        an earlier process of this instance used.
+        """
+        has_revision = self._view.revision >= reply.revision
+        return has_revision and as_of_s >= self._started_s
 
     def _watch_loop(self) -> None:
         was_leader = False
@@ -549,8 +551,3 @@
         except UnavailableError:
             # The next watch request reports the same revision.
             EVENTS.labels('control', 'confirm_failed').inc()
-
-
-def _as_of_s(reply: WatchReply, requested_s: float) -> float:
-    """Return the time up to which the reply holds all accepted changes."""
-    return requested_s - reply.freshness_age_ms / 1000
--- a/oleanderpin/control/standing.py
+++ b/oleanderpin/control/standing.py
@@ -126,7 +126,7 @@
             Revision 0 and an empty address if no peer holds a newer one.
         """
         with self._lock:
-            self._forget_untold()
+            self._forget_untold(self._clock.now_s())
             if not self._newer:
                 return 0, ''
             return self._newer[-1].revision, self._newer[-1].holder_address
@@ -139,7 +139,7 @@
         """Return what is known about the copy at present."""
         now_s = self._clock.now_s()
         with self._lock:
-            self._forget_untold()
+            self._forget_untold(now_s)
             known_s = self._newer[0].heard_s if self._newer else None
         if self._current_as_of_s == float('-inf'):
             is_isolated = now_s - self._heard_s > _ISOLATION_LIMIT_S
@@ -165,6 +165,6 @@
             # This holder was heard from last, so it is likely to be alive.
             known[-1] = replace(last, holder_address=told.holder_address)
 
-    def _forget_untold(self) -> None:
-        if self._clock.now_s() - self._newer_told_s > _FORGOTTEN_AFTER_S:
+    def _forget_untold(self, now_s: float) -> None:
+        if now_s - self._newer_told_s > _FORGOTTEN_AFTER_S:
             self._newer.clear()
--- a/oleanderpin/control/view.py
+++ b/oleanderpin/control/view.py
@@ -80,7 +80,7 @@
         return self._age.standing()
 
     def is_known_current(self) -> bool:
-        """Return whether the copy holds all that was accepted until lately.
+        """Return whether a leader has confirmed the copy recently.
 
         Only then is it certain that something is not configured.
         """
