Log connections that are reset by their close

Cause: a cut response, a request that waits unread and a stop that ends too early look the same to callers, and no log tells them apart. Change: a close with unread bytes writes one line, at a bounded rate, with the unread bytes and those that the peer has not acknowledged, and counts closed_unread. The bytes come from SIOCINQ and SIOCOUTQ; no behaviour changes.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -12,7 +12,9 @@
 import httptools
 
 from ..core.clock import monotonic_s
+from ..core.metrics import EVENTS
 from .messages import CallerRequest, Response
+from .rate_limited_log import RateLimitedLog
 from .traffic import TrafficMeter
 
 _MAX_PIPELINED_REQUESTS = 256
@@ -42,6 +44,7 @@
     connections: set['CallerConnection']
     is_draining: bool
     meter: TrafficMeter
+    log: RateLimitedLog
     # Bytes of bodies held for requests that have no response yet.
     buffered_bytes: int
 
@@ -391,13 +394,39 @@
         self._is_closing = True
         if self._timer is not None:
             self._timer.cancel()
+        self._log_unread()
         self._transport.close()
 
+    def _log_unread(self) -> None:
+        """Log a close that resets the connection, since bytes are unread."""
+        connected = self._transport.get_extra_info('socket')
+        unread = unread_bytes(connected)
+        if unread:
+            EVENTS.labels('gateway', 'closed_unread').inc()
+            self._listener.log.write(
+                'connection closed with unread bytes',
+                unread_bytes=unread,
+                undelivered_bytes=undelivered_bytes(connected),
+                unsent_bytes=self.unsent_bytes,
+            )
+
 
 def unread_bytes(connection: Any) -> int:
     """Return the bytes that a socket has received and nobody has read."""
+    return _socket_bytes(connection, termios.FIONREAD)
+
+
+def undelivered_bytes(connection: Any) -> int:
+    """Return the bytes that the peer has not acknowledged, the end included.
+
+    See ``SIOCOUTQ`` in tcp(7); ``TIOCOUTQ`` is the same number.
+    """
+    return _socket_bytes(connection, termios.TIOCOUTQ)
+
+
+def _socket_bytes(connection: Any, request: int) -> int:
     size = array.array('i', [0])
-    fcntl.ioctl(connection.fileno(), termios.FIONREAD, size)
+    fcntl.ioctl(connection.fileno(), request, size)
     return size[0]
 
 
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -1,14 +1,17 @@
 """HTTP listener on the event loop."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 from .caller_connection import CallerConnection
 from .messages import CallerRequest, Response
+from .rate_limited_log import RateLimitedLog
 from .traffic import TrafficMeter
 
+_LOG = logging.getLogger(__name__)
 _BACKLOG = 1024
 _MAX_BUFFERED_BYTES = 67108864
 
@@ -60,6 +63,7 @@
         """Prepare the listener; `listen` opens the address."""
         self.buffered_bytes = 0
         self.meter = meter or TrafficMeter()
+        self.log = RateLimitedLog(_LOG)
         self._max_buffered_bytes = max_buffered_bytes
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
