Show responses that are cut when a gateway closes their connection

Cause: a gateway writes its last response, closes, and a further request of the caller makes the kernel reset the connection and discard what is unsent.

--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -33,6 +33,7 @@
 _READY_TIMEOUT_S = 15.0
 _READY_POLL_S = 0.05
 _SOCKET_TIMEOUT_S = 10.0
+_SMALL_RECEIVE_BUFFER_BYTES = 4096
 # Linger is on, for zero seconds.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -382,6 +383,16 @@
             ('127.0.0.1', self.port), _SOCKET_TIMEOUT_S
         )
 
+    def connect_slowly(self) -> socket.socket:
+        """Open a connection that takes in a few kilobytes at a time."""
+        connection = socket.socket()
+        connection.settimeout(_SOCKET_TIMEOUT_S)
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_RECEIVE_BUFFER_BYTES
+        )
+        connection.connect(('127.0.0.1', self.port))
+        return connection
+
     def ask(self, *requests: bytes) -> list[bytes]:
         """Pipeline requests on one connection and return their responses."""
         buffer = bytearray()
@@ -475,6 +486,7 @@
     *,
     options: tuple[str, ...] = (),
     leader_port: int = 0,
+    grace_s: float = 1.0,
 ) -> str:
     """Return the INI text of a gateway.
 
@@ -488,6 +500,8 @@
         Further lines, beginning in the section ``gateway``.
     leader_port : int
         Peer port of the only control member; 0 if that is this gateway.
+    grace_s : float
+        Time in which the gateway has to stop.
     """
     control_port = leader_port or ports[2]
     own = ['name = g1', 'roles = gateway, control', f'data_dir = {folder}']
@@ -509,7 +523,7 @@
             '[control]',
             f'initial_members = g1=127.0.0.1:{control_port}',
             '[gateway]',
-            'grace_s = 1',
+            f'grace_s = {grace_s}',
             'lookup_ttl_s = 0',
             'max_buffered_bytes = 1048576',
             *options,
@@ -523,6 +537,7 @@
     change: ConfigurationReplace,
     *,
     options: tuple[str, ...] = (),
+    grace_s: float = 1.0,
 ) -> Iterator[GatewayFixture]:
     """Run a gateway with a configuration until the block ends.
 
@@ -538,11 +553,12 @@
         The configuration.
     options : tuple of str
         Further lines of the settings, beginning in the section ``gateway``.
+    grace_s : float
+        Time in which the gateway has to stop.
     """
     ports = free_ports(3)
-    kernel = Kernel(
-        build_settings(gateway_settings(ports, folder, options=options))
-    )
+    text = gateway_settings(ports, folder, options=options, grace_s=grace_s)
+    kernel = Kernel(build_settings(text))
     kernel.start()
     try:
         configure(kernel, change)
