Close a caller's connection once its last response is delivered

Callers saw the beginning of a response and then a reset, at a planned stop of the gateway, although the target had answered (LOST). Cause: the gateway closed the socket once the kernel had taken the response. A further request of the caller, unread at the close or arriving after it, makes the kernel reset the connection and discard what it has not sent. Idle connections were closed the same way while their last response was on its way, at a stop and at the idle time-out. Change: after a last response the outgoing direction is ended and the incoming one discarded until the caller closes, as RFC 9112 (9.6) asks; the socket is closed one second after all bytes are acknowledged, or when nothing is acknowledged for the idle time-out. An idle connection with undelivered or unread bytes is not idle. A stop waits for undelivered bytes until shortly before the end of the grace period. Why it works: the kernel drops unsent bytes only when a closed socket has or gets unread ones; the socket is not closed before all are acknowledged.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -21,9 +21,10 @@
 # A body of this size takes long enough on a slow link to decide about the
 # request first.
 _LARGE_BODY_BYTES = 16384
-# A connection with unread bytes is reset when it is closed; the caller has this
-# long to read the response.
+# The kernel resets a closed connection at bytes that nobody reads. Once a caller
+# has acknowledged the last response, it has this long to read it and close.
 _LINGER_S = 1.0
+_DELIVERY_POLL_S = 0.1
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
@@ -101,6 +102,9 @@
         self._last_activity_s = monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
         self._can_write: asyncio.Event | None = None
+        # What was undelivered when it was last checked, and when that changed.
+        self._undelivered_bytes = 0
+        self._delivered_s = monotonic_s()
 
     @property
     def is_idle(self) -> bool:
@@ -112,6 +116,12 @@
         """Bytes of responses that the kernel has not taken yet."""
         return int(self._transport.get_write_buffer_size())
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that the caller has not acknowledged."""
+        connected = self._transport.get_extra_info('socket')
+        return self.unsent_bytes + undelivered_bytes(connected)
+
     @property
     def pending_ages_s(self) -> list[float]:
         """Times since the requests without a response were received."""
@@ -147,7 +157,8 @@
 
     def pause_writing(self) -> None:
         """Stop reading requests while responses are not read."""
-        self._transport.pause_reading()
+        if not self._is_closing:
+            self._transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume reading."""
@@ -155,8 +166,12 @@
             self._transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; reject malformed requests and oversized headers."""
+        """Feed the parser; reject malformed requests and oversized headers.
+
+        Bytes behind the last response are discarded.
+        """
         if self._is_closing:
+            self._listener.meter.add_bytes('unread_from_callers', len(data))
             return
         self._last_activity_s = monotonic_s()
         self._listener.meter.add_bytes('from_callers', len(data))
@@ -278,13 +293,11 @@
         self._is_closing = True
         self._adjust_buffered(-self._body_bytes)
         self._write(refused, closes=True)
-        if self._timer is not None:
-            self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(_LINGER_S, self._transport.abort)
+        self._await_delivery()
         # What has arrived of the body has used the link.
-        received = unread_bytes(self._transport.get_extra_info('socket'))
-        self._listener.meter.add_bytes('unread_from_callers', received)
+        self._listener.meter.add_bytes(
+            'unread_from_callers', self._unread_bytes()
+        )
 
     def give_up_blocking(self) -> None:
         """Give up requests whose missing response holds back complete ones.
@@ -307,9 +320,14 @@
         self._write_completed()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if self.is_idle:
-            self._close()
+        """Close the connection if nothing is in progress in any direction.
+
+        A response that is still on its way would be lost, and a request that
+        has arrived would be reset without a response.
+        """
+        if self.is_idle and not (self._is_closing or self._unread_bytes()):
+            if not self.undelivered_bytes:
+                self._close_idle()
 
     def _closes_soon(self) -> bool:
         """Return whether the connection closes after the pending responses.
@@ -388,27 +406,77 @@
         if self._in_headers:
             self._reject(408)
         elif self.is_idle:
-            self._close()
+            self._on_idle_timeout()
 
-    def _close(self) -> None:
+    def _on_idle_timeout(self) -> None:
+        if self._note_delivery() or self._unread_bytes():
+            self._start_timer(self._listener.limits().idle_timeout_s)
+        elif self._undelivered_bytes:
+            self._abort()
+        else:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
         self._is_closing = True
         if self._timer is not None:
             self._timer.cancel()
-        self._log_unread()
         self._transport.close()
 
-    def _log_unread(self) -> None:
-        """Log a close that resets the connection, since bytes are unread."""
-        connected = self._transport.get_extra_info('socket')
-        unread = unread_bytes(connected)
-        if unread:
-            EVENTS.labels('gateway', 'closed_unread').inc()
+    def _close(self) -> None:
+        """Close the connection once the caller has the last response.
+
+        Ends the outgoing direction and discards what the caller still sends, as
+        RFC 9112, section 9.6 describes, since a reset discards what the kernel
+        has not sent yet.
+        """
+        self._is_closing = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._await_delivery()
+
+    def _await_delivery(self) -> None:
+        """Close the connection soon after the caller has all responses."""
+        self._note_delivery()
+        self._delivered_s = monotonic_s()
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_DELIVERY_POLL_S, self._check_delivery)
+
+    def _check_delivery(self) -> None:
+        now_s = monotonic_s()
+        if self._note_delivery():
+            self._delivered_s = now_s
+        limit_s = _LINGER_S
+        if self._undelivered_bytes:
+            limit_s = self._listener.limits().idle_timeout_s
+        if now_s - self._delivered_s >= limit_s:
+            self._abort()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_DELIVERY_POLL_S, self._check_delivery)
+
+    def _note_delivery(self) -> bool:
+        """Return whether the undelivered bytes changed since the last call."""
+        before_bytes = self._undelivered_bytes
+        self._undelivered_bytes = self.undelivered_bytes
+        return self._undelivered_bytes != before_bytes
+
+    def _abort(self) -> None:
+        """Close the connection whatever is undelivered or unread."""
+        self._is_closing = True
+        if self._undelivered_bytes:
+            EVENTS.labels('gateway', 'closed_undelivered').inc()
             self._listener.log.write(
-                'connection closed with unread bytes',
-                unread_bytes=unread,
-                undelivered_bytes=undelivered_bytes(connected),
+                'connection closed with an undelivered response',
+                unread_bytes=self._unread_bytes(),
+                undelivered_bytes=self._undelivered_bytes,
                 unsent_bytes=self.unsent_bytes,
             )
+        self._transport.abort()
+
+    def _unread_bytes(self) -> int:
+        return unread_bytes(self._transport.get_extra_info('socket'))
 
 
 def unread_bytes(connection: Any) -> int:
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -93,6 +93,10 @@
         """Return the bytes of responses that the kernel has not taken yet."""
         return sum(each.unsent_bytes for each in self.connections)
 
+    def undelivered_bytes(self) -> int:
+        """Return the bytes of responses that callers have not acknowledged."""
+        return sum(each.undelivered_bytes for each in self.connections)
+
     def give_up_blocking(self) -> None:
         """Give up requests whose missing response holds back complete ones."""
         for connection in list(self.connections):
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -39,8 +39,10 @@
 _DRAIN_POLL_S = 0.05
 # Time after the start in which an instance learns of all others by gossip.
 _MEMBERSHIP_SETTLED_S = 5.0
-# Reserved at the end of a drain for writing the last responses.
+# Reserved at the end of a drain for delivering the last responses, and of that
+# for the end of the process.
 _DRAIN_MARGIN_S = 0.5
+_EXIT_MARGIN_S = 0.2
 _READY_PATH = '/ready'
 
 
@@ -107,6 +109,11 @@
             self._loop.run(self._close_idle())
             self.kernel.clock.sleep(_DRAIN_POLL_S)
         self._loop.run(self._end_drain())
+        delivery_limit_s = min(deadline_s, end_s) - _EXIT_MARGIN_S
+        while self.kernel.clock.now_s() < delivery_limit_s and self._loop.run(
+            self._undelivered_bytes()
+        ):
+            self.kernel.clock.sleep(_DRAIN_POLL_S)
 
     async def serve(self, request: CallerRequest) -> Response:
         """Return the response to a caller's request."""
@@ -196,6 +203,9 @@
     async def _close_idle(self) -> None:
         self.listener.close_idle()
 
+    async def _undelivered_bytes(self) -> int:
+        return self.listener.undelivered_bytes()
+
     async def _end_drain(self) -> None:
         self.listener.give_up_blocking()
         for connection in self.listener.connections:
