Deliver the last response on a connection of the threaded path

Callers of an entry instance saw a response that broke off with a reset when their connection was closed and they had sent anything more. Cause: as for gateways: the connection was closed with unread bytes, or before the last response was acknowledged; only refusals and unread bodies waited for the caller, and a stop counted a connection as idle once all was written. Change: each connection that closes after a response waits for the caller; a stop, and the idle time-out, wait for undelivered responses. The two questions to the kernel live in core/socket_queues.py, for both paths.

--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -174,7 +174,7 @@
         self._server.is_draining = True
 
     def wait_idle(self, *, timeout_s: float) -> bool:
-        """Wait until no request is in progress.
+        """Wait until no request is in progress and all responses have arrived.
 
         Returns
         -------
@@ -203,7 +203,9 @@
         server = self._server
         has_no_active_request = server.in_flight_requests.wait_idle(0)
         return has_no_active_request and not (
-            server.requests.qsize or server.has_partial_requests()
+            server.requests.qsize
+            or server.has_partial_requests()
+            or server.has_undelivered_responses()
         )
 
 
--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -11,9 +11,10 @@
 from .http_request import ParsedRequest
 from .http_stream import SocketReader
 from .metrics import EVENTS
+from .socket_queues import undelivered_bytes
 
-# A refused caller may still be sending its body. Closing the connection at once
-# would reset it before the caller has read the refusal.
+# A caller may still be sending when it gets its last response. Closing the
+# connection at once would reset it before the caller has read the response.
 _MAX_LINGER_BYTES = 4 * 1024 * 1024
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -50,6 +51,22 @@
         self.linger_on_close = False
         self.linger_remaining_bytes = 0
         self._is_reset = False
+        self._undelivered_bytes = 0
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that the caller has not acknowledged."""
+        try:
+            return undelivered_bytes(self.socket)
+        except OSError:
+            # A worker has closed it.
+            return 0
+
+    def note_delivery(self) -> bool:
+        """Return whether the undelivered bytes changed since the last call."""
+        before_bytes = self._undelivered_bytes
+        self._undelivered_bytes = self.undelivered_bytes
+        return self._undelivered_bytes != before_bytes
 
     def communicate(self) -> bool:
         """Serve requests; return whether the connection stays open."""
@@ -60,7 +77,7 @@
         return False
 
     def close(self) -> None:
-        """Close the connection; linger first so that a refusal can be read."""
+        """Close the connection; linger first so that a response can be read."""
         if self.linger_on_close and self.server.ready:
             self.linger_on_close = False
             self.linger_remaining_bytes = _MAX_LINGER_BYTES
--- a/oleanderpin/core/http_request.py
+++ b/oleanderpin/core/http_request.py
@@ -137,8 +137,8 @@
             self.close_connection = True
         if not self.body.is_finished:
             self.close_connection = True
-            self.conn.linger_on_close = True
         if self.close_connection:
+            self.conn.linger_on_close = True
             self.outheaders.append('Connection: close\r\n')
         elif not self.head.minor_version:
             self.outheaders.append('Connection: keep-alive\r\n')
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -64,6 +64,9 @@
             if conn is not self.server and conn.last_used < threshold
         ]
         for descriptor, conn in expired:
+            if conn.note_delivery():
+                conn.last_used = time.time()
+                continue
             self._selector.unregister(descriptor)
             if conn.rfile.has_data() and not conn.linger_remaining_bytes:
                 conn.pending_refusal = bad_request(
@@ -144,6 +147,12 @@
             for conn in self._connections.snapshot()
         )
 
+    def has_undelivered_responses(self) -> bool:
+        """Return whether a caller has not acknowledged a whole response."""
+        return any(
+            conn.undelivered_bytes for conn in self._connections.snapshot()
+        )
+
     def _receive(self, conn: CallerConnection) -> bool:
         is_first = not conn.rfile.has_data()
         try:
--- /dev/null
+++ b/oleanderpin/core/socket_queues.py
@@ -0,0 +1,37 @@
+"""Bytes that the kernel holds for a TCP socket, see tcp(7)."""
+
+import array
+import fcntl
+import socket
+import termios
+
+
+def unread_bytes(connected: socket.socket) -> int:
+    """Return the bytes that have arrived and nobody has read.
+
+    Raises
+    ------
+    OSError
+        If the socket is closed.
+    """
+    return _queued_bytes(connected, termios.FIONREAD)
+
+
+def undelivered_bytes(connected: socket.socket) -> int:
+    """Return the written bytes that the peer has not acknowledged.
+
+    The end of the outgoing direction counts as one byte.
+
+    Raises
+    ------
+    OSError
+        If the socket is closed.
+    """
+    # The same number as SIOCOUTQ.
+    return _queued_bytes(connected, termios.TIOCOUTQ)
+
+
+def _queued_bytes(connected: socket.socket, request: int) -> int:
+    size = array.array('i', [0])
+    fcntl.ioctl(connected.fileno(), request, size)
+    return size[0]
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -1,9 +1,6 @@
 """Server side of a caller's HTTP/1.1 connection, with pipelining."""
 
-import array
 import asyncio
-import fcntl
-import termios
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -13,6 +10,7 @@
 
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
+from ..core.socket_queues import undelivered_bytes, unread_bytes
 from .messages import CallerRequest, Response
 from .rate_limited_log import RateLimitedLog
 from .traffic import TrafficMeter
@@ -479,25 +477,6 @@
         return unread_bytes(self._transport.get_extra_info('socket'))
 
 
-def unread_bytes(connection: Any) -> int:
-    """Return the bytes that a socket has received and nobody has read."""
-    return _socket_bytes(connection, termios.FIONREAD)
-
-
-def undelivered_bytes(connection: Any) -> int:
-    """Return the bytes that the peer has not acknowledged, the end included.
-
-    See ``SIOCOUTQ`` in tcp(7); ``TIOCOUTQ`` is the same number.
-    """
-    return _socket_bytes(connection, termios.TIOCOUTQ)
-
-
-def _socket_bytes(connection: Any, request: int) -> int:
-    size = array.array('i', [0])
-    fcntl.ioctl(connection.fileno(), request, size)
-    return size[0]
-
-
 def encode_response(response: Response, *, closes: bool) -> bytes:
     """Return a response as HTTP/1.1 with ``Content-Length``."""
     reason = response.reason or _REASON_PHRASES.get(response.status, b'')
--- a/oleanderpin/tests/forwarding/test_drain.py
+++ b/oleanderpin/tests/forwarding/test_drain.py
@@ -1,13 +1,15 @@
 """Drain of an instance: no request is interrupted."""
 
+import socket
 import threading
 import time
 from typing import Any
 
 from ...testing import ScriptedConnection, ScriptedTarget, answer_all
-from .harness import KEY, Instance
+from .harness import KEY, Instance, read_all
 
 GET = f'GET /a HTTP/1.1\r\nHost: desk\r\nAuthorization: Bearer {KEY}\r\n\r\n'
+BODY = b'x' * 1_000_000
 SHORT_TTL = '[forwarding]\nlookup_ttl_s = 0.3\n'
 
 
@@ -81,3 +83,54 @@
         thread.join(5)
         release.set()
         assert not thread.is_alive()
+
+
+def answer_with_body(connection: ScriptedConnection) -> None:
+    while connection.read_head():
+        connection.answer(BODY)
+
+
+def connect_slowly(instance: Instance) -> socket.socket:
+    """Open a connection that takes in a few kilobytes at a time."""
+    sock = socket.socket()
+    sock.settimeout(10)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(('127.0.0.1', instance.port))
+    return sock
+
+
+def test_response_before_a_wanted_close_is_not_cut(make_instance: Any) -> None:
+    """Guards against a reset that discards the rest of a response.
+
+    The connection was closed while its last response was on its way, and the
+    caller sent further bytes.
+    """
+    instance = make_instance(extra=SHORT_TTL)
+    instance.use_targets(ScriptedTarget(answer_with_body))
+    request = f'{GET[:-2]}Connection: close\r\n\r\n'
+    with connect_slowly(instance) as sock:
+        sock.sendall(request.encode())
+        received = sock.recv(1000)
+        sock.sendall(b'\r\n')
+        time.sleep(0.5)
+        received += read_all(sock)
+    assert received.endswith(BODY)
+
+
+def test_stop_waits_until_responses_are_delivered(make_instance: Any) -> None:
+    """Guards against connections that count as idle once all is written."""
+    instance = make_instance(extra=SHORT_TTL)
+    instance.use_targets(ScriptedTarget(answer_with_body))
+    with connect_slowly(instance) as sock:
+        sock.sendall(GET.encode())
+        received = sock.recv(1000)
+        draining = drain(instance, timeout_s=20)
+        draining.join(1.5)
+        if not draining.is_alive():
+            instance.pipeline.stop()
+        sock.sendall(GET.encode())
+        time.sleep(0.5)
+        while received.count(b'x') < len(BODY):
+            received += sock.recv(65536)
+    draining.join(5)
+    assert not draining.is_alive()
