--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..core.clock import monotonic_s
 from .caller_connection import CallerConnection
 from .messages import CallerRequest, Response
 from .rate_limited_log import RateLimitedLog
@@ -13,6 +14,7 @@
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 1024
+_DRAIN_POLL_S = 0.05
 _MAX_BUFFERED_BYTES = 67108864
 
 
@@ -84,10 +86,26 @@
         """Return whether a body of this size fits in the body buffer."""
         return self.buffered_bytes + size_bytes <= self._max_buffered_bytes
 
-    def stop_accepting(self) -> None:
-        """Stop accepting connections; open ones stay open."""
+    async def drain(self, *, timeout_s: float) -> None:
+        """Stop accepting connections and finish the requests on open ones.
+
+        Connections without a request are closed; those that are left after
+        ``timeout_s`` stay open.
+        """
+        self.is_draining = True
         if self._server is not None:
             self._server.close()
+        end_s = monotonic_s() + timeout_s
+        while self.connections and monotonic_s() < end_s:
+            for connection in list(self.connections):
+                connection.close_if_idle()
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    async def deliver(self, *, timeout_s: float) -> None:
+        """Wait until callers have acknowledged what was written to them."""
+        end_s = monotonic_s() + timeout_s
+        while self.undelivered_bytes() and monotonic_s() < end_s:
+            await asyncio.sleep(_DRAIN_POLL_S)
 
     def unsent_bytes(self) -> int:
         """Return the bytes of responses that the kernel has not taken yet."""
@@ -101,8 +119,3 @@
         """Give up requests whose missing response holds back complete ones."""
         for connection in list(self.connections):
             connection.give_up_blocking()
-
-    def close_idle(self) -> None:
-        """Close connections without a request in progress."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -104,16 +104,9 @@
         accept_until_s = self.kernel.clock.now_s() + self._settings.lookup_ttl_s
         while self.kernel.clock.now_s() < min(accept_until_s, limit_s):
             self.kernel.clock.sleep(_DRAIN_POLL_S)
-        self._loop.run(self._stop_accepting())
-        while self.kernel.clock.now_s() < limit_s and self.listener.connections:
-            self._loop.run(self._close_idle())
-            self.kernel.clock.sleep(_DRAIN_POLL_S)
+        self._drain_listener(limit_s)
         self._loop.run(self._end_drain())
-        delivery_limit_s = min(deadline_s, end_s) - _EXIT_MARGIN_S
-        while self.kernel.clock.now_s() < delivery_limit_s and self._loop.run(
-            self._undelivered_bytes()
-        ):
-            self.kernel.clock.sleep(_DRAIN_POLL_S)
+        self._deliver(min(deadline_s, end_s) - _EXIT_MARGIN_S)
 
     async def serve(self, request: CallerRequest) -> Response:
         """Return the response to a caller's request."""
@@ -190,6 +183,14 @@
                 self._give_back_token(routed)
             raise
 
+    def _drain_listener(self, limit_s: float) -> None:
+        timeout_s = limit_s - self.kernel.clock.now_s()
+        self._loop.run(self.listener.drain(timeout_s=timeout_s))
+
+    def _deliver(self, limit_s: float) -> None:
+        timeout_s = limit_s - self.kernel.clock.now_s()
+        self._loop.run(self.listener.deliver(timeout_s=timeout_s))
+
     async def _start(self) -> None:
         await self.listener.listen(self.kernel.settings.listen.caller)
         if self._settings.ready:
@@ -197,15 +198,6 @@
         loop = asyncio.get_running_loop()
         self._maintenance_task = loop.create_task(self._run_maintenance())
 
-    async def _stop_accepting(self) -> None:
-        self.listener.stop_accepting()
-
-    async def _close_idle(self) -> None:
-        self.listener.close_idle()
-
-    async def _undelivered_bytes(self) -> int:
-        return self.listener.undelivered_bytes()
-
     async def _end_drain(self) -> None:
         self.listener.give_up_blocking()
         for connection in self.listener.connections:
