Answer operators' calls in progress before an instance stops

Operators got no response to their changes for up to five seconds when the leader of the control group was stopped, and other calls were reset. Cause: the admin interface had no drain: the control log ends with the stop, and calls that waited for it kept the process, still the leader, for five seconds. Change: a drain answers the calls that are in progress, for up to a second, while the log still runs.

--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -173,6 +173,17 @@
         """Send ``Connection: close`` with each response from now on."""
         self._server.is_draining = True
 
+    def finish_requests(self, *, timeout_s: float) -> bool:
+        """Wait until no request is being handled; later ones are still taken.
+
+        Returns
+        -------
+        bool
+            Whether that was so within ``timeout_s`` seconds.
+        """
+        self.drain()
+        return self._server.in_flight_requests.wait_idle(timeout_s)
+
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Wait until no request is in progress and all responses have arrived.
 
--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -38,6 +38,8 @@
 # Instances that do not confirm a change stop using the older state when the
 # freshness limit passes, so a change is in force shortly after that limit.
 _IN_FORCE_MARGIN_S = 3.0
+# A change is committed or refused within this time unless the group is disturbed.
+_DRAIN_TIMEOUT_S = 1.0
 
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 Route = Callable[['Admin', HttpRequest], HttpResponse]
@@ -68,6 +70,15 @@
         """Start accepting connections."""
         self._listener.start()
 
+    def drain(self, *, deadline_s: float) -> None:
+        """Respond to the requests in progress.
+
+        A change needs the control log, which ends with the stop.
+        """
+        left_s = deadline_s - self.kernel.clock.now_s()
+        timeout_s = max(0.0, min(_DRAIN_TIMEOUT_S, left_s))
+        self._listener.finish_requests(timeout_s=timeout_s)
+
     def stop(self) -> None:
         """Stop accepting connections."""
         self._listener.stop()
