Refuse changes at an instance that stops

Operators waited for up to five seconds, everywhere, when the stopped instance led the control group: changes that arrived behind those in progress waited for a control log that had ended, and kept the process, still the leader. Change: while an instance drains, a change is refused at once (503, ask another instance). The new test failed before (200).

--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -161,6 +161,11 @@
 @routes.register('POST /v1/changes')
 def _post_change(admin: Admin, request: HttpRequest) -> HttpResponse:
     change_request = read_model(request, ChangeRequest)
+    if admin.kernel.draining.is_set():
+        # The control log ends before the process does.
+        raise UnavailableError(
+            'the instance is stopping', remedy='ask another instance'
+        )
     fields = change_request.model_dump(exclude={'wait'})
     fields['proposed_unix_s'] = time.time()
     distribution = admin.kernel.plugin(Distribution)
--- a/oleanderpin/tests/operators/test_stops.py
+++ b/oleanderpin/tests/operators/test_stops.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from ...control.distribution import Distribution
+from ...core.kernel import Kernel
 from ...operators.admin import Admin
 from ..control.group import Group, wait_until
 
@@ -21,6 +22,23 @@
     made.stop()
 
 
+def change(kernel: Kernel) -> int:
+    """Make a change and return the status of the response."""
+    document = {
+        'request_id': 'request-1',
+        'command': 'account.put',
+        'arguments': {'name': 'shop', 'rate_per_s': 10, 'burst': 10},
+    }
+    response = urllib3.request(
+        'POST',
+        f'http://{kernel.settings.listen.admin}/v1/changes',
+        body=json.dumps(document),
+        retries=False,
+        timeout=10,
+    )
+    return response.status
+
+
 def test_change_in_progress_is_answered_before_an_instance_stops(
     group: Group, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -42,23 +60,9 @@
 
     monkeypatch.setattr(distribution, 'propose', propose_when_released)
     statuses = []
-    document = {
-        'request_id': 'request-1',
-        'command': 'account.put',
-        'arguments': {'name': 'shop', 'rate_per_s': 10, 'burst': 10},
-    }
-
-    def change() -> None:
-        response = urllib3.request(
-            'POST',
-            f'http://{kernel.settings.listen.admin}/v1/changes',
-            body=json.dumps(document),
-            retries=False,
-            timeout=10,
-        )
-        statuses.append(response.status)
-
-    changing = threading.Thread(target=change, daemon=True)
+    changing = threading.Thread(
+        target=lambda: statuses.append(change(kernel)), daemon=True
+    )
     changing.start()
     wait_until('the change', begun.is_set)
     admin = kernel.plugin(Admin)
@@ -73,3 +77,11 @@
     changing.join(10)
     draining.join(10)
     assert statuses == [200]
+
+
+def test_change_during_a_stop_is_refused(group: Group) -> None:
+    """Guards against changes that keep a stopping leader for five seconds."""
+    kernel = group.kernels[group.leader()]
+    assert change(kernel) == 200
+    kernel.draining.set()
+    assert change(kernel) == 503
