Let soaks keep connections until their gateway is gone

Cause: callers of the soak made one request a connection and read at once, so that no soak could see a response that is cut by a close. Change: six callers send requests behind each other on open connections and read large responses slowly; a response that breaks off is a problem unless the gateway was killed.

--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Self
+from typing import Protocol, Self
 
 from ..control.authority import hash_key
 from ..control.configuration import (
@@ -90,7 +90,15 @@
     ).encode() + body
 
 
-def read_message(connection: socket.socket, buffer: bytearray) -> bytes:
+class Readable(Protocol):
+    """What messages are read from."""
+
+    def recv(self, size: int, /) -> bytes:
+        """Return the next bytes, empty at the end."""
+        ...
+
+
+def read_message(connection: Readable, buffer: bytearray) -> bytes:
     """Read one message that is framed by ``Content-Length``.
 
     Bytes that follow the message stay in ``buffer`` for the next call. Returns
@@ -301,15 +309,20 @@
         Id that its health states.
     deadly : bytes
         What deadly requests contain.
+    body : bytes
+        Body of each response.
     """
 
-    def __init__(self, name: str, deadly: bytes = b'deadly') -> None:
+    def __init__(
+        self, name: str, deadly: bytes = b'deadly', *, body: bytes = b'ok'
+    ) -> None:
         """Start without connections."""
         super().__init__()
         self.name = name
         self.crashes = 0
         self.served = 0
         self._deadly = deadly
+        self._body = body
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
 
@@ -348,7 +361,9 @@
                     return
                 self.served += not message.startswith(b'GET /health')
                 extra = f'X-Target-Id: {self.name}\r\n'
-                connection.sendall(answer_bytes(message, extra=extra))
+                connection.sendall(
+                    answer_bytes(message, body=self._body, extra=extra)
+                )
                 message = read_message(connection, buffer)
         except OSError:
             return
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -1,6 +1,7 @@
 """Changes of the control state while instances are paused, killed and restarted.
 
-Meanwhile callers send a request that crashes its targets, see `deadly`.
+Meanwhile callers send a request that crashes its targets, see `deadly`, and
+others keep their connections, see `open_connections`.
 
 Checks, from what the admin ports answer: a confirmed change is in force in time
 on every instance that can reach the control group, no process goes back to an
@@ -27,7 +28,7 @@
     stop_all,
 )
 
-from . import deadly
+from . import deadly, open_connections
 
 CONTROL = 3
 GATEWAYS = 12
@@ -92,6 +93,7 @@
             domains=_DOMAINS,
         )
         self.starts: defaultdict[str, int] = defaultdict(int)
+        self.kills: defaultdict[str, int] = defaultdict(int)
         self._disturbed_s: dict[str, float] = {}
         self._lock = threading.Lock()
 
@@ -323,6 +325,7 @@
 
 
 def _kill(fleet: Fleet, daemon: DaemonProcess, length_s: float) -> None:
+    fleet.kills[daemon.name] += 1
     daemon.kill()
     time.sleep(length_s)
     fleet.starts[daemon.name] += 1
@@ -376,8 +379,12 @@
         deadly.configure(fleet)
         targets = deadly.Targets(fleet, random.Random(f'{seed}/targets'))
         callers = random.Random(f'{seed}/callers')
+        keepers = open_connections.Callers(
+            fleet, seen, random.Random(f'{seed}/open-connections')
+        )
         tasks = [
             targets,
+            keepers,
             deadly.Callers(fleet, seen, callers, targets),
             Changer(fleet, seen, random.Random(f'{seed}/changes')),
             Faults(fleet, seen, random.Random(f'{seed}/faults')),
@@ -394,7 +401,7 @@
         for thread in threads:
             thread.join()
         check_end(fleet, seen)
-        seen.requests = deadly.summary(targets)
+        seen.requests = f'{deadly.summary(targets)}, {keepers.summary()}'
     finally:
         stopped.set()
         stop_all(fleet.daemons)
--- a/soak/deadly.py
+++ b/soak/deadly.py
@@ -30,6 +30,8 @@
 CRASHES = 3
 KNOWN_S = 4.0
 LATE_ATTEMPTS = 3
+# Takes several round trips to callers with small receive buffers.
+BODY = b'x' * 100_000
 _BACK_S = 1.0
 _ANNOUNCE_S = 0.5
 _SEND_INTERVAL_S = 0.15
@@ -66,7 +68,9 @@
         """Start without crashes."""
         self._fleet = fleet
         self._choose = choose
-        self.targets = [CrashingTarget(f't{n}') for n in range(TARGETS)]
+        self.targets = [
+            CrashingTarget(f't{n}', body=BODY) for n in range(TARGETS)
+        ]
         self._generations = dict.fromkeys(range(TARGETS), 0)
         self._known_crashes = dict.fromkeys(range(TARGETS), -1)
         self._down_s: dict[int, float] = {}
