Tell delivery progress in one place, and hold the loop in tests by events

Cause: both kinds of connections kept what was undelivered before in the same way. Change: DeliveryProgress serves both; the tests hold the loop until the request has arrived. They check the same.

--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -11,7 +11,7 @@
 from .http_request import ParsedRequest
 from .http_stream import SocketReader
 from .metrics import EVENTS
-from .socket_queues import undelivered_bytes
+from .socket_queues import DeliveryProgress, undelivered_bytes
 
 # A caller may still be sending when it gets its last response. Closing the
 # connection at once would reset it before the caller has read the response.
@@ -51,7 +51,7 @@
         self.linger_on_close = False
         self.linger_remaining_bytes = 0
         self._is_reset = False
-        self._undelivered_bytes = 0
+        self._delivery = DeliveryProgress()
 
     @property
     def undelivered_bytes(self) -> int:
@@ -62,11 +62,9 @@
             # A worker has closed it.
             return 0
 
-    def note_delivery(self) -> bool:
+    def has_delivered(self) -> bool:
         """Return whether the undelivered bytes changed since the last call."""
-        before_bytes = self._undelivered_bytes
-        self._undelivered_bytes = self.undelivered_bytes
-        return self._undelivered_bytes != before_bytes
+        return self._delivery.update(self.undelivered_bytes)
 
     def communicate(self) -> bool:
         """Serve requests; return whether the connection stays open."""
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -64,7 +64,7 @@
             if conn is not self.server and conn.last_used < threshold
         ]
         for descriptor, conn in expired:
-            if conn.note_delivery():
+            if conn.has_delivered():
                 conn.last_used = time.time()
                 continue
             self._selector.unregister(descriptor)
--- a/oleanderpin/core/socket_queues.py
+++ b/oleanderpin/core/socket_queues.py
@@ -31,6 +31,20 @@
     return _queued_bytes(connected, termios.TIOCOUTQ)
 
 
+class DeliveryProgress:
+    """Tells whether the peer of a connection acknowledges what is written."""
+
+    def __init__(self) -> None:
+        """Start with nothing undelivered."""
+        self.undelivered_bytes = 0
+
+    def update(self, undelivered_bytes: int) -> bool:
+        """Return whether the undelivered bytes changed since the last call."""
+        has_changed = undelivered_bytes != self.undelivered_bytes
+        self.undelivered_bytes = undelivered_bytes
+        return has_changed
+
+
 def _queued_bytes(connected: socket.socket, request: int) -> int:
     size = array.array('i', [0])
     fcntl.ioctl(connected.fileno(), request, size)
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -10,7 +10,11 @@
 
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
-from ..core.socket_queues import undelivered_bytes, unread_bytes
+from ..core.socket_queues import (
+    DeliveryProgress,
+    undelivered_bytes,
+    unread_bytes,
+)
 from .messages import CallerRequest, Response
 from .rate_limited_log import RateLimitedLog
 from .traffic import TrafficMeter
@@ -100,9 +104,8 @@
         self._last_activity_s = monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
         self._can_write: asyncio.Event | None = None
-        # What was undelivered when it was last checked, and when that changed.
-        self._undelivered_bytes = 0
-        self._delivered_s = monotonic_s()
+        self._delivery = DeliveryProgress()
+        self._last_delivery_s = monotonic_s()
 
     @property
     def is_idle(self) -> bool:
@@ -323,9 +326,9 @@
         A response that is still on its way would be lost, and a request that
         has arrived would be reset without a response.
         """
-        if self.is_idle and not (self._is_closing or self._unread_bytes()):
-            if not self.undelivered_bytes:
-                self._close_idle()
+        is_quiet = not (self._unread_bytes() or self.undelivered_bytes)
+        if self.is_idle and is_quiet and not self._is_closing:
+            self._close_idle()
 
     def _closes_soon(self) -> bool:
         """Return whether the connection closes after the pending responses.
@@ -407,9 +410,9 @@
             self._on_idle_timeout()
 
     def _on_idle_timeout(self) -> None:
-        if self._note_delivery() or self._unread_bytes():
+        if self._has_delivered() or self._unread_bytes():
             self._start_timer(self._listener.limits().idle_timeout_s)
-        elif self._undelivered_bytes:
+        elif self._delivery.undelivered_bytes:
             self._abort()
         else:
             self._close_idle()
@@ -434,8 +437,8 @@
 
     def _await_delivery(self) -> None:
         """Close the connection soon after the caller has all responses."""
-        self._note_delivery()
-        self._delivered_s = monotonic_s()
+        self._delivery.update(self.undelivered_bytes)
+        self._last_delivery_s = monotonic_s()
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
@@ -443,32 +446,30 @@
 
     def _check_delivery(self) -> None:
         now_s = monotonic_s()
-        if self._note_delivery():
-            self._delivered_s = now_s
+        if self._has_delivered():
+            self._last_delivery_s = now_s
         limit_s = _LINGER_S
-        if self._undelivered_bytes:
+        if self._delivery.undelivered_bytes:
             limit_s = self._listener.limits().idle_timeout_s
-        if now_s - self._delivered_s >= limit_s:
+        if now_s - self._last_delivery_s >= limit_s:
             self._abort()
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(_DELIVERY_POLL_S, self._check_delivery)
 
-    def _note_delivery(self) -> bool:
+    def _has_delivered(self) -> bool:
         """Return whether the undelivered bytes changed since the last call."""
-        before_bytes = self._undelivered_bytes
-        self._undelivered_bytes = self.undelivered_bytes
-        return self._undelivered_bytes != before_bytes
+        return self._delivery.update(self.undelivered_bytes)
 
     def _abort(self) -> None:
         """Close the connection whatever is undelivered or unread."""
         self._is_closing = True
-        if self._undelivered_bytes:
+        if self._delivery.undelivered_bytes:
             EVENTS.labels('gateway', 'closed_undelivered').inc()
             self._listener.log.write(
                 'connection closed with an undelivered response',
                 unread_bytes=self._unread_bytes(),
-                undelivered_bytes=self._undelivered_bytes,
+                undelivered_bytes=self._delivery.undelivered_bytes,
                 unsent_bytes=self.unsent_bytes,
             )
         self._transport.abort()
--- a/oleanderpin/tests/gateway/test_closing_connections.py
+++ b/oleanderpin/tests/gateway/test_closing_connections.py
@@ -3,6 +3,8 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -26,7 +28,8 @@
 
 REPEATABLE = ProfileDocument(is_repeatable=True, max_attempts=1)
 BODY = b'x' * 1_000_000
-_LATE_LOOP_S = 0.5
+# For a request to arrive, and for the drain to ask the loop to close.
+_ARRIVAL_S = 0.2
 
 
 class LargeTarget(ScriptedHttpTarget):
@@ -58,11 +61,22 @@
     large.released.set()
 
 
-def delay_loop(gateway: GatewayFixture) -> None:
-    """Let the event loop of a gateway run nothing for a while."""
-    loop = gateway.kernel.plugin(EventLoop).loop
-    loop.call_soon_threadsafe(time.sleep, _LATE_LOOP_S)
-    time.sleep(_LATE_LOOP_S / 5)
+@contextmanager
+def held_loop(gateway: GatewayFixture) -> Iterator[None]:
+    """Let the event loop of a gateway run nothing until the block ends."""
+    begun = threading.Event()
+    released = threading.Event()
+
+    def hold() -> None:
+        begun.set()
+        released.wait(60)
+
+    gateway.kernel.plugin(EventLoop).loop.call_soon_threadsafe(hold)
+    begun.wait(60)
+    try:
+        yield
+    finally:
+        released.set()
 
 
 def read_after_sending(
@@ -159,9 +173,10 @@
     with gateway.connect() as connection:
         connection.sendall(request_bytes(request_id='r1'))
         assert read_message(connection, buffer).endswith(BODY)
-        delay_loop(gateway)
-        draining = drain(gateway)
-        connection.sendall(request_bytes(request_id='r2'))
+        with held_loop(gateway):
+            draining = drain(gateway)
+            connection.sendall(request_bytes(request_id='r2'))
+            time.sleep(_ARRIVAL_S)
         assert read_message(connection, buffer).endswith(BODY)
     draining.join(60)
 
@@ -171,9 +186,11 @@
 ) -> None:
     """Guards against a reset of connections in the queue of the listener."""
     target.released.set()
-    delay_loop(gateway)
-    draining = drain(gateway)
-    with gateway.connect() as connection:
+    with held_loop(gateway):
+        draining = drain(gateway)
+        connection = gateway.connect()
         connection.sendall(request_bytes())
+        time.sleep(_ARRIVAL_S)
+    with connection:
         assert read_message(connection, bytearray()).endswith(BODY)
     draining.join(60)
