Show callers that cost a gateway more than it counts

Crowds of callers that send without end, stop short of the end or do not read, against one real process: it has to live, stay below the 200 MB of the smallest machine and its descriptors, and answer an ordinary request.

--- /dev/null
+++ b/oleanderpin/core/memory_budget.py
@@ -0,0 +1,125 @@
+"""Budget of the memory that a process holds for callers and targets.
+
+Load pattern: callers send without end, stop short of the end of a request, or
+do not read their responses. Whatever they make the process hold is charged to
+a share; once the budget is used up, the share that has held most for longest
+is given up for one that needs less.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .clock import monotonic_s
+from .metrics import EVENTS
+
+
+@dataclass(slots=True, eq=False)
+class MemoryShare:
+    """Memory that is held for one connection.
+
+    Parameters
+    ----------
+    budget : MemoryBudget
+        Budget that the memory counts towards.
+    give_up : callable, optional
+        Releases what the connection may lose and returns whether there was
+        any. Without it, the share is never given up for others.
+    """
+
+    budget: 'MemoryBudget'
+    give_up: Callable[[], bool] | None = None
+    held_bytes: int = 0
+    since_s: float = 0.0
+    is_closed: bool = False
+
+    def charge(self, size_bytes: int) -> bool:
+        """Add memory that is held now.
+
+        Returns
+        -------
+        bool
+            Whether the budget is kept; otherwise the caller has to release
+            what it holds.
+        """
+        if self.is_closed:
+            return True
+        if not self.held_bytes:
+            self.since_s = monotonic_s()
+        self.held_bytes += size_bytes
+        return self.budget.charge(self, size_bytes)
+
+    def release(self, size_bytes: int) -> None:
+        """Remove memory that is no longer held."""
+        if not self.is_closed:
+            self.held_bytes -= size_bytes
+            self.budget.held_bytes -= size_bytes
+
+    def close(self) -> None:
+        """Release everything; what comes later is not counted."""
+        self.release(self.held_bytes)
+        self.is_closed = True
+        self.budget.remove(self)
+
+
+class MemoryBudget:
+    """Bytes of memory held for all connections of a process.
+
+    Not thread-safe: used on the event loop only.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Limit on the bytes that are held.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        """Start without shares."""
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        self._shares: set[MemoryShare] = set()
+
+    def share(self, give_up: Callable[[], bool] | None = None) -> MemoryShare:
+        """Return a new share; without ``give_up`` it is kept at all events."""
+        share = MemoryShare(self, give_up)
+        if give_up is not None:
+            self._shares.add(share)
+        return share
+
+    def remove(self, share: MemoryShare) -> None:
+        """Forget a share that is closed."""
+        self._shares.discard(share)
+
+    def has_space(self, size_bytes: int) -> bool:
+        """Return whether so much more can be held without giving up any."""
+        return self.held_bytes + size_bytes <= self.max_bytes
+
+    def charge(self, share: MemoryShare, size_bytes: int) -> bool:
+        """Count memory of a share; return whether the budget is kept."""
+        self.held_bytes += size_bytes
+        if self.held_bytes <= self.max_bytes:
+            return True
+        return self._make_space(share)
+
+    def _make_space(self, share: MemoryShare) -> bool:
+        """Give up other shares until the budget is kept.
+
+        A share that may be given up itself gives way only to smaller ones.
+        """
+        least_bytes = share.held_bytes if share.give_up else 0
+        now_s = monotonic_s()
+        others = sorted(
+            (
+                each
+                for each in self._shares
+                if each is not share and each.held_bytes > least_bytes
+            ),
+            key=lambda each: each.held_bytes * (now_s - each.since_s),
+        )
+        while self.held_bytes > self.max_bytes and others:
+            give_up = others.pop().give_up
+            if give_up is not None and give_up():
+                EVENTS.labels('memory', 'share_given_up').inc()
+        if self.held_bytes > self.max_bytes:
+            EVENTS.labels('memory', 'budget_used_up').inc()
+            return False
+        return True
--- /dev/null
+++ b/oleanderpin/gateway/incoming_request.py
@@ -0,0 +1,82 @@
+"""A request that is being read, and what it costs.
+
+Load pattern: callers send heads, trailers or bodies without end, or in pieces
+that cost more than their bytes.
+"""
+
+from http import HTTPStatus
+
+from .messages import CallerRequest, Limits
+
+# Memory of a request, and of one of its header fields, beside their bytes.
+_REQUEST_BYTES = 1024
+_FIELD_BYTES = 160
+_FIELD_SEPARATOR_BYTES = 4
+# A body may come in so many pieces of any size, and beyond them in pieces of so
+# many bytes on average.
+_MAX_SMALL_PIECES = 4096
+_MIN_PIECE_BYTES = 16
+
+
+class IncomingRequest:
+    """Collects the parts of one request.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request; its body is set once it is complete.
+    limits : Limits
+        Limits in force when it began.
+    """
+
+    def __init__(self, request: CallerRequest, limits: Limits) -> None:
+        """Start with an empty head."""
+        self.request = request
+        self.limits = limits
+        self.is_in_head = True
+        self.body = bytearray()
+        # What is charged for the request.
+        self.charged_bytes = 0
+        # Bytes of the body that the listener counts.
+        self.buffered_bytes = 0
+        self._fields_bytes = 0
+        self._pieces = 0
+
+    @property
+    def cost_bytes(self) -> int:
+        """Memory of the request, estimated from its parts."""
+        fields = len(self.request.headers)
+        return (
+            _REQUEST_BYTES
+            + fields * _FIELD_BYTES
+            + self._fields_bytes
+            + len(self.body)
+        )
+
+    def add_target(self, part: bytes) -> None:
+        """Append a part of the request target."""
+        self.request.target += part
+        self._fields_bytes += len(part)
+
+    def add_field(self, name: bytes, value: bytes) -> None:
+        """Append a header field."""
+        size_bytes = len(name) + len(value) + _FIELD_SEPARATOR_BYTES
+        self._fields_bytes += size_bytes
+        self.request.headers.append((name.lower(), value))
+
+    def add_piece(self, piece: bytes) -> None:
+        """Append a piece of the body."""
+        self._pieces += 1
+        self.body += piece
+
+    def violation(self) -> HTTPStatus | None:
+        """Return the status for a request beyond the limits, else None."""
+        most_bytes = self.limits.max_header_bytes
+        if self.is_in_head and self._fields_bytes > most_bytes:
+            return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        if len(self.body) > self.limits.max_body_bytes:
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        most_pieces = _MAX_SMALL_PIECES + len(self.body) // _MIN_PIECE_BYTES
+        if self._pieces > most_pieces:
+            return HTTPStatus.BAD_REQUEST
+        return None
--- /dev/null
+++ b/oleanderpin/gateway/listener_options.py
@@ -0,0 +1,47 @@
+"""Limits and hooks of an HTTP listener."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from ..core.memory_budget import MemoryBudget
+from .messages import CallerRequest, Limits, Response
+from .traffic import TrafficMeter
+
+
+@dataclass(frozen=True, slots=True)
+class StaticLimits:
+    """Fixed size limits and time-outs for clients of an interface."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
+Admit = Callable[[CallerRequest], Awaitable[Response | None]]
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerOptions:
+    """What a listener may be given beside its handler.
+
+    Parameters
+    ----------
+    limits : callable
+        Returns the limits in force.
+    memory : MemoryBudget, optional
+        Budget of the memory held for the connections.
+    meter : TrafficMeter, optional
+        Counts the bytes of the connections.
+    admit : callable, optional
+        Decides about a request with a large body before the body is read;
+        returns the response if it is refused, else None.
+    abandon : callable, optional
+        Told of an admitted request whose body will not come.
+    """
+
+    limits: Callable[[], Limits] = StaticLimits
+    memory: MemoryBudget | None = None
+    meter: TrafficMeter | None = None
+    admit: Admit | None = None
+    abandon: Callable[[CallerRequest], None] | None = None
--- /dev/null
+++ b/oleanderpin/testing/gateway_process.py
@@ -0,0 +1,175 @@
+"""One gateway as a real process, with a target, for tests of its limits."""
+
+import resource
+import threading
+import time
+import uuid
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+import urllib3
+
+from ..control.configuration import LimitsDocument, ProfileDocument
+from .builders import free_ports
+from .gateway import LoopbackTarget, configuration, gateway_settings
+from .processes import AdminError, DaemonProcess, stop_all
+
+_ANNOUNCE_INTERVAL_S = 0.5
+_START_TIMEOUT_S = 60.0
+_POLL_S = 0.1
+_TARGET_SLOTS = 1000
+_REQUEST_TIMEOUT_S = 30.0
+_KB_PER_MB = 1024
+# The line of the settings that the options replace.
+_SMALL_BUDGET = 'max_buffered_bytes = 1048576'
+_REPEATABLE = ProfileDocument(
+    is_repeatable=True, max_attempts=1, request_timeout_s=_REQUEST_TIMEOUT_S
+)
+
+
+@dataclass(slots=True)
+class GatewayProcess:
+    """A running gateway that is its own control group.
+
+    Parameters
+    ----------
+    daemon : DaemonProcess
+        The process.
+    port : int
+        Port for callers.
+    """
+
+    daemon: DaemonProcess
+    port: int
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the process has not ended."""
+        process = self.daemon.process
+        return process is not None and process.poll() is None
+
+    def peak_memory_mb(self) -> float:
+        """Return the largest resident memory so far."""
+        status = Path(f'/proc/{self.daemon.pid}/status').read_text()
+        peak = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(peak.split()[1]) / _KB_PER_MB
+
+    def open_descriptors(self) -> int:
+        """Return the number of open descriptors."""
+        return len(list(Path(f'/proc/{self.daemon.pid}/fd').iterdir()))
+
+
+@contextmanager
+def gateway_process(
+    folder: Path,
+    target: LoopbackTarget,
+    *,
+    options: tuple[str, ...] = (),
+    limits: LimitsDocument | None = None,
+    max_descriptors: int | None = None,
+) -> Iterator[GatewayProcess]:
+    """Run a gateway in a process of its own until the block ends.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, log and data.
+    target : LoopbackTarget
+        Serves the requests; it is announced until the block ends.
+    options : tuple of str
+        Further lines of the settings, beginning in the section ``gateway``.
+    limits : LimitsDocument, optional
+        Limits on the requests of callers.
+    max_descriptors : int, optional
+        Limit on the open descriptors of the process.
+
+    Raises
+    ------
+    TimeoutError
+        If the gateway takes no configuration in time.
+    """
+    ports = free_ports(3)
+    text = gateway_settings(ports, folder / 'data')
+    text = text.replace(_SMALL_BUDGET, '\n'.join(options))
+    path = folder / 'gateway.ini'
+    path.write_text(text)
+    daemon = DaemonProcess(
+        'g1', '127.0.0.1', 'gateway', path, admin_port=ports[1]
+    )
+    with _descriptor_limit(max_descriptors):
+        daemon.start()
+    stopped = threading.Event()
+    try:
+        _configure(daemon, limits)
+        _announce(daemon, target)
+        threading.Thread(
+            target=_keep_announcing, args=(daemon, target, stopped), daemon=True
+        ).start()
+        yield GatewayProcess(daemon, ports[0])
+    finally:
+        stopped.set()
+        stop_all([daemon])
+
+
+@contextmanager
+def _descriptor_limit(count: int | None) -> Iterator[None]:
+    """Set the limit on open descriptors that child processes inherit."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if count is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, before[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
+def _configure(daemon: DaemonProcess, limits: LimitsDocument | None) -> None:
+    change = configuration(profile=_REPEATABLE)
+    if limits is not None:
+        change = change.model_copy(update={'limits': limits})
+    document = {
+        'request_id': uuid.uuid4().hex,
+        'command': 'configuration.replace',
+        'arguments': change.model_dump(mode='json'),
+    }
+    end_s = time.monotonic() + _START_TIMEOUT_S
+    while not (_is_accepted(daemon, document) and daemon.is_fresh()):
+        if daemon.process is not None and daemon.process.poll() is not None:
+            log = daemon.settings.with_suffix('.log')
+            raise RuntimeError(f'the gateway has ended; its log is {log}')
+        if time.monotonic() > end_s:
+            raise TimeoutError(f'no configuration within {_START_TIMEOUT_S} s')
+        time.sleep(_POLL_S)
+
+
+def _is_accepted(daemon: DaemonProcess, document: object) -> bool:
+    try:
+        daemon.call('POST', '/v1/changes', document)
+    except (AdminError, urllib3.exceptions.HTTPError):
+        return False
+    return True
+
+
+def _announce(daemon: DaemonProcess, target: LoopbackTarget) -> None:
+    document = {
+        'service': 'desk',
+        'target_id': 't1',
+        'address': f'127.0.0.1:{target.port}',
+        'region': 'north',
+        'failure_domain': 'north-a',
+        'slots': _TARGET_SLOTS,
+    }
+    daemon.call('POST', '/targets/announce', document)
+
+
+def _keep_announcing(
+    daemon: DaemonProcess, target: LoopbackTarget, stopped: threading.Event
+) -> None:
+    while not stopped.wait(_ANNOUNCE_INTERVAL_S):
+        # The test sees a gateway that has ended or does not answer.
+        with suppress(AdminError, urllib3.exceptions.HTTPError):
+            _announce(daemon, target)
--- a/oleanderpin/testing/processes.py
+++ b/oleanderpin/testing/processes.py
@@ -77,6 +77,8 @@
         ``control`` or ``gateway``.
     settings : Path
         Its settings file.
+    admin_port : int
+        Port for operators.
     """
 
     name: str
@@ -84,6 +86,7 @@
     role: str
     settings: Path
     process: subprocess.Popen[bytes] | None = None
+    admin_port: int = ADMIN_PORT
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(
             maxsize=8, retries=False, timeout=_HTTP_TIMEOUT_S
@@ -149,7 +152,7 @@
         """
         response = self.http.request(
             method,
-            f'http://{self.host}:{ADMIN_PORT}{path}',
+            f'http://{self.host}:{self.admin_port}{path}',
             body=None if document is None else json.dumps(document),
             timeout=timeout_s,
         )
