Send bodies without a copy of each

A gateway held a large body twice while its target did not read it: joined, and again behind the head that was made for the target; responses likewise. Head and body are handed to the transport as two buffers from 16 KiB on, and a response grows in one buffer in place of a list of its pieces.

--- a/oleanderpin/core/socket_queues.py
+++ b/oleanderpin/core/socket_queues.py
@@ -3,8 +3,12 @@
 import array
 import fcntl
 import socket
+import struct
 import termios
 
+# Linger is on, for zero seconds.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 
 def unread_bytes(connected: socket.socket) -> int:
     """Return the bytes that have arrived and nobody has read.
@@ -31,6 +35,11 @@
     return _queued_bytes(connected, termios.TIOCOUTQ)
 
 
+def reset_on_close(connected: socket.socket) -> None:
+    """Let the kernel reset a connection and drop its data when it is closed."""
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 class DeliveryProgress:
     """Tells whether the peer of a connection acknowledges what is written."""
 
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -15,7 +15,7 @@
     undelivered_bytes,
     unread_bytes,
 )
-from .messages import CallerRequest, Response
+from .messages import CallerRequest, Response, buffers
 from .rate_limited_log import RateLimitedLog
 from .traffic import TrafficMeter
 
@@ -368,9 +368,10 @@
             self._start_timer(self._listener.limits().idle_timeout_s)
 
     def _write(self, response: Response, *, closes: bool) -> None:
-        encoded = encode_response(response, closes=closes)
-        self._listener.meter.add_bytes('to_callers', len(encoded))
-        self._transport.write(encoded)
+        head = encode_head(response, closes=closes)
+        size_bytes = len(head) + len(response.body)
+        self._listener.meter.add_bytes('to_callers', size_bytes)
+        self._transport.writelines(buffers(head, response.body))
 
     def _adjust_buffered(self, change_bytes: int) -> None:
         self._buffered_bytes += change_bytes
@@ -478,8 +479,8 @@
         return unread_bytes(self._transport.get_extra_info('socket'))
 
 
-def encode_response(response: Response, *, closes: bool) -> bytes:
-    """Return a response as HTTP/1.1 with ``Content-Length``."""
+def encode_head(response: Response, *, closes: bool) -> bytes:
+    """Return the head of a response as HTTP/1.1 with ``Content-Length``."""
     reason = response.reason or _REASON_PHRASES.get(response.status, b'')
     parts = [b'HTTP/1.1 %d %s\r\n' % (response.status, reason)]
     parts.extend(b'%s: %s\r\n' % header for header in response.headers)
@@ -487,5 +488,4 @@
     if closes:
         parts.append(b'Connection: close\r\n')
     parts.append(b'\r\n')
-    parts.append(response.body)
     return b''.join(parts)
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -10,7 +10,12 @@
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
 from ..core.settings import GatewaySettings
-from .messages import TargetDeclinedError, TargetFailure, TargetResponse
+from .messages import (
+    EncodedRequest,
+    TargetDeclinedError,
+    TargetFailure,
+    TargetResponse,
+)
 from .candidate import Candidate
 from .response_budget import ResponseBudget
 from .target_connection import TargetConnection
@@ -60,7 +65,7 @@
         self,
         candidate: Candidate,
         request_id: bytes,
-        encode: Callable[[], bytes],
+        encode: Callable[[], EncodedRequest],
         *,
         is_head: bool,
         is_repeatable: bool,
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -5,6 +5,9 @@
 from typing import Any, Literal
 
 Header = tuple[bytes, bytes]
+Body = bytes | bytearray
+# A smaller body is copied behind its head, which costs less than a second buffer.
+_SMALL_BODY_BYTES = 16384
 # Where the rate token of a request comes from; empty if it needs none.
 TokenSource = Literal['', 'floor', 'share', 'part']
 # Whether gateways and the leader divide the rate of a limited account, or
@@ -43,7 +46,7 @@
     target: bytes
     headers: list[Header]
     received_s: float
-    body: bytes = b''
+    body: Body = b''
     keeps_alive: bool = True
     must_finish: bool = False
     caller_disconnected: bool = False
@@ -79,10 +82,27 @@
     status: int
     reason: bytes = b''
     headers: list[Header] = field(default_factory=list)
-    body: bytes = b''
+    body: Body = b''
     closes: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EncodedRequest:
+    """Head and body of a request as sent to a target."""
+
+    head: bytes
+    body: Body
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of head and body."""
+        return len(self.head) + len(self.body)
+
+    def parts(self) -> tuple[Body, ...]:
+        """Return the buffers to send; a large body is not copied."""
+        return buffers(self.head, self.body)
+
+
 @dataclass(slots=True)
 class TargetResponse:
     """A complete response of a target; header names are in lower case."""
@@ -90,7 +110,7 @@
     status: int
     reason: bytes
     headers: list[Header]
-    body: bytes
+    body: Body
     is_reusable: bool = True
 
     def header(self, name: bytes) -> bytes | None:
@@ -98,6 +118,13 @@
         return _first_value(self.headers, name)
 
 
+def buffers(head: bytes, body: Body) -> tuple[Body, ...]:
+    """Return a message as few buffers, without copying a large body."""
+    if len(body) < _SMALL_BODY_BYTES:
+        return (head + body,)
+    return (head, body)
+
+
 def _first_value(headers: list[Header], name: bytes) -> bytes | None:
     for header_name, value in headers:
         if header_name == name:
@@ -164,6 +191,7 @@
 __all__ = (
     'Response',
     'CallerRequest',
+    'EncodedRequest',
     'TargetResponse',
     'TargetDeclinedError',
     'TargetFailure',
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -14,7 +14,12 @@
 from .candidate import Candidate
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
-from .messages import TargetDeclinedError, TargetFailure, TargetResponse
+from .messages import (
+    EncodedRequest,
+    TargetDeclinedError,
+    TargetFailure,
+    TargetResponse,
+)
 from .rate_limited_log import RateLimitedLog
 from .target_answers import TargetAnswers
 
@@ -105,10 +110,11 @@
             cold_ms=int(cold_s * 1000),
         )
 
-    def _encode_probe(self, candidate: Candidate) -> bytes:
+    def _encode_probe(self, candidate: Candidate) -> EncodedRequest:
         service = self._view.state.services.get(candidate.target.service)
         path = service.health_path if service else ''
-        return (
+        head = (
             f'GET {path or _DEFAULT_PATH} HTTP/1.1\r\n'
             f'Host: {candidate.target.address}\r\n\r\n'
-        ).encode()
+        )
+        return EncodedRequest(head.encode(), b'')
--- a/oleanderpin/gateway/rewriting.py
+++ b/oleanderpin/gateway/rewriting.py
@@ -6,7 +6,13 @@
 from ..core.clock import monotonic_s
 from ..targets.announcement import Target
 from .dialect import Dialect
-from .messages import CallerRequest, Response, TargetResponse, hop_by_hop
+from .messages import (
+    CallerRequest,
+    EncodedRequest,
+    Response,
+    TargetResponse,
+    hop_by_hop,
+)
 
 _REQUEST_ID_BYTES = 8
 
@@ -28,7 +34,7 @@
     *,
     dialect: Dialect,
     deadline_s: float,
-) -> bytes:
+) -> EncodedRequest:
     """Return a request as sent to a target.
 
     Parameters
@@ -61,8 +67,7 @@
     if request.body or request.method not in {b'GET', b'HEAD'}:
         parts.append(b'content-length: %d\r\n' % len(request.body))
     parts.append(b'\r\n')
-    parts.append(request.body)
-    return b''.join(parts)
+    return EncodedRequest(b''.join(parts), request.body)
 
 
 def response_for_caller(response: TargetResponse) -> Response:
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -1,8 +1,6 @@
 """Client side of an HTTP/1.1 connection to a target, without pipelining."""
 
 import asyncio
-import socket
-import struct
 from collections import deque
 from typing import Any
 
@@ -10,7 +8,8 @@
 
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
-from .messages import Header, TargetFailure, TargetResponse
+from ..core.socket_queues import reset_on_close
+from .messages import EncodedRequest, Header, TargetFailure, TargetResponse
 from .response_budget import ResponseBudget
 from .traffic import TrafficMeter
 
@@ -18,8 +17,6 @@
 _BODYLESS_STATUSES = frozenset((204, 304))
 # Attempts of one request follow each other within fewer requests than this.
 _MAX_CARRIED_IDS = 32
-# Linger is on, for zero seconds.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class TargetConnection(asyncio.Protocol):
@@ -79,7 +76,7 @@
         return bool(request_id) and request_id in self._carried_ids
 
     def send(
-        self, request_id: bytes, encoded: bytes, *, is_head: bool
+        self, request_id: bytes, encoded: EncodedRequest, *, is_head: bool
     ) -> asyncio.Future[TargetResponse]:
         """Send a request.
 
@@ -87,7 +84,7 @@
         ----------
         request_id : bytes
             Id that the response must echo; empty to accept any response.
-        encoded : bytes
+        encoded : EncodedRequest
             The encoded request.
         is_head : bool
             Whether the response has no body although it declares a length.
@@ -102,8 +99,8 @@
         self._is_head = is_head
         self._meter = self._budget.start()
         self._waiter = asyncio.get_running_loop().create_future()
-        self._traffic.add_bytes('to_targets', len(encoded))
-        self._transport.write(encoded)
+        self._traffic.add_bytes('to_targets', encoded.size_bytes)
+        self._transport.writelines(encoded.parts())
         return self._waiter
 
     def close(self) -> None:
@@ -117,9 +114,7 @@
             return
         connected = self._transport.get_extra_info('socket')
         if self._waiter is not None and not self._transport.is_closing():
-            connected.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+            reset_on_close(connected)
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -178,7 +173,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an interim one."""
@@ -194,7 +189,7 @@
             status=self._parser.get_status_code(),
             reason=bytes(self._reason),
             headers=self._headers,
-            body=b''.join(self._body),
+            body=self._body,
         )
         waiter = self._waiter
         if waiter is None:
@@ -245,7 +240,8 @@
     def _reset_message(self) -> None:
         self._reason = bytearray()
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        # One buffer, since small pieces would cost an object each.
+        self._body = bytearray()
         self._ends_at_close = False
         self._in_message = False
         self._has_head = False
