Count what callers make a gateway hold in one budget of memory

Callers ended a process, or kept it from serving others: heads, small pieces of bodies and complete responses cost memory that nothing counted, and bodies that stopped short kept the whole buffer from others for ever. Now each connection has a share of one budget and charges to it, in bytes of memory, the head that it sends, its body, responses that wait for others, and what the kernel has not taken; responses of targets charge to the same budget. Its size is a half of the machine's memory (memory_mb, from the platform's settings), or max_buffered_bytes. When it is used up, the share that has held most for longest is given up for smaller ones: an incomplete request is refused as not run, a response that is not read is reset. A large head that arrives in one read is rejected like any other. A connection whose responses are not taken is not read on when one of its requests completes.

--- a/oleanderpin/core/kernel.py
+++ b/oleanderpin/core/kernel.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from .clock import Clock, MonotonicClock
+from .memory_budget import MemoryBudget
 from .plugin import Plugin, plugins
 from .settings import Settings
 
@@ -32,6 +33,8 @@
         self.clock = clock or MonotonicClock()
         self.draining = threading.Event()
         self.stopping = threading.Event()
+        # Memory held for callers and targets; used on the event loop only.
+        self.memory = MemoryBudget(settings.max_held_bytes)
         self._plugins: dict[type[Plugin], Plugin] = {}
         self._started: list[Plugin] = []
         roles = set(settings.instance.roles)
--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -59,6 +59,10 @@
 LOOKUPS = Counter(
     'oleanderpin_lookups_total', 'Answered look-ups by service.', ['service']
 )
+HELD_BYTES = Gauge(
+    'oleanderpin_held_bytes',
+    'Memory held for callers and targets, as counted by its budget.',
+)
 CONTROL_REVISION = Gauge(
     'oleanderpin_control_revision', 'Revision of the applied control state.'
 )
--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -17,6 +17,11 @@
 _MAX_PORT = 65535
 # The rest of a ratio of retries covers requests counted in another window.
 _USED_RETRY_FRACTION = 0.95
+_MIB = 1024 * 1024
+_DEFAULT_HELD_BYTES = 100 * _MIB
+# One of so many parts of the memory is held for callers and targets; the
+# interpreter, the control state and the kernel's buffers need the rest.
+_HELD_MEMORY_PARTS = 2
 
 
 def _split_list(value: object) -> object:
@@ -63,7 +68,11 @@
 
 
 class InstanceSettings(_Section):
-    """Identity, location and roles of the instance."""
+    """Identity, location, roles and memory of the instance.
+
+    ``memory_mb`` is the memory that the process may use, in MiB. A gateway
+    holds at most a half of it for callers and targets.
+    """
 
     name: Name
     region: Name
@@ -73,6 +82,7 @@
         'entry',
     )
     data_dir: Path | None = None
+    memory_mb: Annotated[int, Field(ge=64)] | None = None
 
 
 class ListenSettings(_Section):
@@ -174,8 +184,9 @@
 
     It listens on the address for callers; ``ready`` is the address of its
     readiness check. ``dialect`` selects the header names that callers and
-    targets use. ``max_buffered_bytes`` bounds the bodies of requests and, apart
-    from them, the responses of targets that are not complete yet.
+    targets use. ``max_buffered_bytes`` bounds the memory that is held for
+    requests and responses, until callers have taken the responses; left out, it
+    is a half of the instance's ``memory_mb``, or else 100 MiB.
     """
 
     ready: Address | None = None
@@ -187,7 +198,7 @@
     retry_budget_ratio: Annotated[float, Field(ge=0, le=1)] | None = None
     # Retries that all gateways together may keep for later.
     retry_reserve: Annotated[float, Field(ge=0, le=1000000)] = 60.0
-    max_buffered_bytes: Annotated[int, Field(ge=65536)] = 100 * 1024 * 1024
+    max_buffered_bytes: Annotated[int, Field(ge=65536)] | None = None
     max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
     max_response_head_bytes: Annotated[int, Field(ge=1024)] = 65536
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
@@ -232,6 +243,15 @@
     log: LogSettings = LogSettings()
     regions: dict[Name, Name] = {}
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Limit on the memory held for callers and targets, in bytes."""
+        if self.gateway.max_buffered_bytes is not None:
+            return self.gateway.max_buffered_bytes
+        if self.instance.memory_mb is not None:
+            return self.instance.memory_mb * _MIB // _HELD_MEMORY_PARTS
+        return _DEFAULT_HELD_BYTES
+
     def region_of(self, failure_domain: str) -> str:
         """Return the region of a failure domain.
 
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -9,14 +9,19 @@
 import httptools
 
 from ..core.clock import monotonic_s
+from ..core.memory_budget import MemoryBudget
 from ..core.metrics import EVENTS
 from ..core.socket_queues import (
     DeliveryProgress,
+    reset_on_close,
     undelivered_bytes,
     unread_bytes,
 )
+from .incoming_request import IncomingRequest
+from .listener_options import ListenerOptions
 from .messages import CallerRequest, Response, buffers
 from .rate_limited_log import RateLimitedLog
+from .response_output import OutputWatch, ResponseOutput
 from .traffic import TrafficMeter
 
 _MAX_PIPELINED_REQUESTS = 256
@@ -32,15 +37,6 @@
 }
 
 
-class Limits(Protocol):
-    """Size limits and time-outs for a caller's requests."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
 class Listener(Protocol):
     """What a connection needs of its listener."""
 
@@ -50,30 +46,28 @@
     log: RateLimitedLog
     # Bytes of bodies held for requests that have no response yet.
     buffered_bytes: int
-
-    def limits(self) -> Limits:
-        """Return the limits in force."""
-        ...
-
+    memory: MemoryBudget
+    output_watch: OutputWatch
     # Handles a request; cancelled when the caller disconnects.
     serve: Callable[[CallerRequest], Awaitable[Response]]
-    # Decides about a request before its body is read; None if there is no need.
-    admit: Callable[[CallerRequest], Awaitable[Response | None]] | None
-    # Told of an admitted request whose body will not come.
-    abandon: Callable[[CallerRequest], None] | None
 
-    def has_buffer_space(self, size_bytes: int) -> bool:
-        """Return whether a body of this size fits in the body buffer."""
+    @property
+    def options(self) -> ListenerOptions:
+        """Limits and hooks."""
         ...
 
 
 class _PendingRequest:
     """A request whose response has not been written yet."""
 
-    __slots__ = ('response', 'request', 'task')
+    __slots__ = ('response', 'request', 'task', 'charged_bytes')
 
-    def __init__(self, request: CallerRequest) -> None:
+    def __init__(
+        self, request: CallerRequest, *, charged_bytes: int = 0
+    ) -> None:
         self.request = request
+        # Charged for the request, later for its response too.
+        self.charged_bytes = charged_bytes
         self.task: asyncio.Task[Any] | None = None
         self.response: Response | None = None
 
@@ -90,16 +84,17 @@
     def __init__(self, listener: Listener) -> None:
         """Wait for the first request."""
         self._listener = listener
+        self._options = listener.options
         self._transport: Any = None
         self._caller_host = ''
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingRequest] = deque()
-        self._request: CallerRequest | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._incoming: IncomingRequest | None = None
+        self._share = listener.memory.share(self._give_up)
+        self._output = ResponseOutput(self._share)
         self._buffered_bytes = 0
         self._header_bytes = 0
-        self._in_headers = False
+        self._is_output_full = False
         self._is_closing = False
         self._last_activity_s = monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
@@ -110,7 +105,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether there is no partly read request and no pending response."""
-        return not self._pending and self._request is None
+        return not self._pending and self._incoming is None
 
     @property
     def unsent_bytes(self) -> int:
@@ -135,21 +130,24 @@
         peer = transport.get_extra_info('peername')
         self._caller_host = str(peer[0]) if peer else ''
         self._listener.connections.add(self)
-        self._start_timer(self._listener.limits().idle_timeout_s)
+        self._start_timer(self._options.limits().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, except those that must finish."""
         self._is_closing = True
         self._adjust_buffered(-self._buffered_bytes)
         self._listener.connections.discard(self)
+        self._listener.output_watch.discard(self)
+        self._share.close()
         if self._timer is not None:
             self._timer.cancel()
         for pending in self._pending:
             pending.request.caller_disconnected = True
             if pending.task is not None and not pending.request.must_finish:
                 pending.task.cancel()
-        if self._request is not None:
-            self._abandon(self._request)
+        if self._incoming is not None:
+            self._abandon(self._incoming.request)
+            self._incoming = None
         self._pending.clear()
 
     def eof_received(self) -> bool:
@@ -158,13 +156,15 @@
 
     def pause_writing(self) -> None:
         """Stop reading requests while responses are not read."""
+        self._is_output_full = True
         if not self._is_closing:
             self._transport.pause_reading()
 
     def resume_writing(self) -> None:
         """Resume reading."""
-        if not self._is_closing:
-            self._transport.resume_reading()
+        self._is_output_full = False
+        self._output.update(self.unsent_bytes)
+        self._resume_reading()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; reject malformed requests and oversized headers.
@@ -176,7 +176,7 @@
             return
         self._last_activity_s = monotonic_s()
         self._listener.meter.add_bytes('from_callers', len(data))
-        if self._request is None or self._in_headers:
+        if self._incoming is None or self._incoming.is_in_head:
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -184,43 +184,42 @@
             self._reject(400)
         except httptools.HttpParserError:
             self._reject(400)
-        if self._in_headers:
-            limits = self._listener.limits()
-            if self._header_bytes > limits.max_header_bytes:
-                self._reject(431)
+        if self._incoming is not None:
+            self._check_incoming(self._incoming)
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._request = CallerRequest(b'', b'', [], monotonic_s())
-        self._request.caller_host = self._caller_host
-        self._body = []
-        self._body_bytes = 0
-        self._in_headers = True
-        self._start_timer(self._listener.limits().header_timeout_s)
+        request = CallerRequest(b'', b'', [], monotonic_s())
+        request.caller_host = self._caller_host
+        limits = self._options.limits()
+        self._incoming = IncomingRequest(request, limits)
+        self._start_timer(limits.header_timeout_s)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        if self._request is not None:
-            self._request.target += url
+        if self._incoming is not None:
+            self._incoming.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
-        if self._request is not None:
-            self._request.headers.append((name.lower(), value))
+        if self._incoming is not None:
+            self._incoming.add_field(name, value)
 
     def on_headers_complete(self) -> None:
         """Handle ``Expect`` and check the declared body length."""
-        request = self._request
-        if request is None:
+        incoming = self._incoming
+        if incoming is None:
             return
-        self._in_headers = False
+        incoming.is_in_head = False
         self._header_bytes = 0
+        request = incoming.request
         request.method = self._parser.get_method()
         request.keeps_alive = self._parser.should_keep_alive()
         length = request.header(b'content-length')
         if length is not None and length.isdigit():
             request.declared_body_bytes = int(length)
-            self._check_size(int(length))
+        if not self._may_send_body(incoming) or not request.may_have_body:
+            return
         if self._needs_early_admission(request, length):
             self._transport.pause_reading()
             request.admission = asyncio.get_running_loop().create_task(
@@ -230,22 +229,26 @@
             self._expect_body(request)
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body and check the size limits."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        self._adjust_buffered(len(body))
-        self._check_size(self._body_bytes)
+        """Append a piece of the body."""
+        if self._incoming is not None:
+            self._incoming.add_piece(body)
 
     def on_message_complete(self) -> None:
         """Start handling the request, even if earlier ones are pending."""
-        request = self._request
-        self._request = None
+        incoming = self._incoming
         self._header_bytes = 0
-        if request is None or self._is_closing or self._closes_soon():
+        if incoming is None or not self._check_incoming(incoming):
             return
-        request.body = b''.join(self._body)
-        self._body = []
-        pending = _PendingRequest(request)
+        self._incoming = None
+        if self._timer is not None:
+            self._timer.cancel()
+        request = incoming.request
+        request.body = incoming.body
+        if self._is_closing or self._closes_soon():
+            self._adjust_buffered(-len(incoming.body))
+            self._share.release(incoming.charged_bytes)
+            return
+        pending = _PendingRequest(request, charged_bytes=incoming.charged_bytes)
         self._pending.append(pending)
         pending.task = asyncio.get_running_loop().create_task(
             self._handle(pending)
@@ -253,10 +256,66 @@
         if len(self._pending) >= _MAX_PIPELINED_REQUESTS:
             self._transport.pause_reading()
 
+    def check_output(self) -> bool:
+        """Update what the caller has not taken of its responses.
+
+        Returns
+        -------
+        bool
+            Whether there are bytes that the kernel has not taken yet.
+        """
+        unsent_bytes = self.unsent_bytes
+        self._output.update(unsent_bytes)
+        return bool(unsent_bytes)
+
+    def _check_incoming(self, incoming: IncomingRequest) -> bool:
+        """Charge for the request being read; reject it beyond the limits."""
+        status = incoming.violation()
+        most_bytes = incoming.limits.max_header_bytes
+        if incoming.is_in_head and self._header_bytes > most_bytes:
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        if status is not None:
+            self._reject(status)
+            return False
+        change_bytes = incoming.cost_bytes - incoming.charged_bytes
+        self._adjust_buffered(len(incoming.body) - incoming.buffered_bytes)
+        incoming.buffered_bytes = len(incoming.body)
+        incoming.charged_bytes += change_bytes
+        if not self._share.charge(change_bytes):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+        return self._incoming is incoming
+
+    def _may_send_body(self, incoming: IncomingRequest) -> bool:
+        """Reject a request whose declared body is too large to be held."""
+        size_bytes = incoming.request.declared_body_bytes
+        if size_bytes > incoming.limits.max_body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif (
+            size_bytes >= _LARGE_BODY_BYTES
+            and not self._listener.memory.has_space(size_bytes)
+        ):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+        return self._incoming is incoming
+
+    def _give_up(self) -> bool:
+        """Release what this caller may lose, for the sake of others."""
+        if self._transport.is_closing():
+            return False
+        if self.unsent_bytes:
+            EVENTS.labels('gateway', 'unread_response_given_up').inc()
+            self._abort()
+            self._share.close()
+            return True
+        if self._incoming is not None and not self._is_closing:
+            EVENTS.labels('gateway', 'incomplete_request_given_up').inc()
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            return True
+        return self.give_up_blocking()
+
     def _needs_early_admission(
         self, request: CallerRequest, length: bytes | None
     ) -> bool:
-        if self._listener.admit is None or self._pending or self._is_closing:
+        if self._options.admit is None or self._pending or self._is_closing:
             return False
         if length is None:
             return request.header(b'transfer-encoding') is not None
@@ -264,23 +323,23 @@
 
     async def _admit_early(self, request: CallerRequest) -> Response | None:
         """Decide about a request before its body takes up the link."""
-        if self._listener.admit is None:
+        if self._options.admit is None:
             return None
-        refused = await self._listener.admit(request)
+        refused = await self._options.admit(request)
         if self._is_closing:
             return refused
         if refused is None:
             self._expect_body(request)
-            self._transport.resume_reading()
-        elif self._request is request:
+            self._resume_reading()
+        elif self._incoming is not None and self._incoming.request is request:
             self._refuse_unread(request, refused)
         return refused
 
     def _abandon(self, request: CallerRequest) -> None:
         if request.admission is not None:
             request.admission.cancel()
-        if self._listener.abandon is not None:
-            self._listener.abandon(request)
+        if self._options.abandon is not None:
+            self._options.abandon(request)
 
     def _expect_body(self, request: CallerRequest) -> None:
         is_first = not self._pending and not self._is_closing
@@ -289,10 +348,8 @@
 
     def _refuse_unread(self, request: CallerRequest, refused: Response) -> None:
         """Respond to a request without reading the rest of its body."""
-        self._request = None
-        self._body = []
+        self._drop_incoming()
         self._is_closing = True
-        self._adjust_buffered(-self._body_bytes)
         self._write(refused, closes=True)
         self._await_delivery()
         # What has arrived of the body has used the link.
@@ -300,11 +357,17 @@
             'unread_from_callers', self._unread_bytes()
         )
 
-    def give_up_blocking(self) -> None:
+    def give_up_blocking(self) -> bool:
         """Give up requests whose missing response holds back complete ones.
 
-        Called at the end of a drain: responses are written in the order of the
-        requests, and those that are complete would be lost.
+        Called at the end of a drain, when complete responses would be lost, and
+        when they hold too much memory: responses are written in the order of
+        the requests.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
         """
         complete = [
             number
@@ -312,13 +375,14 @@
             if pending.response is not None
         ]
         if not complete:
-            return
+            return False
         for pending in list(self._pending)[: complete[-1]]:
             if pending.response is None:
                 pending.response = Response(HTTPStatus.GATEWAY_TIMEOUT)
                 if pending.task is not None:
                     pending.task.cancel()
         self._write_completed()
+        return True
 
     def close_if_idle(self) -> None:
         """Close the connection if nothing is in progress in any direction.
@@ -345,52 +409,79 @@
             pending.response = await request.admission
         if pending.response is None:
             pending.response = await self._listener.serve(request)
+        self._charge_response(pending, pending.response)
         self._write_completed()
 
+    def _charge_response(
+        self, pending: _PendingRequest, response: Response
+    ) -> None:
+        """Charge for a response until it is written."""
+        size_bytes = len(response.body)
+        if self._transport.is_closing():
+            return
+        if self._share.charge(size_bytes):
+            pending.charged_bytes += size_bytes
+            return
+        self._share.release(size_bytes)
+        if self.unsent_bytes:
+            # The caller does not take the responses before this one.
+            self._abort()
+        elif pending is not self._pending[0]:
+            # It would be held until the responses before it are complete.
+            pending.response = Response(HTTPStatus.BAD_GATEWAY)
+
     def _write_completed(self) -> None:
         while self._pending and self._pending[0].response is not None:
             pending = self._pending.popleft()
             if self._is_closing or pending.response is None:
                 return
             self._adjust_buffered(-len(pending.request.body))
+            self._share.release(pending.charged_bytes)
             closes = pending.response.closes or not pending.request.keeps_alive
             is_last = self._listener.is_draining and not self._pending
             self._write(pending.response, closes=closes or is_last)
             if closes or is_last:
                 self._close()
                 return
-        if (
-            len(self._pending) < _MAX_PIPELINED_REQUESTS
-            and not self._is_closing
-        ):
-            self._transport.resume_reading()
-        if self.is_idle:
-            self._start_timer(self._listener.limits().idle_timeout_s)
+        if len(self._pending) < _MAX_PIPELINED_REQUESTS:
+            self._resume_reading()
+        if self.is_idle and not self._is_closing:
+            self._start_timer(self._options.limits().idle_timeout_s)
 
     def _write(self, response: Response, *, closes: bool) -> None:
         head = encode_head(response, closes=closes)
         size_bytes = len(head) + len(response.body)
         self._listener.meter.add_bytes('to_callers', size_bytes)
         self._transport.writelines(buffers(head, response.body))
+        self._output.update(self.unsent_bytes)
+        self._listener.output_watch.add(self, asyncio.get_running_loop())
+
+    def _resume_reading(self) -> None:
+        if not self._is_closing and not self._is_output_full:
+            self._transport.resume_reading()
 
     def _adjust_buffered(self, change_bytes: int) -> None:
         self._buffered_bytes += change_bytes
         self._listener.buffered_bytes += change_bytes
 
-    def _check_size(self, size_bytes: int) -> None:
-        if size_bytes > self._listener.limits().max_body_bytes:
-            self._reject(413)
-        elif not self._listener.has_buffer_space(size_bytes - self._body_bytes):
-            self._reject(503)
+    def _drop_incoming(self) -> CallerRequest | None:
+        """Forget the request being read and release its memory."""
+        incoming = self._incoming
+        if incoming is None:
+            return None
+        self._incoming = None
+        self._adjust_buffered(-incoming.buffered_bytes)
+        self._share.release(incoming.charged_bytes)
+        return incoming.request
 
     def _reject(self, status: int) -> None:
         """Queue an error response after the pending ones, then close."""
         if self._is_closing:
             return
-        request = self._request or CallerRequest(b'', b'', [], 0.0)
-        self._request = None
-        self._in_headers = False
-        pending = _PendingRequest(request)
+        request = self._drop_incoming()
+        if request is not None:
+            self._abandon(request)
+        pending = _PendingRequest(CallerRequest(b'', b'', [], 0.0))
         pending.response = Response(status, closes=True)
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             pending.response.headers.append((b'Retry-After', b'1'))
@@ -405,14 +496,14 @@
         self._timer = loop.call_later(timeout_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        if self._in_headers:
-            self._reject(408)
+        if self._incoming is not None and self._incoming.is_in_head:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
         elif self.is_idle:
             self._on_idle_timeout()
 
     def _on_idle_timeout(self) -> None:
         if self._has_delivered() or self._unread_bytes():
-            self._start_timer(self._listener.limits().idle_timeout_s)
+            self._start_timer(self._options.limits().idle_timeout_s)
         elif self._delivery.undelivered_bytes:
             self._abort()
         else:
@@ -451,7 +542,7 @@
             self._last_delivery_s = now_s
         limit_s = _LINGER_S
         if self._delivery.undelivered_bytes:
-            limit_s = self._listener.limits().idle_timeout_s
+            limit_s = self._options.limits().idle_timeout_s
         if now_s - self._last_delivery_s >= limit_s:
             self._abort()
             return
@@ -465,7 +556,9 @@
     def _abort(self) -> None:
         """Close the connection whatever is undelivered or unread."""
         self._is_closing = True
-        if self._delivery.undelivered_bytes:
+        if self._delivery.undelivered_bytes or self.unsent_bytes:
+            # The kernel would keep the rest for as long as the caller reads.
+            reset_on_close(self._transport.get_extra_info('socket'))
             EVENTS.labels('gateway', 'closed_undelivered').inc()
             self._listener.log.write(
                 'connection closed with an undelivered response',
--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from ..core.clock import monotonic_s
+from ..core.memory_budget import MemoryBudget
 from ..core.metrics import EVENTS
 from ..core.settings import GatewaySettings
 from .messages import (
@@ -46,6 +47,8 @@
         Header in which targets echo the request id.
     traffic : TrafficMeter
         Counts bytes and times.
+    memory : MemoryBudget
+        Budget that incomplete responses count towards.
     """
 
     def __init__(
@@ -53,13 +56,14 @@
         settings: GatewaySettings,
         request_id_header: bytes,
         traffic: TrafficMeter,
+        memory: MemoryBudget,
     ) -> None:
         """Start without connections."""
         self._traffic = traffic
         self._settings = settings
         self._id_header = request_id_header
         self._idle: dict[str, list[TargetConnection]] = {}
-        self.budget = ResponseBudget(settings)
+        self.budget = ResponseBudget(settings, memory)
 
     async def send(
         self,
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -3,33 +3,26 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from typing import Any
 
 from ..core.clock import monotonic_s
+from ..core.memory_budget import MemoryBudget
 from .caller_connection import CallerConnection
+from .listener_options import ListenerOptions, StaticLimits
 from .messages import CallerRequest, Response
 from .rate_limited_log import RateLimitedLog
+from .response_output import OutputWatch
 from .traffic import TrafficMeter
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 1024
 _DRAIN_POLL_S = 0.05
-_MAX_BUFFERED_BYTES = 67108864
-
-
-@dataclass(frozen=True, slots=True)
-class StaticLimits:
-    """Fixed size limits and time-outs for clients of an interface."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 60.0
+# For a listener without a budget of its own process.
+_MAX_HELD_BYTES = 67108864
 
 
 Serve = Callable[[CallerRequest], Awaitable[Response]]
-Admit = Callable[[CallerRequest], Awaitable[Response | None]]
+
+__all__ = ('HttpListener', 'ListenerOptions', 'StaticLimits')
 
 
 class HttpListener:
@@ -39,40 +32,24 @@
     ----------
     serve : callable
         Handles a request.
-    limits : callable, optional
-        Returns the limits in force.
-    max_buffered_bytes : int
-        Limit on the bytes of bodies buffered for all connections.
-    meter : TrafficMeter, optional
-        Counts the bytes of the connections.
-    admit : callable, optional
-        Decides about a request with a large body before the body is read;
-        returns the response if it is refused, else None.
-    abandon : callable, optional
-        Told of an admitted request whose body will not come.
+    options : ListenerOptions
+        Limits, and what else is optional.
     """
 
     def __init__(
-        self,
-        serve: Serve,
-        *,
-        limits: Callable[[], Any] = StaticLimits,
-        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
-        meter: TrafficMeter | None = None,
-        admit: Admit | None = None,
-        abandon: Callable[[CallerRequest], None] | None = None,
+        self, serve: Serve, options: ListenerOptions | None = None
     ) -> None:
         """Prepare the listener; `listen` opens the address."""
-        self.buffered_bytes = 0
-        self.meter = meter or TrafficMeter()
+        options = options or ListenerOptions()
+        self.serve = serve
+        self.options = options
+        self.memory = options.memory or MemoryBudget(_MAX_HELD_BYTES)
+        self.meter = options.meter or TrafficMeter()
         self.log = RateLimitedLog(_LOG)
-        self._max_buffered_bytes = max_buffered_bytes
+        self.output_watch = OutputWatch()
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
-        self.serve = serve
-        self.admit = admit
-        self.abandon = abandon
-        self.limits = limits
+        self.buffered_bytes = 0
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -82,10 +59,6 @@
             lambda: CallerConnection(self), host, int(port), backlog=_BACKLOG
         )
 
-    def has_buffer_space(self, size_bytes: int) -> bool:
-        """Return whether a body of this size fits in the body buffer."""
-        return self.buffered_bytes + size_bytes <= self._max_buffered_bytes
-
     async def drain(self, *, timeout_s: float) -> None:
         """Stop accepting connections and finish the requests on open ones.
 
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any, Literal
+from typing import Any, Literal, Protocol
 
 Header = tuple[bytes, bytes]
 Body = bytes | bytearray
@@ -31,6 +31,30 @@
 )
 
 
+class Limits(Protocol):
+    """Size limits and time-outs for a caller's requests."""
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Largest size of a head, or of all trailers."""
+        ...
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest size of a body."""
+        ...
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Longest time for a head."""
+        ...
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Longest time without a request."""
+        ...
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A complete request as received; header names are in lower case.
@@ -60,6 +84,12 @@
         """Size of the body, also while it has not been read."""
         return max(len(self.body), self.declared_body_bytes)
 
+    @property
+    def may_have_body(self) -> bool:
+        """Whether a body may follow the head."""
+        is_chunked = self.header(b'transfer-encoding') is not None
+        return is_chunked or self.declared_body_bytes > 0
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if there is none."""
         return _first_value(self.headers, name)
@@ -192,6 +222,7 @@
     'Response',
     'CallerRequest',
     'EncodedRequest',
+    'Limits',
     'TargetResponse',
     'TargetDeclinedError',
     'TargetFailure',
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -15,13 +15,18 @@
 from ..core.errors import Refusal, RefusalDetails
 from ..core.event_loop import EventLoop
 from ..core.logs import age_ms
-from ..core.metrics import EVENTS, REQUEST_DURATION_S, REQUESTS
+from ..core.metrics import (
+    EVENTS,
+    HELD_BYTES,
+    REQUEST_DURATION_S,
+    REQUESTS,
+)
 from ..core.plugin import Plugin, plugins
 from ..membership.peers import Peers
 from .connection_pool import ConnectionPool
 from .dialect import dialects
 from .known_gateways import KnownGateways
-from .listener import HttpListener
+from .listener import HttpListener, ListenerOptions
 from .messages import CallerRequest, Response, TokenSource, cookie
 from .rate_limited_log import RateLimitedLog
 from .rates import AccountRateLimiter
@@ -69,7 +74,10 @@
             self._log,
             known_gateways=self._known_gateways,
             pool=ConnectionPool(
-                self._settings, self._dialect.request_id, self._traffic
+                self._settings,
+                self._dialect.request_id,
+                self._traffic,
+                kernel.memory,
             ),
         )
         self._rate_limiter = AccountRateLimiter(kernel, self._traffic)
@@ -78,11 +86,13 @@
         self._started_s = kernel.clock.now_s()
         self.listener = HttpListener(
             self.serve,
-            limits=self._limits,
-            max_buffered_bytes=self._settings.max_buffered_bytes,
-            meter=self._traffic,
-            admit=self.admit,
-            abandon=self.abandon,
+            ListenerOptions(
+                limits=self._limits,
+                memory=kernel.memory,
+                meter=self._traffic,
+                admit=self.admit,
+                abandon=self.abandon,
+            ),
         )
         self.response_budget = self._forwarder.pool.budget
         self._readiness_listener = HttpListener(self._serve_readiness)
@@ -225,12 +235,14 @@
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
     def _note_traffic(self) -> None:
+        HELD_BYTES.set(self.kernel.memory.held_bytes)
         load = self._traffic.link_load(self._settings.link_mbit_per_s)
         self._forwarder.report_link_load(load)
         if self._traffic.is_log_due:
             self._traffic.log(
                 connections=len(self.listener.connections),
                 unsent_bytes=self.listener.unsent_bytes(),
+                held_bytes=self.kernel.memory.held_bytes,
                 link_load=round(load, 2),
             )
 
--- a/oleanderpin/gateway/response_budget.py
+++ b/oleanderpin/gateway/response_budget.py
@@ -4,6 +4,7 @@
 responses that belong to no request, until its connection is closed.
 """
 
+from ..core.memory_budget import MemoryBudget, MemoryShare
 from ..core.settings import GatewaySettings
 
 
@@ -13,51 +14,37 @@
     Parameters
     ----------
     settings : GatewaySettings
-        The limits.
+        The limits on one response.
+    memory : MemoryBudget
+        Budget that the bytes count towards.
     """
 
-    def __init__(self, settings: GatewaySettings) -> None:
+    def __init__(self, settings: GatewaySettings, memory: MemoryBudget) -> None:
         """Start without bytes."""
-        self._settings = settings
-        self._total_bytes = 0
-
-    @property
-    def total_bytes(self) -> int:
-        """Bytes of the responses that are not complete yet."""
-        return self._total_bytes
+        self.settings = settings
+        self.total_bytes = 0
+        self._memory = memory
 
     def start(self) -> 'ResponseMeter':
         """Return the meter of the response to one request."""
-        return ResponseMeter(self, self._settings)
-
-    def add(self, size_bytes: int) -> bool:
-        """Add received bytes; return whether they are within the limit."""
-        self._total_bytes += size_bytes
-        return self._total_bytes <= self._settings.max_buffered_bytes
-
-    def release(self, size_bytes: int) -> None:
-        """Remove the bytes of a response that has ended."""
-        self._total_bytes -= size_bytes
+        return ResponseMeter(self, self._memory.share())
 
 
 class ResponseMeter:
-    """Counts the bytes received after one request.
+    """Counts the memory of what is received after one request.
 
     Parameters
     ----------
     budget : ResponseBudget
         Budget that all connections share.
-    settings : GatewaySettings
-        The limits.
+    share : MemoryShare
+        What the response holds of the process's memory.
     """
 
-    def __init__(
-        self, budget: ResponseBudget, settings: GatewaySettings
-    ) -> None:
+    def __init__(self, budget: ResponseBudget, share: MemoryShare) -> None:
         """Start without bytes."""
         self._budget = budget
-        self._settings = settings
-        self._received_bytes = 0
+        self._share = share
         self._head_bytes = 0
 
     def add(self, size_bytes: int, *, is_in_head: bool) -> bool:
@@ -70,16 +57,17 @@
         is_in_head : bool
             Whether they end inside the head of a response.
         """
-        self._received_bytes += size_bytes
         self._head_bytes = self._head_bytes + size_bytes if is_in_head else 0
-        is_within_budget = self._budget.add(size_bytes)
+        self._budget.total_bytes += size_bytes
+        is_within_budget = self._share.charge(size_bytes)
+        settings = self._budget.settings
         return (
             is_within_budget
-            and self._head_bytes <= self._settings.max_response_head_bytes
-            and self._received_bytes <= self._settings.max_response_bytes
+            and self._head_bytes <= settings.max_response_head_bytes
+            and self._share.held_bytes <= settings.max_response_bytes
         )
 
     def end(self) -> None:
         """Release the bytes; the response is complete or given up."""
-        self._budget.release(self._received_bytes)
-        self._received_bytes = 0
+        self._budget.total_bytes -= self._share.held_bytes
+        self._share.close()
