Count trailers and do not pass them on

Trailers of a chunked body reached the target as headers of the request, a second Host and request id among them, and a field without end was held by the parser. They are counted, up to the size of a head, and dropped (RFC 9110, section 6.5.1); so are bytes of which the parser makes no part of the request.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -185,6 +185,7 @@
         except httptools.HttpParserError:
             self._reject(400)
         if self._incoming is not None:
+            self._incoming.note_read(len(data))
             self._check_incoming(self._incoming)
 
     def on_message_begin(self) -> None:
@@ -201,7 +202,7 @@
             self._incoming.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; drop a trailer."""
         if self._incoming is not None:
             self._incoming.add_field(name, value)
 
--- a/oleanderpin/gateway/incoming_request.py
+++ b/oleanderpin/gateway/incoming_request.py
@@ -41,6 +41,9 @@
         self.buffered_bytes = 0
         self._fields_bytes = 0
         self._pieces = 0
+        self._trailer_bytes = 0
+        self._unparsed_bytes = 0
+        self._has_parsed = True
 
     @property
     def cost_bytes(self) -> int:
@@ -55,24 +58,51 @@
 
     def add_target(self, part: bytes) -> None:
         """Append a part of the request target."""
+        self._has_parsed = True
         self.request.target += part
         self._fields_bytes += len(part)
 
     def add_field(self, name: bytes, value: bytes) -> None:
-        """Append a header field."""
+        """Append a header field; trailers are counted and dropped.
+
+        A target would take trailers for headers of the request, see RFC 9110,
+        section 6.5.1.
+        """
+        self._has_parsed = True
         size_bytes = len(name) + len(value) + _FIELD_SEPARATOR_BYTES
+        if not self.is_in_head:
+            self._trailer_bytes += size_bytes
+            return
         self._fields_bytes += size_bytes
-        self.request.headers.append((name.lower(), value))
+        if self._fields_bytes <= self.limits.max_header_bytes:
+            self.request.headers.append((name.lower(), value))
 
     def add_piece(self, piece: bytes) -> None:
         """Append a piece of the body."""
+        self._has_parsed = True
         self._pieces += 1
         self.body += piece
 
+    def note_read(self, size_bytes: int) -> None:
+        """Record that bytes were read and parsed.
+
+        Bytes from which no part of the request has resulted belong to a field
+        or a chunk extension that has not ended.
+        """
+        if self._has_parsed:
+            self._unparsed_bytes = 0
+        else:
+            self._unparsed_bytes += size_bytes
+        self._has_parsed = False
+
     def violation(self) -> HTTPStatus | None:
         """Return the status for a request beyond the limits, else None."""
         most_bytes = self.limits.max_header_bytes
-        if self.is_in_head and self._fields_bytes > most_bytes:
+        if (
+            self._fields_bytes > most_bytes
+            or self._trailer_bytes > most_bytes
+            or self._unparsed_bytes > most_bytes
+        ):
             return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if len(self.body) > self.limits.max_body_bytes:
             return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
