Refuse a request whose body is not complete in time

A body that stopped short of its end was waited for as long as the connection was open, although the deadline of the request had passed.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -56,6 +56,10 @@
         """Limits and hooks."""
         ...
 
+    def body_time_limit_s(self, request: CallerRequest) -> float:
+        """Return how long a request may take until its body is complete."""
+        ...
+
 
 class _PendingRequest:
     """A request whose response has not been written yet."""
@@ -221,6 +225,8 @@
             request.declared_body_bytes = int(length)
         if not self._may_send_body(incoming) or not request.may_have_body:
             return
+        left_s = self._listener.body_time_limit_s(request) - request.age_s()
+        self._start_timer(max(0, left_s))
         if self._needs_early_admission(request, length):
             self._transport.pause_reading()
             request.admission = asyncio.get_running_loop().create_task(
@@ -497,7 +503,7 @@
         self._timer = loop.call_later(timeout_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        if self._incoming is not None and self._incoming.is_in_head:
+        if self._incoming is not None:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         elif self.is_idle:
             self._on_idle_timeout()
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -59,6 +59,12 @@
             lambda: CallerConnection(self), host, int(port), backlog=_BACKLOG
         )
 
+    def body_time_limit_s(self, request: CallerRequest) -> float:
+        """Return how long a request may take until its body is complete."""
+        if self.options.body_time_limit_s is None:
+            return self.options.limits().idle_timeout_s
+        return self.options.body_time_limit_s(request)
+
     async def drain(self, *, timeout_s: float) -> None:
         """Stop accepting connections and finish the requests on open ones.
 
--- a/oleanderpin/gateway/listener_options.py
+++ b/oleanderpin/gateway/listener_options.py
@@ -38,6 +38,9 @@
         returns the response if it is refused, else None.
     abandon : callable, optional
         Told of an admitted request whose body will not come.
+    body_time_limit_s : callable, optional
+        Returns how long a request may take until its body is complete; left
+        out, the idle time-out.
     """
 
     limits: Callable[[], Limits] = StaticLimits
@@ -45,3 +48,4 @@
     meter: TrafficMeter | None = None
     admit: Admit | None = None
     abandon: Callable[[CallerRequest], None] | None = None
+    body_time_limit_s: Callable[[CallerRequest], float] | None = None
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Literal, Protocol
 
+from ..core.clock import monotonic_s
+
 Header = tuple[bytes, bytes]
 Body = bytes | bytearray
 # A smaller body is copied behind its head, which costs less than a second buffer.
@@ -90,6 +92,10 @@
         is_chunked = self.header(b'transfer-encoding') is not None
         return is_chunked or self.declared_body_bytes > 0
 
+    def age_s(self) -> float:
+        """Return the time since the first byte was read."""
+        return monotonic_s() - self.received_s
+
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None if there is none."""
         return _first_value(self.headers, name)
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -49,6 +49,8 @@
 _DRAIN_MARGIN_S = 0.5
 _EXIT_MARGIN_S = 0.2
 _READY_PATH = '/ready'
+# Longest time until a body is complete; profiles allow no longer requests.
+_MAX_BODY_TIME_S = 3600.0
 
 
 @plugins.register('gateway')
@@ -92,6 +94,7 @@
                 meter=self._traffic,
                 admit=self.admit,
                 abandon=self.abandon,
+                body_time_limit_s=self._body_time_limit_s,
             ),
         )
         self.response_budget = self._forwarder.pool.budget
@@ -383,6 +386,14 @@
             return int(value) / 1000
         return float('inf')
 
+    def _body_time_limit_s(self, request: CallerRequest) -> float:
+        """Return the time after which a request can't be served any more."""
+        limit_s = self._caller_timeout_s(request)
+        route = self._routes.find(request.host(), request.path())
+        if route is not None:
+            limit_s = min(limit_s, route.profile.request_timeout_s)
+        return min(limit_s, _MAX_BODY_TIME_S)
+
     def _log_refusal(
         self, request: CallerRequest, request_key: bytes, refusal: Refusal
     ) -> None:
