Close callers that hardly take their responses

A caller that took a byte now and then kept a response in the gateway for ever. One that takes less than min_delivery_bytes_per_s (256) over an idle time-out with bytes waiting all the time is reset: a close would leave the rest in the kernel.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -264,7 +264,7 @@
             self._transport.pause_reading()
 
     def check_output(self) -> bool:
-        """Update what the caller has not taken of its responses.
+        """Give up a caller that hardly takes its responses.
 
         Returns
         -------
@@ -273,6 +273,14 @@
         """
         unsent_bytes = self.unsent_bytes
         self._output.update(unsent_bytes)
+        if self._output.is_too_slow(
+            unsent_bytes,
+            period_s=self._options.limits().idle_timeout_s,
+            min_bytes_per_s=self._options.min_delivery_bytes_per_s,
+        ):
+            EVENTS.labels('gateway', 'slow_reader_closed').inc()
+            self._abort()
+            return False
         return bool(unsent_bytes)
 
     def _check_incoming(self, incoming: IncomingRequest) -> bool:
@@ -460,7 +468,7 @@
         size_bytes = len(head) + len(response.body)
         self._listener.meter.add_bytes('to_callers', size_bytes)
         self._transport.writelines(buffers(head, response.body))
-        self._output.update(self.unsent_bytes)
+        self._output.note_written(size_bytes, self.unsent_bytes)
         self._listener.output_watch.add(self, asyncio.get_running_loop())
 
     def _resume_reading(self) -> None:
--- a/oleanderpin/gateway/listener_options.py
+++ b/oleanderpin/gateway/listener_options.py
@@ -7,6 +7,8 @@
 from .messages import CallerRequest, Limits, Response
 from .traffic import TrafficMeter
 
+_MIN_DELIVERY_BYTES_PER_S = 256.0
+
 
 @dataclass(frozen=True, slots=True)
 class StaticLimits:
@@ -31,6 +33,9 @@
         Returns the limits in force.
     memory : MemoryBudget, optional
         Budget of the memory held for the connections.
+    min_delivery_bytes_per_s : float
+        A caller that takes its responses more slowly over an idle time-out is
+        closed.
     meter : TrafficMeter, optional
         Counts the bytes of the connections.
     admit : callable, optional
@@ -45,6 +50,7 @@
 
     limits: Callable[[], Limits] = StaticLimits
     memory: MemoryBudget | None = None
+    min_delivery_bytes_per_s: float = _MIN_DELIVERY_BYTES_PER_S
     meter: TrafficMeter | None = None
     admit: Admit | None = None
     abandon: Callable[[CallerRequest], None] | None = None
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -91,6 +91,9 @@
             ListenerOptions(
                 limits=self._limits,
                 memory=kernel.memory,
+                min_delivery_bytes_per_s=(
+                    self._settings.min_delivery_bytes_per_s
+                ),
                 meter=self._traffic,
                 admit=self.admit,
                 abandon=self.abandon,
--- a/oleanderpin/gateway/response_output.py
+++ b/oleanderpin/gateway/response_output.py
@@ -2,13 +2,14 @@
 
 from typing import Any, Protocol
 
+from ..core.clock import monotonic_s
 from ..core.memory_budget import MemoryShare
 
 _CHECK_INTERVAL_S = 0.25
 
 
 class ResponseOutput:
-    """Counts unsent bytes of a connection.
+    """Counts unsent bytes of a connection, and how fast the caller takes them.
 
     Parameters
     ----------
@@ -19,7 +20,15 @@
     def __init__(self, share: MemoryShare) -> None:
         """Start with nothing to send."""
         self._share = share
+        self._written_bytes = 0
         self._charged_bytes = 0
+        self._window_s: float | None = None
+        self._window_bytes = 0
+
+    def note_written(self, size_bytes: int, unsent_bytes: int) -> bool:
+        """Record a response; return whether the memory budget is kept."""
+        self._written_bytes += size_bytes
+        return self.update(unsent_bytes)
 
     def update(self, unsent_bytes: int) -> bool:
         """Charge what is unsent now; return whether the budget is kept."""
@@ -30,6 +39,39 @@
         self._share.release(-change_bytes)
         return True
 
+    def is_too_slow(
+        self, unsent_bytes: int, *, period_s: float, min_bytes_per_s: float
+    ) -> bool:
+        """Return whether the caller took too little in the last period.
+
+        Parameters
+        ----------
+        unsent_bytes : int
+            Bytes that the kernel has not taken; without any, no period runs.
+        period_s : float
+            Length of a period in seconds.
+        min_bytes_per_s : float
+            Least rate in a period in which bytes were unsent all the time.
+        """
+        if not unsent_bytes:
+            self._window_s = None
+            return False
+        now_s = monotonic_s()
+        sent_bytes = self._written_bytes - unsent_bytes
+        if self._window_s is None:
+            self._begin_window(now_s, sent_bytes)
+            return False
+        elapsed_s = now_s - self._window_s
+        if elapsed_s < period_s:
+            return False
+        taken_bytes = sent_bytes - self._window_bytes
+        self._begin_window(now_s, sent_bytes)
+        return taken_bytes < min_bytes_per_s * elapsed_s
+
+    def _begin_window(self, now_s: float, sent_bytes: int) -> None:
+        self._window_s = now_s
+        self._window_bytes = sent_bytes
+
 
 class Writer(Protocol):
     """A connection with responses that may not be sent yet."""
