Keep descriptors for others when callers open connections

Connections without a request used up the descriptors of a process, and ordinary callers were reset. A listener takes at most max_connections, by default three quarters of the limit on descriptors. Beyond that, the connection that has been idle for longest is closed, else the request that has been incomplete for longest is refused.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -186,7 +186,9 @@
     readiness check. ``dialect`` selects the header names that callers and
     targets use. ``max_buffered_bytes`` bounds the memory that is held for
     requests and responses, until callers have taken the responses; left out, it
-    is a half of the instance's ``memory_mb``, or else 100 MiB.
+    is a half of the instance's ``memory_mb``, or else 100 MiB. ``max_connections``
+    bounds the connections of callers; left out, it is three quarters of the
+    process's limit on descriptors.
     """
 
     ready: Address | None = None
@@ -199,6 +201,7 @@
     # Retries that all gateways together may keep for later.
     retry_reserve: Annotated[float, Field(ge=0, le=1000000)] = 60.0
     max_buffered_bytes: Annotated[int, Field(ge=65536)] | None = None
+    max_connections: Annotated[int, Field(ge=1)] | None = None
     # A caller that takes less of its responses over an idle time-out is closed.
     min_delivery_bytes_per_s: Annotated[float, Field(ge=0)] = 256.0
     max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -40,7 +40,6 @@
 class Listener(Protocol):
     """What a connection needs of its listener."""
 
-    connections: set['CallerConnection']
     is_draining: bool
     meter: TrafficMeter
     log: RateLimitedLog
@@ -56,6 +55,22 @@
         """Limits and hooks."""
         ...
 
+    def add(self, connection: 'CallerConnection') -> bool:
+        """Register a connection; return whether there is room for it."""
+        ...
+
+    def remove(self, connection: 'CallerConnection') -> None:
+        """Forget a connection that has ended."""
+        ...
+
+    def note_idle(self, connection: 'CallerConnection') -> None:
+        """Record that a connection waits for its next request."""
+        ...
+
+    def note_busy(self, connection: 'CallerConnection') -> None:
+        """Record that a connection has a request."""
+        ...
+
     def body_time_limit_s(self, request: CallerRequest) -> float:
         """Return how long a request may take until its body is complete."""
         ...
@@ -111,6 +126,13 @@
         """Whether there is no partly read request and no pending response."""
         return not self._pending and self._incoming is None
 
+    @property
+    def request_age_s(self) -> float:
+        """Time since the first byte of an incomplete request; 0 without one."""
+        if self._incoming is None:
+            return 0
+        return monotonic_s() - self._incoming.request.received_s
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that the kernel has not taken yet."""
@@ -133,15 +155,18 @@
         self._transport = transport
         peer = transport.get_extra_info('peername')
         self._caller_host = str(peer[0]) if peer else ''
-        self._listener.connections.add(self)
-        self._start_timer(self._options.limits().idle_timeout_s)
+        if self._listener.add(self):
+            self._start_timer(self._options.limits().idle_timeout_s)
+        else:
+            EVENTS.labels('gateway', 'connection_limit').inc()
+            self._is_closing = True
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, except those that must finish."""
         self._is_closing = True
         self._adjust_buffered(-self._buffered_bytes)
-        self._listener.connections.discard(self)
-        self._listener.output_watch.discard(self)
+        self._listener.remove(self)
         self._share.close()
         if self._timer is not None:
             self._timer.cancel()
@@ -198,6 +223,7 @@
         request.caller_host = self._caller_host
         limits = self._options.limits()
         self._incoming = IncomingRequest(request, limits)
+        self._listener.note_busy(self)
         self._start_timer(limits.header_timeout_s)
 
     def on_url(self, url: bytes) -> None:
@@ -283,6 +309,13 @@
             return False
         return bool(unsent_bytes)
 
+    def make_room(self) -> None:
+        """Give up an incomplete request, or close the idle connection."""
+        if self._incoming is not None:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif not self._is_closing:
+            self._close_idle()
+
     def _check_incoming(self, incoming: IncomingRequest) -> bool:
         """Charge for the request being read; reject it beyond the limits."""
         status = incoming.violation()
@@ -461,6 +494,7 @@
         if len(self._pending) < _MAX_PIPELINED_REQUESTS:
             self._resume_reading()
         if self.is_idle and not self._is_closing:
+            self._listener.note_idle(self)
             self._start_timer(self._options.limits().idle_timeout_s)
 
     def _write(self, response: Response, *, closes: bool) -> None:
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import resource
 from collections.abc import Awaitable, Callable
 
 from ..core.clock import monotonic_s
@@ -18,6 +19,8 @@
 _DRAIN_POLL_S = 0.05
 # For a listener without a budget of its own process.
 _MAX_HELD_BYTES = 67108864
+# The other descriptors are for targets, peers and files.
+_CONNECTION_DESCRIPTORS_FRACTION = 0.75
 
 
 Serve = Callable[[CallerRequest], Awaitable[Response]]
@@ -50,6 +53,9 @@
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.buffered_bytes = 0
+        # Those that wait for a request, the one that waits longest first.
+        self._idle: dict[CallerConnection, None] = {}
+        self._max_connections = options.max_connections or _max_connections()
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -59,12 +65,49 @@
             lambda: CallerConnection(self), host, int(port), backlog=_BACKLOG
         )
 
+    def add(self, connection: CallerConnection) -> bool:
+        """Register a connection; return whether there is room for it.
+
+        Beyond the limit, the connection that has been idle for longest is
+        closed, or else the one whose request has been incomplete for longest.
+        """
+        is_full = len(self.connections) >= self._max_connections
+        if is_full and not self._make_room():
+            return False
+        self.connections.add(connection)
+        self._idle[connection] = None
+        return True
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        self._idle.pop(connection, None)
+        self.output_watch.discard(connection)
+
+    def note_idle(self, connection: CallerConnection) -> None:
+        """Record that a connection waits for its next request."""
+        self._idle[connection] = None
+
+    def note_busy(self, connection: CallerConnection) -> None:
+        """Record that a connection has a request."""
+        self._idle.pop(connection, None)
+
     def body_time_limit_s(self, request: CallerRequest) -> float:
         """Return how long a request may take until its body is complete."""
         if self.options.body_time_limit_s is None:
             return self.options.limits().idle_timeout_s
         return self.options.body_time_limit_s(request)
 
+    def _make_room(self) -> bool:
+        oldest = next(iter(self._idle), None)
+        if oldest is None:
+            oldest = max(self.connections, key=lambda each: each.request_age_s)
+            if not oldest.request_age_s:
+                return False
+        self._idle.pop(oldest, None)
+        oldest.make_room()
+        return True
+
     async def drain(self, *, timeout_s: float) -> None:
         """Stop accepting connections and finish the requests on open ones.
 
@@ -98,3 +141,8 @@
         """Give up requests whose missing response holds back complete ones."""
         for connection in list(self.connections):
             connection.give_up_blocking()
+
+
+def _max_connections() -> int:
+    soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int(soft_limit * _CONNECTION_DESCRIPTORS_FRACTION)
--- a/oleanderpin/gateway/listener_options.py
+++ b/oleanderpin/gateway/listener_options.py
@@ -33,6 +33,9 @@
         Returns the limits in force.
     memory : MemoryBudget, optional
         Budget of the memory held for the connections.
+    max_connections : int, optional
+        Limit on the open connections; left out, a part of the process's limit
+        on descriptors.
     min_delivery_bytes_per_s : float
         A caller that takes its responses more slowly over an idle time-out is
         closed.
@@ -50,6 +53,7 @@
 
     limits: Callable[[], Limits] = StaticLimits
     memory: MemoryBudget | None = None
+    max_connections: int | None = None
     min_delivery_bytes_per_s: float = _MIN_DELIVERY_BYTES_PER_S
     meter: TrafficMeter | None = None
     admit: Admit | None = None
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -91,6 +91,7 @@
             ListenerOptions(
                 limits=self._limits,
                 memory=kernel.memory,
+                max_connections=self._settings.max_connections,
                 min_delivery_bytes_per_s=(
                     self._settings.min_delivery_bytes_per_s
                 ),
