Read nothing behind a rejected request

A request that arrived behind one that was too large was still sent to a target while an earlier one was in progress; its response was never written, since the connection closes with the rejection. The test saw it run before.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -114,6 +114,8 @@
         self._buffered_bytes = 0
         self._header_bytes = 0
         self._is_output_full = False
+        # Nothing is read behind a request that was rejected.
+        self._is_rejected = False
         self._is_closing = False
         self._last_activity_s = monotonic_s()
         self._timer: asyncio.TimerHandle | None = None
@@ -200,7 +202,7 @@
 
         Bytes behind the last response are discarded.
         """
-        if self._is_closing:
+        if self._is_closing or self._is_rejected:
             self._listener.meter.add_bytes('unread_from_callers', len(data))
             return
         self._last_activity_s = monotonic_s()
@@ -219,6 +221,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self._is_rejected:
+            return
         request = CallerRequest(b'', b'', [], monotonic_s())
         request.caller_host = self._caller_host
         limits = self._options.limits()
@@ -525,8 +529,9 @@
 
     def _reject(self, status: int) -> None:
         """Queue an error response after the pending ones, then close."""
-        if self._is_closing:
+        if self._is_closing or self._is_rejected:
             return
+        self._is_rejected = True
         request = self._drop_incoming()
         if request is not None:
             self._abandon(request)
