Note signals from the first line of code on

Cause: the handlers of SIGHUP, SIGTERM and SIGINT were set after all imports and after the plug-ins were built. A signal before that ended the process (-1, -15, -2) without a line. SIGHUP is an ordinary event when settings change.

A thread logs each signal; a stop during the start ends the process with 0 and lines. faulthandler prints native crashes to stderr.

What is left is the start of the interpreter itself, before the first line of our code.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -1,9 +1,15 @@
 """Entry point of ``oleanderpind``, the daemon of an instance."""
 
+import sys
+
+from .signals import SIGNALS
+
+if __name__ == '__main__':
+    # A signal during the imports below, which take long, is noted.
+    SIGNALS.install()
+
 import argparse
 import logging
-import signal
-import sys
 import threading
 from pathlib import Path
 
@@ -19,7 +25,7 @@
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs
-from .core.settings import load_settings
+from .core.settings import Settings, load_settings
 from .forwarding import attempts, idempotency_store, pipeline  # noqa: F401
 from .gateway import load_reports  # noqa: F401
 from .gateway import plugin as gateway  # noqa: F401
@@ -76,7 +82,9 @@
         level=settings.log.level,
         stream=settings.log.stream,
     )
-    return _run(Kernel(settings))
+    exit_code = _run(settings)
+    _LOG.info('process ends', extra={'exit_code': exit_code})
+    return exit_code
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -89,30 +97,49 @@
     return parser
 
 
-def _run(kernel: Kernel) -> int:
+def _run(settings: Settings) -> int:
+    SIGNALS.install()
     stopped = threading.Event()
-
-    def stop(*_ignored: object) -> None:
-        stopped.set()
-
-    def log_ignored_reload(*_ignored: object) -> None:
-        # Settings contain only addresses and identity; they are read at
-        # startup.
-        _LOG.info('SIGHUP ignored: settings are only read at startup')
-
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, stop)
-    signal.signal(signal.SIGHUP, log_ignored_reload)
+    threading.Thread(
+        target=_log_signals, args=(stopped,), name='signals', daemon=True
+    ).start()
+    if SIGNALS.is_stop_received:
+        stopped.wait()
+        return 0
     try:
-        kernel.start()
+        kernel = _start(settings)
     except Exception:
         _LOG.exception('cannot start the instance')
         return _EXIT_START_FAILED
     stopped.wait()
-    kernel.drain(timeout_s=kernel.settings.forwarding.drain_timeout_s)
+    kernel.drain(timeout_s=settings.forwarding.drain_timeout_s)
     kernel.stop()
     return 0
 
 
+def _start(settings: Settings) -> Kernel:
+    kernel = Kernel(settings)
+    kernel.start()
+    return kernel
+
+
+def _log_signals(stopped: threading.Event) -> None:
+    """Log signals, also while the instance starts or drains."""
+    while True:
+        received = SIGNALS.wait()
+        # SIGHUP: settings contain only addresses and identity; they are read
+        # at startup.
+        _LOG.info(
+            'signal received',
+            extra={
+                'signal': received.name,
+                'age_ms': received.age_ms,
+                'is_ignored': not received.is_stop,
+            },
+        )
+        if received.is_stop:
+            stopped.set()
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- /dev/null
+++ b/oleanderpin/signals.py
@@ -0,0 +1,78 @@
+"""Signals of the daemon, noted from its first line of code on.
+
+Imports little: until `Signals.install` has run, a signal ends the process.
+"""
+
+import faulthandler
+import queue
+import signal
+import time
+
+_STOPS = frozenset((signal.SIGTERM, signal.SIGINT))
+
+
+class ReceivedSignal:
+    """A signal that the process was sent.
+
+    Parameters
+    ----------
+    number : int
+        Number of the signal.
+
+    Notes
+    -----
+    Not a data class, since their module takes long to import.
+    """
+
+    __slots__ = ('number', '_received_s')
+
+    def __init__(self, number: int) -> None:
+        """Note when the signal was received."""
+        self.number = number
+        self._received_s = time.monotonic()
+
+    @property
+    def name(self) -> str:
+        """Name of the signal."""
+        return signal.Signals(self.number).name
+
+    @property
+    def is_stop(self) -> bool:
+        """Whether the signal asks the process to end."""
+        return self.number in _STOPS
+
+    @property
+    def age_ms(self) -> int:
+        """Time since the signal was received, in milliseconds."""
+        return int((time.monotonic() - self._received_s) * 1000)
+
+
+class Signals:
+    """Notes the signals that the process is sent, in their order."""
+
+    def __init__(self) -> None:
+        """Start without signals."""
+        # Unlike an event or a lock it may be used in a signal handler that
+        # interrupts another use of it.
+        self._received: queue.SimpleQueue[ReceivedSignal] = queue.SimpleQueue()
+        self.is_stop_received = False
+
+    def install(self) -> None:
+        """Note signals from now on, and print a native crash to stderr."""
+        for number in (signal.SIGHUP, *_STOPS):
+            signal.signal(number, self.note)
+        faulthandler.enable()
+
+    def note(self, number: int, *_ignored: object) -> None:
+        """Note a signal; called by the interpreter."""
+        received = ReceivedSignal(number)
+        if received.is_stop:
+            self.is_stop_received = True
+        self._received.put(received)
+
+    def wait(self) -> ReceivedSignal:
+        """Return the next signal, as soon as there is one."""
+        return self._received.get()
+
+
+SIGNALS = Signals()
--- /dev/null
+++ b/platform_tests/test_signals.py
@@ -0,0 +1,141 @@
+"""Failures: a signal in the start ends the process, without a line about it."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oleanderpin.testing import free_network
+from oleanderpin.testing.processes import DaemonProcess, build_processes
+
+_ROOT = Path(__file__).resolve().parents[1]
+_TIMEOUT_S = 30.0
+_POLL_S = 0.002
+_BETWEEN_SIGNALS_S = 0.01
+_MODULE = ['-m', 'oleanderpin.daemon', '--settings']
+_COMMANDS = {'module': _MODULE, 'platform': ['platform/run.py']}
+# Modules that are imported early, in the middle and late.
+_MOMENTS = ('pydantic', 'uvloop', 'oleanderpin.targets.table')
+
+
+class _Started:
+    """A daemon that prints each import when it is done."""
+
+    def __init__(self, folder: Path, entry_point: str) -> None:
+        """Start the process."""
+        [self.daemon] = build_processes(
+            folder,
+            network=f'{free_network()}.0',
+            control=1,
+            gateways=0,
+            domains=[('north', 'north-a')],
+        )
+        self.log = folder / 'daemon.log'
+        settings = str(self.daemon.settings)
+        command = [sys.executable, '-X', 'importtime', *_COMMANDS[entry_point]]
+        if entry_point == 'module':
+            command.append(settings)
+        with self.log.open('wb') as log_file:
+            self.process = subprocess.Popen(
+                command,
+                cwd=_ROOT,
+                env=os.environ | {'OLEANDERPIN_BOOT': settings},
+                stdout=log_file,
+                stderr=log_file,
+            )
+
+    def wait_until_imported(self, module: str) -> None:
+        """Wait until a module has been imported."""
+        line_end = f' {module}\n'
+        _wait_until(lambda: line_end in self.log.read_text(), self)
+
+    def wait_until_fresh(self, daemon: DaemonProcess) -> None:
+        """Wait until the instance serves."""
+        _wait_until(daemon.is_fresh, self)
+
+    def lines(self, message: str) -> list[dict[str, Any]]:
+        """Return the log lines with a message."""
+        found = []
+        for text in self.log.read_text().splitlines():
+            if text.startswith('{'):
+                line = json.loads(text)
+                if line['message'] == message:
+                    found.append(line)
+        return found
+
+
+def _wait_until(condition: Any, started: _Started) -> None:
+    end_s = time.monotonic() + _TIMEOUT_S
+    while not condition():
+        code = started.process.poll()
+        assert code is None, f'ended with {code}'
+        assert time.monotonic() < end_s, started.log.read_text()[-2000:]
+        time.sleep(_POLL_S)
+
+
+@contextmanager
+def _started(folder: Path, entry_point: str) -> Iterator[_Started]:
+    started = _Started(folder, entry_point)
+    try:
+        yield started
+    finally:
+        started.process.kill()
+        started.process.wait()
+
+
+@pytest.mark.parametrize('moment', _MOMENTS)
+@pytest.mark.parametrize('entry_point', _COMMANDS)
+def test_reload_in_the_start_does_not_end_the_process(
+    tmp_path: Path, entry_point: str, moment: str
+) -> None:
+    """Guards against an instance that a change of settings ends at its start.
+
+    Handlers were set after all imports; SIGHUP before that ended the process.
+    """
+    with _started(tmp_path, entry_point) as started:
+        started.wait_until_imported(moment)
+        for _each in range(5):
+            started.process.send_signal(signal.SIGHUP)
+            time.sleep(_BETWEEN_SIGNALS_S)
+        started.wait_until_fresh(started.daemon)
+        assert started.lines('signal received')[0]['signal'] == 'SIGHUP'
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize('moment', _MOMENTS)
+@pytest.mark.parametrize('entry_point', _COMMANDS)
+def test_stop_in_the_start_is_a_graceful_one(
+    tmp_path: Path, entry_point: str, moment: str, number: signal.Signals
+) -> None:
+    """Guards against a planned stop that looks like a crash."""
+    with _started(tmp_path, entry_point) as started:
+        started.wait_until_imported(moment)
+        started.process.send_signal(number)
+        assert started.process.wait(_TIMEOUT_S) == 0
+        [received] = started.lines('signal received')
+        assert received['signal'] == number.name
+        [ends] = started.lines('process ends')
+        assert ends['exit_code'] == 0
+
+
+def test_signals_of_a_running_instance_are_logged(tmp_path: Path) -> None:
+    """Guards against an end whose cause the log does not tell."""
+    with _started(tmp_path, 'module') as started:
+        started.wait_until_fresh(started.daemon)
+        started.process.send_signal(signal.SIGHUP)
+        # Two signals of which none has been handled may come in any order.
+        _wait_until(lambda: started.lines('signal received'), started)
+        started.process.send_signal(signal.SIGTERM)
+        assert started.process.wait(_TIMEOUT_S) == 0
+        names = [each['signal'] for each in started.lines('signal received')]
+        assert names == ['SIGHUP', 'SIGTERM']
+        order = ('instance started', 'instance stopped', 'process ends')
+        assert [len(started.lines(each)) for each in order] == [1, 1, 1]
