Keep Thrift exceptions what they are in context managers

The Thrift compiler makes exceptions immutable, also __traceback__, which contextlib sets on an exception that has passed a generator. In the product, four blocks use @contextmanager (Shares.permit, FairQueue.enter, IdempotencyGuard.guard, Forwarder._permit); by reading, no Thrift exception passes them today.

Fields stay immutable.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,11 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 
+# The compiler makes exceptions immutable, also the attributes that Python sets
+# on every exception (__traceback__ in contextlib): only the fields shall be.
+THRIFT_FIELDS_ONLY := sed -i -E '/^    def __(set|del)attr__\(self, \*args\):$$/{p; \
+  s/def (__[a-z]+__).*/    if args[0] not in self.__slots__:\n            return super().\1(*args)/}'
+
 # Needs the Thrift compiler (Debian package thrift-compiler); its output is
 # committed, so that no other target needs it.
 thrift:
@@ -65,4 +70,5 @@
 	  rm -rf build/thrift && mkdir -p build/thrift && \
 	  thrift --gen py:slots -out build/thrift $$file && \
 	  rm -f build/thrift/oleanderpin/wire/generated/*/*-remote && \
+	  $(THRIFT_FIELDS_ONLY) build/thrift/oleanderpin/wire/generated/*/ttypes.py && \
 	  cp -r build/thrift/oleanderpin/wire/generated/*/ oleanderpin/wire/generated/ ; done
