Take strings up to the size of a frame from peers

Change: the limit on strings is that on frames. Test: tests/wire/test_transport.py failed before (OverflowError: size exceeded specified limit:) and passes.

--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -55,4 +55,6 @@
         peer_socket, max_frame_bytes=MAX_FRAME_BYTES, compresses=compresses
     )
     transport = TFramedTransport(frames, MAX_FRAME_BYTES)
-    return TCompactProtocolAccelerated(transport)
+    return TCompactProtocolAccelerated(
+        transport, string_length_limit=MAX_FRAME_BYTES
+    )
