Bound the memory of calls that are read of peers

Cause: a frame was read to its end, up to 64 MB, for each of up to 1,024 connections, and none was counted; a short compressed frame expands to 64 MB, of which four copies existed at once. Change: what is read and expanded is counted over all connections, at most [peers] max_received_bytes.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -90,6 +90,8 @@
     peer listeners share a port other than the listed one. ``compress_calls``
     compresses calls to peers; versions before it cannot read compressed calls,
     so leave it off until all instances run a version that can.
+    ``max_received_bytes`` bounds the calls of all peers that are read or handled
+    at the same time.
     """
 
     seeds: Annotated[tuple[Address, ...], BeforeValidator(_split_list)] = ()
@@ -98,6 +100,7 @@
     probe_timeout_s: Annotated[float, Field(ge=0.01, le=10)] = 0.4
     suspect_timeout_s: Annotated[float, Field(ge=0.1, le=120)] = 3.0
     compress_calls: bool = True
+    max_received_bytes: Annotated[int, Field(ge=1048576)] = 48 * 1024 * 1024
 
     def seed_addresses(self) -> tuple[str, ...]:
         """Return the peer addresses of the seeds."""
--- /dev/null
+++ b/oleanderpin/tests/wire/test_crowds.py
@@ -0,0 +1,49 @@
+"""Clients of the peer port that do not behave, against a real process."""
+
+import zlib
+from pathlib import Path
+
+from ...testing.crowds import (
+    answers_peers,
+    control_daemon,
+    crowd_at,
+    framed,
+    is_alive,
+    memory_mb,
+    peer_call,
+    varint,
+)
+from ...testing.processes import PEER_PORT
+
+MAX_MEMORY_MB = 200
+MB = 1024 * 1024
+
+
+def test_frames_that_stop_short_take_bounded_memory(tmp_path: Path) -> None:
+    """Guards against frames that are held until they are complete, uncounted.
+
+    The frames have 8 MB each, which a peer may send.
+    """
+    settings = [f'max_received_bytes = {16 * MB}']
+    with control_daemon(tmp_path, peers=settings) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(30)
+            crowd.send(framed(b'\x82' * 8 * MB)[:-1])
+            assert answers_peers(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
+
+
+def test_compressed_frames_take_bounded_memory(tmp_path: Path) -> None:
+    """Guards against short frames that expand to more than the machine has."""
+    text = varint(40 * MB) + b'\0' * 40 * MB
+    call = peer_call('Raft:identity', b'\x18' + text + b'\0')
+    settings = [f'max_received_bytes = {16 * MB}']
+    with control_daemon(tmp_path, peers=settings) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(8)
+            crowd.send(framed(zlib.compress(call, 9)))
+            crowd.await_ends()
+            assert answers_peers(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
--- a/oleanderpin/tests/wire/test_server.py
+++ b/oleanderpin/tests/wire/test_server.py
@@ -20,5 +20,7 @@
     server_end, peer_end = socket.socketpair()
     server_end.close()
     peer_end.close()
-    server._serve(server_end)
-    assert not server._connections
+    connection = server._pool.admit(server_end)
+    assert connection is not None
+    server._serve(connection)
+    assert not server._pool.sockets()
--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -11,11 +11,13 @@
 
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from .inbound import InboundConnection, InboundPool
 from .transport import CountingSocket, framed_protocol
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG_CONNECTIONS = 128
 _MAX_CONNECTIONS = 1024
+_MALFORMED = (TException, ValueError, TypeError, OverflowError)
 # Idle peer connections are closed so that unresponsive peers do not occupy
 # threads.
 _IDLE_TIMEOUT_S = 120.0
@@ -30,8 +32,10 @@
         super().__init__(kernel)
         self._processor = TMultiplexedProcessor()
         self._listener: socket.socket | None = None
-        self._connections: set[socket.socket] = set()
-        self._lock = threading.Lock()
+        self._pool = InboundPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_held_bytes=kernel.settings.peers.max_received_bytes,
+        )
 
     def register(self, service_name: str, processor: Any) -> None:
         """Serve ``processor`` under ``service_name``.
@@ -61,9 +65,7 @@
         if self._listener is not None:
             # Unblocks the thread that waits in accept().
             _shut_down_and_close(self._listener)
-        with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
+        for connection in self._pool.sockets():
             _shut_down_and_close(connection)
 
     def _accept(self) -> None:
@@ -75,14 +77,11 @@
                 return
             self._admit(connection)
 
-    def _admit(self, connection: socket.socket) -> None:
-        with self._lock:
-            accepted = len(self._connections) < _MAX_CONNECTIONS
-            if accepted:
-                self._connections.add(connection)
-        if not accepted:
+    def _admit(self, sock: socket.socket) -> None:
+        connection = self._pool.admit(sock)
+        if connection is None:
             EVENTS.labels('wire', 'connection_limit').inc()
-            connection.close()
+            sock.close()
             return
         threading.Thread(
             target=self._serve,
@@ -91,20 +90,22 @@
             daemon=True,
         ).start()
 
-    def _serve(self, connection: socket.socket) -> None:
+    def _serve(self, connection: InboundConnection) -> None:
         peer_socket = CountingSocket()
-        peer_socket.setHandle(connection)
+        peer_socket.setHandle(connection.sock)
         protocol = framed_protocol(
-            peer_socket, compresses=self.kernel.settings.peers.compress_calls
+            peer_socket,
+            compresses=self.kernel.settings.peers.compress_calls,
+            inbound=connection,
         )
         try:
             # stop() may already have closed the connection.
-            _set_socket_options(connection)
+            _set_socket_options(connection.sock)
             while not self.kernel.stopping.is_set():
                 self._processor.process(protocol, protocol)
         except (TTransportException, OSError):
             EVENTS.labels('wire', 'connection_closed').inc()
-        except (TException, ValueError, TypeError) as error:
+        except _MALFORMED as error:
             EVENTS.labels('wire', 'malformed_message').inc()
             _LOG.warning(
                 'closing peer connection after a malformed message: %s', error
@@ -113,8 +114,7 @@
             EVENTS.labels('wire', 'malformed_message').inc()
             _LOG.exception('closing peer connection after an unexpected error')
         finally:
-            with self._lock:
-                self._connections.discard(connection)
+            self._pool.remove(connection)
             peer_socket.close()
 
 
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -8,6 +8,7 @@
 
 from ..core.metrics import PEER_BYTES
 from .compression import CompressedFrames
+from .inbound import InboundConnection
 
 # Larger frames are rejected before they are read; snapshots are sent in
 # chunks.
@@ -40,7 +41,10 @@
 
 
 def framed_protocol(
-    peer_socket: TSocket, *, compresses: bool
+    peer_socket: TSocket,
+    *,
+    compresses: bool,
+    inbound: InboundConnection | None = None,
 ) -> TCompactProtocolAccelerated:
     """Return the peer protocol on top of ``peer_socket``.
 
@@ -50,11 +54,16 @@
         Open or unopened socket.
     compresses : bool
         Whether to compress what is written.
+    inbound : InboundConnection, optional
+        Counts the bytes of the frames that are read.
     """
     frames = CompressedFrames(
-        peer_socket, max_frame_bytes=MAX_FRAME_BYTES, compresses=compresses
+        peer_socket,
+        max_frame_bytes=MAX_FRAME_BYTES,
+        compresses=compresses,
+        inbound=inbound,
     )
-    transport = TFramedTransport(frames, MAX_FRAME_BYTES)
     return TCompactProtocolAccelerated(
-        transport, string_length_limit=MAX_FRAME_BYTES
+        TFramedTransport(frames, MAX_FRAME_BYTES),
+        string_length_limit=MAX_FRAME_BYTES,
     )
