Accept connections from peers after descriptors have run out

Cause: the thread that accepts connections ended with the first error, as with EMFILE, so that the peer port was closed for good; and 1,024 idle connections shut further peers out until they were idle for 120 s. An error in the start of a thread closes the one connection. Tests: tests/wire/test_crowds.py, descriptors and strangers, failed before.

--- a/oleanderpin/tests/wire/test_crowds.py
+++ b/oleanderpin/tests/wire/test_crowds.py
@@ -7,6 +7,7 @@
     answers_peers,
     control_daemon,
     crowd_at,
+    descriptors,
     framed,
     is_alive,
     memory_mb,
@@ -19,6 +20,30 @@
 MB = 1024 * 1024
 
 
+def test_port_serves_peers_after_descriptors_ran_out(tmp_path: Path) -> None:
+    """Guards against a peer port that is closed for good.
+
+    The thread that accepts connections ended with the first one for which there
+    was no descriptor.
+    """
+    with control_daemon(tmp_path, max_descriptors=120) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(200)
+            assert descriptors(daemon) < 110
+            assert answers_peers(daemon)
+        assert answers_peers(daemon)
+        assert is_alive(daemon)
+
+
+def test_strangers_without_a_call_leave_room_for_peers(tmp_path: Path) -> None:
+    """Guards against idle connections that shut peers out for two minutes."""
+    with control_daemon(tmp_path) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(1100)
+            assert answers_peers(daemon)
+        assert is_alive(daemon)
+
+
 def test_frames_that_stop_short_take_bounded_memory(tmp_path: Path) -> None:
     """Guards against frames that are held until they are complete, uncounted.
 
--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -1,8 +1,10 @@
 """Thrift server for requests from peers, with one thread per connection."""
 
 import logging
+import resource
 import socket
 import threading
+import time
 from typing import Any
 
 from thrift.Thrift import TException
@@ -17,6 +19,9 @@
 _LOG = logging.getLogger(__name__)
 _BACKLOG_CONNECTIONS = 128
 _MAX_CONNECTIONS = 1024
+# Leaves descriptors for callers, operators and targets.
+_DESCRIPTOR_FRACTION = 3
+_ACCEPT_RETRY_S = 0.05
 _MALFORMED = (TException, ValueError, TypeError, OverflowError)
 # Idle peer connections are closed so that unresponsive peers do not occupy
 # threads.
@@ -32,8 +37,11 @@
         super().__init__(kernel)
         self._processor = TMultiplexedProcessor()
         self._listener: socket.socket | None = None
+        soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
         self._pool = InboundPool(
-            max_connections=_MAX_CONNECTIONS,
+            max_connections=min(
+                _MAX_CONNECTIONS, soft_limit // _DESCRIPTOR_FRACTION
+            ),
             max_held_bytes=kernel.settings.peers.max_received_bytes,
         )
 
@@ -73,9 +81,15 @@
         while listener is not None and not self.kernel.stopping.is_set():
             try:
                 connection, _address = listener.accept()
-            except OSError:
-                return
-            self._admit(connection)
+            except OSError as error:
+                if listener.fileno() < 0 or self.kernel.stopping.is_set():
+                    return
+                EVENTS.labels('wire', 'accept_failed').inc()
+                _LOG.warning('cannot accept a peer connection: %s', error)
+                self._pool.make_room()
+                time.sleep(_ACCEPT_RETRY_S)
+            else:
+                self._admit(connection)
 
     def _admit(self, sock: socket.socket) -> None:
         connection = self._pool.admit(sock)
@@ -83,12 +97,20 @@
             EVENTS.labels('wire', 'connection_limit').inc()
             sock.close()
             return
-        threading.Thread(
+        thread = threading.Thread(
             target=self._serve,
             args=(connection,),
             name='peer-connection',
             daemon=True,
-        ).start()
+        )
+        try:
+            thread.start()
+        except RuntimeError as error:
+            # The system gives no more threads.
+            EVENTS.labels('wire', 'thread_failed').inc()
+            _LOG.warning('cannot serve a peer connection: %s', error)
+            self._pool.remove(connection)
+            sock.close()
 
     def _serve(self, connection: InboundConnection) -> None:
         peer_socket = CountingSocket()
