Bound the lists and strings of a call from a peer

Cause: an empty record takes one byte of a call and about 80 in memory; and Thrift joins frames without end while a string lacks bytes, uncounted. Change: a list of a call has at most 100,000 items, a message lies in one frame, and a frame is forgotten once its call is answered.

--- a/oleanderpin/tests/wire/test_crowds.py
+++ b/oleanderpin/tests/wire/test_crowds.py
@@ -3,6 +3,8 @@
 import zlib
 from pathlib import Path
 
+import pytest
+
 from ...testing.crowds import (
     answers_peers,
     control_daemon,
@@ -72,3 +74,32 @@
             assert answers_peers(daemon)
             assert memory_mb(daemon) < MAX_MEMORY_MB
         assert is_alive(daemon)
+
+
+@pytest.mark.parametrize('count', [99_000, 5_000_000])
+def test_lists_of_empty_records_take_bounded_memory(
+    tmp_path: Path, count: int
+) -> None:
+    """Guards against records that take one byte of a call and 80 in memory."""
+    records = b'\x1c\x39\xfc' + varint(count) + b'\0' * count
+    with control_daemon(tmp_path) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(4)
+            crowd.send(framed(peer_call('Exchange:push', records + b'\0\0')))
+            crowd.await_ends()
+            assert answers_peers(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
+
+
+def test_string_over_many_frames_takes_bounded_memory(tmp_path: Path) -> None:
+    """Guards against frames that are joined while a string lacks bytes."""
+    settings = [f'max_received_bytes = {16 * MB}']
+    first = peer_call('Exchange:push', b'\x1c\x18' + varint(15 * MB))
+    with control_daemon(tmp_path, peers=settings) as daemon:
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(16)
+            crowd.send(framed(first) + framed(b'a' * MB) * 14)
+            assert answers_peers(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -124,6 +124,7 @@
             # stop() may already have closed the connection.
             _set_socket_options(connection.sock)
             while not self.kernel.stopping.is_set():
+                protocol.trans.expect_message()
                 self._processor.process(protocol, protocol)
         except (TTransportException, OSError):
             EVENTS.labels('wire', 'connection_closed').inc()
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -4,7 +4,10 @@
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TSocket import TSocket
-from thrift.transport.TTransport import TFramedTransport
+from thrift.transport.TTransport import (
+    TFramedTransport,
+    TTransportException,
+)
 
 from ..core.metrics import PEER_BYTES
 from .compression import CompressedFrames
@@ -13,6 +16,8 @@
 # Larger frames are rejected before they are read; snapshots are sent in
 # chunks.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# An item may take one byte of a call, and a hundred in memory.
+_MAX_CONTAINER_ITEMS = 100000
 # Thrift logs every failed connection attempt, which callers already report as
 # PeerCallError.
 logging.getLogger('thrift.transport.TSocket').setLevel(logging.CRITICAL)
@@ -40,6 +45,46 @@
         self.byte_count += len(buff)
 
 
+class MessageTransport(TFramedTransport):
+    """Framed transport in which each message lies in one frame.
+
+    Thrift would join frames without end while a string lacks bytes.
+    """
+
+    def __init__(self, frames: CompressedFrames) -> None:
+        """Expect the first frame."""
+        super().__init__(frames, MAX_FRAME_BYTES)
+        self._has_frame = False
+
+    def readFrame(self) -> None:  # noqa: N802
+        """Read the frame of a message.
+
+        Raises
+        ------
+        TTransportException
+            If the message goes on behind its frame.
+        """
+        if self._has_frame:
+            raise TTransportException(
+                TTransportException.SIZE_LIMIT,
+                'a message goes on behind the end of its frame',
+            )
+        self._has_frame = True
+        super().readFrame()
+
+    def expect_message(self) -> None:
+        """Forget the last message, and let the next one have a frame."""
+        self._has_frame = False
+        last_frame = self.cstringio_buf
+        last_frame.seek(0)
+        last_frame.truncate()
+
+    def flush(self) -> None:
+        """Send what was written; the peer answers with a message."""
+        super().flush()
+        self.expect_message()
+
+
 def framed_protocol(
     peer_socket: TSocket,
     *,
@@ -64,6 +109,7 @@
         inbound=inbound,
     )
     return TCompactProtocolAccelerated(
-        TFramedTransport(frames, MAX_FRAME_BYTES),
+        MessageTransport(frames),
         string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=_MAX_CONTAINER_ITEMS if inbound else None,
     )
