Read no more than a request ahead on threaded listeners

Cause: before each request of a connection, up to 64 KB more were read, however much was waiting already, so a client that sends requests without a pause made the buffer of its connection grow without end. Change: reading stops when a whole request fits in what is buffered.

--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -21,7 +21,7 @@
 # Maximum time a worker waits for the next request on the same connection.
 _NEXT_REQUEST_WAIT_MS = 2
 _SMALL_BODY_BYTES = 65536
-_DISCARD_BYTES = 65536
+_RECEIVE_BYTES = 65536
 _CONTENT_LENGTH = re.compile(
     rb'\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n', re.IGNORECASE
 )
@@ -155,8 +155,14 @@
 
     def _receive(self, conn: CallerConnection) -> bool:
         is_first = not conn.rfile.has_data()
+        # A whole request fits; what follows it waits in the kernel.
+        room = self.max_request_header_size + _SMALL_BODY_BYTES + 1
+        room -= len(conn.rfile)
+        if room <= 0:
+            return True
+        size = min(room, _RECEIVE_BYTES)
         try:
-            is_open = bool(conn.rfile.receive(blocking=False))
+            is_open = bool(conn.rfile.receive(blocking=False, size=size))
         except BlockingIOError:
             return True
         except OSError:
--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -43,8 +43,10 @@
         """Return whether bytes are buffered."""
         return bool(self._buffer)
 
-    def receive(self, *, blocking: bool = True) -> bool:
-        """Receive once into the buffer.
+    def receive(
+        self, *, blocking: bool = True, size: int = _RECEIVE_BYTES
+    ) -> bool:
+        """Receive once, at most ``size`` bytes, into the buffer.
 
         Returns
         -------
@@ -59,19 +61,19 @@
         if blocking:
             if self.before_receive is not None:
                 self.before_receive()
-            received = self.socket.recv(_RECEIVE_BYTES)
+            received = self.socket.recv(size)
         else:
-            received = self._receive_nonblocking()
+            received = self._receive_nonblocking(size)
         self._buffer += received
         self.bytes_read += len(received)
         return bool(received)
 
-    def _receive_nonblocking(self) -> bytes:
+    def _receive_nonblocking(self, size: int) -> bytes:
         # A socket with a time-out blocks even if MSG_DONTWAIT is given.
         timeout_s = self.socket.gettimeout()
         self.socket.settimeout(0)
         try:
-            return self.socket.recv(_RECEIVE_BYTES)
+            return self.socket.recv(size)
         finally:
             self.socket.settimeout(timeout_s)
 
