Hand calls at the admin port to a thread once their body is there

Cause: one of the eight threads read each body of more than 64 KB, in chunks, or announced by Expect, while it arrived, with a time-out for each piece: eight clients that send a byte now and then kept all threads for good. Pieces of two bytes were kept as objects of 35 bytes. Change: the accepting thread collects the body, with a time-out by its size, and asks for it if the client waits for that. Bodies that wait are counted over all connections, 16 MB; beyond it the connection with the largest one is closed.

--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -14,6 +14,7 @@
 from .http_head import Header, bad_request
 from .http_server import CallerServer
 from .http_stream import Body, StreamError
+from .http_waiting import WholeBodies
 from .metrics import EVENTS
 
 _LOG = logging.getLogger(__name__)
@@ -133,6 +134,9 @@
         Number of worker threads.
     max_header_bytes : int
         Maximum size of the request line and headers together.
+    whole_bodies : WholeBodies, optional
+        Lets requests wait until their bodies have arrived; otherwise large
+        ones are read while they arrive.
     """
 
     def __init__(
@@ -142,6 +146,7 @@
         *,
         threads: int,
         max_header_bytes: int,
+        whole_bodies: WholeBodies | None = None,
     ) -> None:
         """Create the server; ``start`` binds the address."""
         host, port = address.split(':')
@@ -153,6 +158,7 @@
             server_name='oleanderpin',
         )
         self._server.max_request_header_size = max_header_bytes
+        self._server.whole_bodies = whole_bodies
         setattr(self._server, 'error_log', _log_error)  # noqa: B010
         self._thread = threading.Thread(
             target=self._server.serve, name=f'http-{port}', daemon=True
--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -9,7 +9,7 @@
 
 from .errors import Refusal
 from .http_request import ParsedRequest
-from .http_stream import SocketReader
+from .http_stream import ChunkScanner, SocketReader
 from .metrics import EVENTS
 from .socket_queues import DeliveryProgress, undelivered_bytes
 
@@ -50,6 +50,13 @@
         self.pending_refusal: Refusal | None = None
         self.linger_on_close = False
         self.linger_remaining_bytes = 0
+        # Set while no thread serves it.
+        self.is_waiting = False
+        self.is_given_up = False
+        # Bytes that the next request has at most, if its body is waited for.
+        self.awaited_bytes = 0
+        self.chunks: ChunkScanner | None = None
+        self.has_continued = False
         self._is_reset = False
         self._delivery = DeliveryProgress()
 
@@ -66,11 +73,38 @@
         """Return whether the undelivered bytes changed since the last call."""
         return self._delivery.update(self.undelivered_bytes)
 
+    def ask_for_body(self, interim: bytes) -> None:
+        """Send an interim response that asks for the body."""
+        self.has_continued = True
+        try:
+            self.socket.send(interim, socket.MSG_DONTWAIT)
+        except OSError:
+            # The caller reads nothing, and gets no whole response either.
+            EVENTS.labels('http', 'connection_error').inc()
+
+    def end_wait(self) -> bool:
+        """Forget the wait for a body; return whether it was asked for."""
+        has_continued = self.has_continued
+        self.has_continued = False
+        self.awaited_bytes = 0
+        self.chunks = None
+        return has_continued
+
+    def give_up(self) -> None:
+        """Let the accepting thread close the connection."""
+        self.is_waiting = False
+        self.is_given_up = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            EVENTS.labels('http', 'closed_by_caller').inc()
+
     def communicate(self) -> bool:
         """Serve requests; return whether the connection stays open."""
         with self.server.in_flight_requests:
             while super().communicate():
                 if not self.server.has_next_request(self):
+                    self.server.waiting_bytes.count(self, len(self.rfile))
                     return True
         return False
 
@@ -80,12 +114,14 @@
             self.linger_on_close = False
             self.linger_remaining_bytes = _MAX_LINGER_BYTES
             try:
+                self.server.waiting_bytes.count(self, 0)
                 self.socket.shutdown(socket.SHUT_WR)
                 self.server.linger(self)
             except (OSError, ValueError, KeyError):
                 EVENTS.labels('http', 'closed_before_linger').inc()
             else:
                 return
+        self.server.waiting_bytes.count(self, 0)
         super().close()
 
     def _close_kernel_socket(self) -> None:
--- a/oleanderpin/core/http_request.py
+++ b/oleanderpin/core/http_request.py
@@ -199,7 +199,10 @@
             self.close_connection = 'close' in tokens
         else:
             self.close_connection = 'keep-alive' not in tokens
-        self._awaits_continue = 'expect' in head.headers.by_name
+        has_continued = self.conn.end_wait()
+        self._awaits_continue = (
+            'expect' in head.headers.by_name and not has_continued
+        )
         if head.is_chunked:
             self.body = ChunkedBody(reader)
         elif head.content_length:
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -12,6 +12,7 @@
 
 from .http_connection import CallerConnection, InFlightRequests
 from .http_head import bad_request
+from .http_waiting import WaitingBytes, WholeBodies
 from .metrics import EVENTS
 
 # Time-out for receiving the head and small body of a request, and for idle
@@ -21,6 +22,9 @@
 # Maximum time a worker waits for the next request on the same connection.
 _NEXT_REQUEST_WAIT_MS = 2
 _SMALL_BODY_BYTES = 65536
+# Slower callers are given up once they have used up the time-out.
+_MIN_BYTES_PER_S = 8192
+_MAX_WAITING_BYTES = 16 * 1024 * 1024
 _RECEIVE_BYTES = 65536
 _CONTENT_LENGTH = re.compile(
     rb'\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n', re.IGNORECASE
@@ -55,6 +59,7 @@
         """Register a connection until more bytes arrive."""
         if conn.last_used is None:
             conn.last_used = time.time()
+        conn.is_waiting = True
         self._selector.register(conn.socket.fileno(), 1, data=conn)
 
     def _expire(self, threshold: float) -> None:
@@ -92,6 +97,8 @@
         """Set the connection limit and time-outs."""
         super().__init__(*args, **kwargs)
         self.in_flight_requests = InFlightRequests()
+        self.waiting_bytes = WaitingBytes(max_bytes=_MAX_WAITING_BYTES)
+        self.whole_bodies: WholeBodies | None = None
         self.is_draining = False
         self.timeout = REQUEST_TIMEOUT_S
         self.request_queue_size = 512
@@ -107,6 +114,10 @@
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Receive available bytes; queue the connection if a worker can serve it."""
+        conn.is_waiting = False
+        if conn.is_given_up:
+            conn.close()
+            return
         is_open = self._receive(conn)
         if conn.linger_remaining_bytes:
             self._discard(conn, is_open=is_open)
@@ -157,10 +168,11 @@
         is_first = not conn.rfile.has_data()
         # A whole request fits; what follows it waits in the kernel.
         room = self.max_request_header_size + _SMALL_BODY_BYTES + 1
-        room -= len(conn.rfile)
+        room = max(room, conn.awaited_bytes) - len(conn.rfile)
         if room <= 0:
             return True
         size = min(room, _RECEIVE_BYTES)
+        bytes_before = conn.rfile.bytes_read
         try:
             is_open = bool(conn.rfile.receive(blocking=False, size=size))
         except BlockingIOError:
@@ -168,11 +180,23 @@
         except OSError:
             EVENTS.labels('http', 'connection_error').inc()
             return False
-        if is_first:
-            # The time-out of a request starts with its first byte.
-            conn.last_used = time.time()
+        self.waiting_bytes.count(conn, len(conn.rfile))
+        self._extend_timeout(
+            conn, conn.rfile.bytes_read - bytes_before, is_first=is_first
+        )
         return is_open
 
+    def _extend_timeout(
+        self, conn: CallerConnection, size: int, *, is_first: bool
+    ) -> None:
+        now_s = time.time()
+        if is_first or conn.last_used is None:
+            # The time-out of a request starts with its first byte.
+            conn.last_used = now_s
+        elif self.whole_bodies is not None:
+            earned_s = size / _MIN_BYTES_PER_S
+            conn.last_used = min(now_s, conn.last_used + earned_s)
+
     def _is_ready_for_worker(self, conn: CallerConnection) -> bool:
         head_end = conn.rfile.head_end()
         limit = self.max_request_header_size
@@ -186,6 +210,8 @@
             return True
         if head_end < 0:
             return False
+        if self.whole_bodies is not None:
+            return self.whole_bodies.has_arrived(conn, head_end)
         head = conn.rfile.peek(head_end)
         match = _CONTENT_LENGTH.search(head)
         if match is None or _EXPECT.search(head):
@@ -210,6 +236,7 @@
             0, conn.linger_remaining_bytes - len(conn.rfile)
         )
         conn.rfile.close()
+        self.waiting_bytes.count(conn, 0)
         if is_open and conn.linger_remaining_bytes and self.ready:
             self._connections.watch(conn)
         else:
--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -18,6 +18,58 @@
     """A message that is truncated or malformed."""
 
 
+class ChunkScanner:
+    """Finds the end of a body in chunked transfer coding while it arrives.
+
+    Parameters
+    ----------
+    start : int
+        Position of the first chunk in the buffer.
+    """
+
+    def __init__(self, start: int) -> None:
+        """Expect the size of the first chunk."""
+        self.position = start
+        self._trailer_start: int | None = None
+
+    def scan(self, buffer: bytearray) -> bool:
+        """Return whether the body has ended, or is malformed.
+
+        Parameters
+        ----------
+        buffer : bytearray
+            All bytes since the head, with those of earlier calls.
+        """
+        while self.position <= len(buffer):
+            end = buffer.find(b'\n', self.position)
+            limit = _MAX_CHUNK_LINE_BYTES
+            if self._trailer_start is not None:
+                limit = _MAX_TRAILER_BYTES - self.position + self._trailer_start
+            last = len(buffer) if end < 0 else end
+            if last - self.position >= limit:
+                return True
+            if end < 0:
+                return False
+            line = bytes(buffer[self.position : end - 1])
+            self.position = end + 1
+            if self._ends_with(line):
+                return True
+        return False
+
+    def _ends_with(self, line: bytes) -> bool:
+        if self._trailer_start is not None:
+            return not line
+        match = _CHUNK_SIZE.match(line)
+        if match is None:
+            return True
+        size = int(match.group(1), 16)
+        if size:
+            self.position += size + 2
+        else:
+            self._trailer_start = self.position
+        return False
+
+
 class SocketReader:
     """Buffered reader of a socket.
 
@@ -87,6 +139,10 @@
         """Return the first buffered bytes without removing them."""
         return bytes(self._buffer[:size])
 
+    def scan(self, chunks: 'ChunkScanner') -> bool:
+        """Return whether the buffer holds the end of a chunked body."""
+        return chunks.scan(self._buffer)
+
     def take(self, size: int) -> bytes:
         """Remove and return at most ``size`` buffered bytes."""
         taken = bytes(self._buffer[:size])
@@ -166,15 +222,14 @@
 
     def read_up_to(self, size: int) -> bytes:
         """Return ``size`` bytes, or fewer if the body ends earlier."""
-        parts = []
-        missing = size
-        while missing > 0:
-            part = self.read_some(missing)
+        # Pieces of a few bytes would take many times their size in a list.
+        body = bytearray()
+        while len(body) < size:
+            part = self.read_some(size - len(body))
             if not part:
                 break
-            parts.append(part)
-            missing -= len(part)
-        return b''.join(parts)
+            body += part
+        return bytes(body)
 
 
 class LengthBody(Body):
--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -26,6 +26,7 @@
     ValidationError,
 )
 from ..core.http import HttpResponse, HttpListener, HttpRequest
+from ..core.http_waiting import WholeBodies
 from ..core.plugin import Plugin, plugins
 from ..core.registry import Registry
 from ..membership.members import Status
@@ -64,6 +65,8 @@
             self.handle,
             threads=_THREADS,
             max_header_bytes=_MAX_HEADER_BYTES,
+            # Threads are few, and no client may occupy one by sending slowly.
+            whole_bodies=WholeBodies(max_body_bytes=_MAX_BODY_BYTES),
         )
 
     def start(self) -> None:
