--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -1,8 +1,10 @@
 """Thrift server for requests from peers, with one thread per connection."""
 
 import logging
+import resource
 import socket
 import threading
+import time
 from typing import Any
 
 from thrift.Thrift import TException
@@ -11,11 +13,16 @@
 
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from .inbound import InboundConnection, InboundPool
 from .transport import CountingSocket, framed_protocol
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG_CONNECTIONS = 128
 _MAX_CONNECTIONS = 1024
+# Leaves descriptors for callers, operators and targets.
+_DESCRIPTOR_FRACTION = 3
+_ACCEPT_RETRY_S = 0.05
+_MALFORMED = (TException, ValueError, TypeError, OverflowError)
 # Idle peer connections are closed so that unresponsive peers do not occupy
 # threads.
 _IDLE_TIMEOUT_S = 120.0
@@ -30,8 +37,13 @@
         super().__init__(kernel)
         self._processor = TMultiplexedProcessor()
         self._listener: socket.socket | None = None
-        self._connections: set[socket.socket] = set()
-        self._lock = threading.Lock()
+        soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._pool = InboundPool(
+            max_connections=min(
+                _MAX_CONNECTIONS, soft_limit // _DESCRIPTOR_FRACTION
+            ),
+            max_held_bytes=kernel.settings.peers.max_received_bytes,
+        )
 
     def register(self, service_name: str, processor: Any) -> None:
         """Serve ``processor`` under ``service_name``.
@@ -61,9 +73,7 @@
         if self._listener is not None:
             # Unblocks the thread that waits in accept().
             _shut_down_and_close(self._listener)
-        with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
+        for connection in self._pool.sockets():
             _shut_down_and_close(connection)
 
     def _accept(self) -> None:
@@ -71,40 +81,54 @@
         while listener is not None and not self.kernel.stopping.is_set():
             try:
                 connection, _address = listener.accept()
-            except OSError:
-                return
-            self._admit(connection)
-
-    def _admit(self, connection: socket.socket) -> None:
-        with self._lock:
-            accepted = len(self._connections) < _MAX_CONNECTIONS
-            if accepted:
-                self._connections.add(connection)
-        if not accepted:
+            except OSError as error:
+                if listener.fileno() < 0 or self.kernel.stopping.is_set():
+                    return
+                EVENTS.labels('wire', 'accept_failed').inc()
+                _LOG.warning('cannot accept a peer connection: %s', error)
+                self._pool.make_room()
+                time.sleep(_ACCEPT_RETRY_S)
+            else:
+                self._admit(connection)
+
+    def _admit(self, sock: socket.socket) -> None:
+        connection = self._pool.admit(sock)
+        if connection is None:
             EVENTS.labels('wire', 'connection_limit').inc()
-            connection.close()
+            sock.close()
             return
-        threading.Thread(
+        thread = threading.Thread(
             target=self._serve,
             args=(connection,),
             name='peer-connection',
             daemon=True,
-        ).start()
-
-    def _serve(self, connection: socket.socket) -> None:
+        )
+        try:
+            thread.start()
+        except RuntimeError as error:
+            # The system gives no more threads.
+            EVENTS.labels('wire', 'thread_failed').inc()
+            _LOG.warning('cannot serve a peer connection: %s', error)
+            self._pool.remove(connection)
+            sock.close()
+
+    def _serve(self, connection: InboundConnection) -> None:
         peer_socket = CountingSocket()
-        peer_socket.setHandle(connection)
+        peer_socket.setHandle(connection.sock)
         protocol = framed_protocol(
-            peer_socket, compresses=self.kernel.settings.peers.compress_calls
+            peer_socket,
+            compresses=self.kernel.settings.peers.compress_calls,
+            inbound=connection,
         )
         try:
             # stop() may already have closed the connection.
-            _set_socket_options(connection)
+            _set_socket_options(connection.sock)
             while not self.kernel.stopping.is_set():
+                protocol.trans.expect_message()
                 self._processor.process(protocol, protocol)
         except (TTransportException, OSError):
             EVENTS.labels('wire', 'connection_closed').inc()
-        except (TException, ValueError, TypeError) as error:
+        except _MALFORMED as error:
             EVENTS.labels('wire', 'malformed_message').inc()
             _LOG.warning(
                 'closing peer connection after a malformed message: %s', error
@@ -113,8 +137,7 @@
             EVENTS.labels('wire', 'malformed_message').inc()
             _LOG.exception('closing peer connection after an unexpected error')
         finally:
-            with self._lock:
-                self._connections.discard(connection)
+            self._pool.remove(connection)
             peer_socket.close()
 
 
