Give up responses whose status is none of HTTP

A target's status 600 or 999 reached the caller as an answer; 000 and 099 were taken for interim responses, and the request waited for a next one until its time was over. Such a response now fails the attempt at once (bad_answer).

--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -13,6 +13,7 @@
 from .response_budget import ResponseBudget
 from .traffic import TrafficMeter
 
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _BODYLESS_STATUSES = frozenset((204, 304))
 # Attempts of one request follow each other within fewer requests than this.
@@ -158,8 +159,11 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Determine how the end of the response is marked."""
+        """Check the status and determine how the end is marked."""
         self._has_head = True
+        if self._parser.get_status_code() not in _STATUSES:
+            self._fail('bad_answer')
+            return
         names = {name for name, _value in self._headers}
         status = self._parser.get_status_code()
         has_length = bool(names & {b'content-length', b'transfer-encoding'})
--- /dev/null
+++ b/oleanderpin/tests/core/test_memory_budget.py
@@ -0,0 +1,79 @@
+"""Who has to give up memory when a budget is used up."""
+
+import pytest
+
+from ...core.memory_budget import MemoryBudget, MemoryShare
+from ...testing.gateway import gateway_settings
+from ...testing.fleet import build_settings
+
+BUDGET_BYTES = 1000
+
+
+class Holder:
+    """Holds memory of a budget and gives it up when it is asked to."""
+
+    def __init__(self, budget: MemoryBudget, size_bytes: int) -> None:
+        self.given_up = 0
+        self.share: MemoryShare = budget.share(self.give_up)
+        self.is_kept = self.share.charge(size_bytes)
+
+    def give_up(self) -> bool:
+        self.given_up += self.share.held_bytes
+        self.share.release(self.share.held_bytes)
+        return True
+
+
+@pytest.fixture
+def budget() -> MemoryBudget:
+    return MemoryBudget(BUDGET_BYTES)
+
+
+def test_largest_share_gives_way_to_a_smaller_one(budget) -> None:
+    """Guards against ordinary callers that are refused for a few large ones."""
+    small = Holder(budget, 100)
+    large = Holder(budget, 800)
+    newcomer = Holder(budget, 200)
+    assert newcomer.is_kept
+    assert (small.given_up, large.given_up) == (0, 800)
+    assert budget.held_bytes == 300
+
+
+def test_share_does_not_displace_smaller_ones(budget) -> None:
+    """Guards against a large body that ends many ordinary requests."""
+    others = [Holder(budget, 100) for _each in range(8)]
+    assert not Holder(budget, 300).is_kept
+    assert not any(each.given_up for each in others)
+
+
+def test_response_displaces_what_may_be_given_up(budget) -> None:
+    """Guards against requests that fail since others are not complete."""
+    incomplete = Holder(budget, 900)
+    response = budget.share()
+    assert response.charge(300)
+    assert incomplete.given_up == 900
+    assert not Holder(budget, 900).is_kept
+    assert response.held_bytes == 300
+
+
+def test_closed_share_holds_nothing(budget) -> None:
+    """Guards against a budget that drifts by what ends after its connection."""
+    holder = Holder(budget, 400)
+    holder.share.close()
+    holder.share.release(400)
+    holder.share.charge(400)
+    holder.share.close()
+    assert (budget.held_bytes, holder.share.held_bytes) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ('line', 'expected_mib'),
+    [('', 100), ('memory_mb = 200', 100), ('memory_mb = 300', 150)],
+)
+def test_budget_follows_the_memory_of_the_machine(
+    tmp_path, line: str, expected_mib: int
+) -> None:
+    """Guards against a constant that is too much for a small machine."""
+    text = gateway_settings([1, 2, 3], tmp_path)
+    text = text.replace('max_buffered_bytes = 1048576', '')
+    text = text.replace('[instance]', f'[instance]\n{line}')
+    assert build_settings(text).max_held_bytes == expected_mib * 1024 * 1024
