Take no response without length for whole before its request is sent

A target that answers a long upload with 200 without a length, sends a part and ends its direction while the upload is still being written: the caller got the part as a complete answer. The end of such a connection completes the response only once the whole request is sent; else it is 502. Resets and closes with unread bytes ended in 502 before too, by the result reset.

--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -135,8 +135,13 @@
             self._fail('too_large')
 
     def eof_received(self) -> bool:
-        """Complete a response that ends with the connection."""
-        if self._ends_at_close and self._in_message:
+        """Complete a response that ends with the connection.
+
+        A target that ends it before it has taken the whole request may have
+        been cut off.
+        """
+        is_sent = not self._transport.get_write_buffer_size()
+        if self._ends_at_close and self._in_message and is_sent:
             self._complete()
         return False
 
