Release the body of an upload once it is served

A request that is decided about before its body is read referred to its decision, and that to the request, so the body stayed until the next full collection, counted nowhere. The reference is dropped with the response.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -461,6 +461,8 @@
             pending.response = await request.admission
         if pending.response is None:
             pending.response = await self._listener.serve(request)
+        # It refers to the request, whose body would wait for a collection.
+        request.admitted = None
         self._charge_response(pending, pending.response)
         self._write_completed()
 
--- a/oleanderpin/tests/gateway/test_costly_callers.py
+++ b/oleanderpin/tests/gateway/test_costly_callers.py
@@ -234,3 +234,23 @@
     assert [b'first' in each or b'ordinary' in each for each in seen] == [
         True
     ] * len(seen)
+
+
+def test_served_uploads_leave_the_memory(
+    tmp_path: Path, target: Target
+) -> None:
+    """Guards against bodies that are kept after their requests are served.
+
+    A cycle of references kept the body of each upload until the next full
+    collection, and no count told of it.
+    """
+    with gateway_process(tmp_path, target, options=LARGE_BUDGET) as process:
+        for number in range(6):
+            request = request_bytes(
+                method='POST',
+                body=bytes(LEGAL_BODY_BYTES),
+                request_id=f'upload-{number}',
+                deadline_ms=60_000,
+            )
+            assert status_of(ask(process, request)) == 200
+        assert process.peak_memory_mb() < MACHINE_MEMORY_MB
