Judge slow readers by what they acknowledge

Found by the review: a caller that read 400 kB/s without a pause was reset after 2 s, since the kernel takes more of a response only once much of its own buffer is free.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -206,7 +206,7 @@
     max_buffered_bytes: Annotated[int, Field(ge=65536)] | None = None
     max_connections: Annotated[int, Field(ge=1)] | None = None
     # A caller that takes less of its responses over an idle time-out is closed.
-    min_delivery_bytes_per_s: Annotated[float, Field(ge=0)] = 256.0
+    min_delivery_bytes_per_s: Annotated[float, Field(ge=0)] = 64.0
     max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
     max_response_head_bytes: Annotated[int, Field(ge=1024)] = 65536
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -303,8 +303,8 @@
         """
         unsent_bytes = self.unsent_bytes
         self._output.update(unsent_bytes)
-        if self._output.is_too_slow(
-            unsent_bytes,
+        if unsent_bytes and self._output.is_too_slow(
+            self.undelivered_bytes,
             period_s=self._options.limits().idle_timeout_s,
             min_bytes_per_s=self._options.min_delivery_bytes_per_s,
         ):
--- a/oleanderpin/gateway/listener_options.py
+++ b/oleanderpin/gateway/listener_options.py
@@ -7,7 +7,7 @@
 from .messages import CallerRequest, Limits, Response
 from .traffic import TrafficMeter
 
-_MIN_DELIVERY_BYTES_PER_S = 256.0
+_MIN_DELIVERY_BYTES_PER_S = 64.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/oleanderpin/gateway/response_output.py
+++ b/oleanderpin/gateway/response_output.py
@@ -32,6 +32,9 @@
 
     def update(self, unsent_bytes: int) -> bool:
         """Charge what is unsent now; return whether the budget is kept."""
+        if not unsent_bytes:
+            # No period runs while all is sent.
+            self._window_s = None
         change_bytes = unsent_bytes - self._charged_bytes
         self._charged_bytes = unsent_bytes
         if change_bytes > 0:
@@ -40,24 +43,30 @@
         return True
 
     def is_too_slow(
-        self, unsent_bytes: int, *, period_s: float, min_bytes_per_s: float
+        self,
+        undelivered_bytes: int,
+        *,
+        period_s: float,
+        min_bytes_per_s: float,
     ) -> bool:
         """Return whether the caller took too little in the last period.
 
         Parameters
         ----------
-        unsent_bytes : int
-            Bytes that the kernel has not taken; without any, no period runs.
+        undelivered_bytes : int
+            Bytes that the caller has not acknowledged.
         period_s : float
             Length of a period in seconds.
         min_bytes_per_s : float
             Least rate in a period in which bytes were unsent all the time.
+
+        Notes
+        -----
+        What the kernel takes tells nothing of the caller: it takes more only
+        once a large part of its own buffer is free.
         """
-        if not unsent_bytes:
-            self._window_s = None
-            return False
         now_s = monotonic_s()
-        sent_bytes = self._written_bytes - unsent_bytes
+        sent_bytes = self._written_bytes - undelivered_bytes
         if self._window_s is None:
             self._begin_window(now_s, sent_bytes)
             return False
--- a/oleanderpin/tests/gateway/test_costly_callers.py
+++ b/oleanderpin/tests/gateway/test_costly_callers.py
@@ -254,3 +254,29 @@
             )
             assert status_of(ask(process, request)) == 200
         assert process.peak_memory_mb() < MACHINE_MEMORY_MB
+
+
+def test_steady_reader_gets_the_whole_response(
+    tmp_path: Path, target: Target
+) -> None:
+    """Guards against slow readers inside the limits that are given up.
+
+    The kernel takes nothing more of a response for seconds, although the
+    caller reads all the time.
+    """
+    request = head_bytes(method='GET', path='/desk/large')
+    with (
+        gateway_process(
+            tmp_path, target, options=LARGE_BUDGET, limits=SHORT_LIMITS
+        ) as process,
+        socket.socket() as connection,
+    ):
+        connection.settimeout(REQUEST_TIMEOUT_S)
+        connection.connect(('127.0.0.1', process.port))
+        connection.sendall(request)
+        received = 0
+        while received < LARGE_RESPONSE_BYTES:
+            part = connection.recv(16384)
+            assert part, f'closed after {received} bytes'
+            received += len(part)
+            time.sleep(0.04)
