Let no error of a plug-in end the shutdown of the others

Cause: an exception in one plug-in's drain left out the drain of all others and the stop: requests in progress were lost and the process ended with 1 and a traceback that is no log line. An error of the clean-up hid the cause of a failed start. An error outside of Exception in a callback ended the event loop's thread: the process stayed, answered nothing, and waited without end when it was stopped. Errors that end a thread were no log line.

Change: Kernel.drain collects failures as Kernel.stop does; the daemon logs 'drain begun', 'drain done' and 'process ends' and runs all steps (exit code 3 if one failed); unhandled errors of the process, of threads and of destructors are logged; the event loop goes on.

--- a/oleanderpin/core/event_loop.py
+++ b/oleanderpin/core/event_loop.py
@@ -62,7 +62,13 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.set_exception_handler(_log_exception)
-        self.loop.run_forever()
+        while not self.kernel.stopping.is_set():
+            try:
+                return self.loop.run_forever()
+            except BaseException:
+                # Requests in progress wait for this loop; one callback must not
+                # end it.
+                _LOG.critical('event loop failed and goes on', exc_info=True)
 
 
 def _log_exception(_loop: Any, context: dict[str, Any]) -> None:
--- a/oleanderpin/core/kernel.py
+++ b/oleanderpin/core/kernel.py
@@ -60,17 +60,29 @@
             try:
                 plugin.start()
             except Exception:
-                self.stop()
+                self._stop_after_failure()
                 raise
             self._started.append(plugin)
         _LOG.info('instance started')
 
     def drain(self, *, timeout_s: float) -> None:
-        """Finish work in progress, waiting at most ``timeout_s`` seconds."""
+        """Finish work in progress, waiting at most ``timeout_s`` seconds.
+
+        Raises
+        ------
+        ExceptionGroup
+            If plug-ins failed to drain; the others are drained nonetheless.
+        """
         self.draining.set()
         deadline_s = self.clock.now_s() + timeout_s
+        failures: list[Exception] = []
         for plugin in reversed(self._started):
-            plugin.drain(deadline_s=deadline_s)
+            try:
+                plugin.drain(deadline_s=deadline_s)
+            except Exception as error:
+                failures.append(error)
+        if failures:
+            raise ExceptionGroup('plug-ins failed to drain', failures)
 
     def stop(self) -> None:
         """Stop the started plug-ins in reverse order.
@@ -92,6 +104,13 @@
             raise ExceptionGroup('plug-ins failed to stop', failures)
         _LOG.info('instance stopped')
 
+    def _stop_after_failure(self) -> None:
+        try:
+            self.stop()
+        except ExceptionGroup:
+            # The caller gets the failure of the start.
+            _LOG.exception('cannot stop after a failed start')
+
     def wait_while_running(self, duration_s: float) -> bool:
         """Sleep; return False as soon as the instance is stopping."""
         return not self.stopping.wait(duration_s)
--- a/oleanderpin/core/logs.py
+++ b/oleanderpin/core/logs.py
@@ -3,9 +3,12 @@
 import logging
 import math
 import sys
+import threading
+from types import TracebackType
 
 from pythonjsonlogger.json import JsonFormatter
 
+_LOG = logging.getLogger(__name__)
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -35,6 +38,42 @@
     root.setLevel(level)
 
 
+def log_unhandled_errors() -> None:
+    """Log what ends a thread, and errors that nothing can handle."""
+    sys.excepthook = _log_error_of_process
+    threading.excepthook = _log_error_of_thread
+    sys.unraisablehook = _log_unraisable
+
+
+def _log_error_of_process(
+    error_type: type[BaseException],
+    error: BaseException,
+    traceback: TracebackType | None,
+) -> None:
+    _LOG.critical(
+        'unhandled error ends the process',
+        exc_info=(error_type, error, traceback),
+    )
+
+
+def _log_error_of_thread(failure: threading.ExceptHookArgs) -> None:
+    name = failure.thread.name if failure.thread else ''
+    _LOG.critical(
+        'unhandled error ended thread %s',
+        name,
+        exc_info=failure.exc_value,
+    )
+
+
+def _log_unraisable(failure: 'sys.UnraisableHookArgs') -> None:
+    _LOG.error(
+        'error that cannot be raised: %s in %r',
+        failure.err_msg or 'exception ignored',
+        failure.object,
+        exc_info=failure.exc_value,
+    )
+
+
 def age_ms(age_s: float) -> int | None:
     """Return an age in milliseconds for a log line, or None if infinite.
 
--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -24,7 +24,7 @@
 from .core import event_loop, process_usage  # noqa: F401
 from .core.errors import SettingsError
 from .core.kernel import Kernel
-from .core.logs import configure_logs
+from .core.logs import configure_logs, log_unhandled_errors
 from .core.settings import Settings, load_settings
 from .forwarding import attempts, idempotency_store, pipeline  # noqa: F401
 from .gateway import load_reports  # noqa: F401
@@ -49,6 +49,7 @@
 _LOG = logging.getLogger(__name__)
 _EXIT_SETTINGS = 2
 _EXIT_START_FAILED = 1
+_EXIT_STOP_FAILED = 3
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -63,7 +64,7 @@
     -------
     int
         0 after a graceful shutdown, 1 if the instance could not start, 2 if
-        the settings are not valid.
+        the settings are not valid, 3 if a plug-in failed to drain or stop.
     """
     parsed = _parser().parse_args(arguments)
     path = parsed.file or parsed.settings
@@ -82,6 +83,7 @@
         level=settings.log.level,
         stream=settings.log.stream,
     )
+    log_unhandled_errors()
     exit_code = _run(settings)
     _LOG.info('process ends', extra={'exit_code': exit_code})
     return exit_code
@@ -112,9 +114,28 @@
         _LOG.exception('cannot start the instance')
         return _EXIT_START_FAILED
     stopped.wait()
-    kernel.drain(timeout_s=settings.forwarding.drain_timeout_s)
-    kernel.stop()
-    return 0
+    return _stop(kernel)
+
+
+def _stop(kernel: Kernel) -> int:
+    """Drain and stop; a failure of one does not keep the other from running."""
+    exit_code = 0
+    timeout_s = kernel.settings.forwarding.drain_timeout_s
+    begun_s = kernel.clock.now_s()
+    _LOG.info('drain begun', extra={'timeout_s': timeout_s})
+    try:
+        kernel.drain(timeout_s=timeout_s)
+    except Exception:
+        _LOG.exception('drain failed')
+        exit_code = _EXIT_STOP_FAILED
+    took_s = kernel.clock.now_s() - begun_s
+    _LOG.info('drain done', extra={'took_ms': int(took_s * 1000)})
+    try:
+        kernel.stop()
+    except Exception:
+        _LOG.exception('stop failed')
+        exit_code = _EXIT_STOP_FAILED
+    return exit_code
 
 
 def _start(settings: Settings) -> Kernel:
--- a/platform_tests/test_signals.py
+++ b/platform_tests/test_signals.py
@@ -137,5 +137,11 @@
         assert started.process.wait(_TIMEOUT_S) == 0
         names = [each['signal'] for each in started.lines('signal received')]
         assert names == ['SIGHUP', 'SIGTERM']
-        order = ('instance started', 'instance stopped', 'process ends')
-        assert [len(started.lines(each)) for each in order] == [1, 1, 1]
+        steps = (
+            'instance started',
+            'drain begun',
+            'drain done',
+            'instance stopped',
+            'process ends',
+        )
+        assert all(len(started.lines(each)) == 1 for each in steps)
