Log and measure memory and descriptors of the process

Cause: a process that is killed for its memory left no line that tells it from a crash; a record had no memory figure, and no line told which limits were in force.

Change: the line 'processor time used' has resident_mb, peak_resident_mb, open_descriptors and descriptor_limit, and is written at once when the memory has grown by 20 MB, so that a process that is killed between two lines has left one; metrics for the four; one line 'limits in force' at the start ([instance] memory_mb if the settings have it).

--- a/oleanderpin/core/process_usage.py
+++ b/oleanderpin/core/process_usage.py
@@ -1,7 +1,8 @@
-"""Processor time of this process by thread group, and stalls of the process.
+"""Processor time of this process by thread group, its memory, and its stalls.
 
 Tells a process that lacks processor time from one that waits for a peer: the
-first one wakes up late and shows which of its threads used the time.
+first one wakes up late and shows which of its threads used the time. Tells a
+process that is ended for its memory or descriptors from one that crashes.
 """
 
 import logging
@@ -22,6 +23,13 @@
 from .clock import monotonic_s
 from .metrics import EVENTS
 from .plugin import Plugin, plugins
+from .process_resources import (
+    BYTES_PER_MB,
+    ProcessResources,
+    address_space_limit_mb,
+    descriptor_limit,
+    read_resources,
+)
 
 _LOG = logging.getLogger(__name__)
 _TASKS = Path('/proc/self/task')
@@ -34,6 +42,9 @@
 _STALL_S = 0.25
 _LOG_INTERVAL_S = 10.0
 _LOGGED_GROUPS = 6
+# A process that is ended for its memory between two regular lines has written
+# one of these; less than a tenth of the memory of a small machine.
+_LOGGED_GROWTH_BYTES = 20 * BYTES_PER_MB
 
 
 def group_name(thread_name: str) -> str:
@@ -126,16 +137,59 @@
         return (seconds, threads)
 
 
+class ResourcesCollector(Collector):
+    """Serves memory and descriptors of the process as metrics."""
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield what the process holds, as far as the system tells it."""
+        resources = read_resources()
+        gauges = (
+            ('resident_bytes', 'Resident memory.', resources.resident_bytes),
+            (
+                'peak_resident_bytes',
+                'Most resident memory since the start.',
+                resources.peak_resident_bytes,
+            ),
+            (
+                'open_descriptors',
+                'Open descriptors.',
+                resources.open_descriptors,
+            ),
+            (
+                'descriptor_limit',
+                'Descriptors that may be open.',
+                resources.descriptor_limit,
+            ),
+        )
+        for name, description, amount in gauges:
+            if amount is not None:
+                yield GaugeMetricFamily(
+                    f'oleanderpin_{name}', description, value=amount
+                )
+
+
 USAGE = ThreadUsage()
 REGISTRY.register(UsageCollector(USAGE))
+REGISTRY.register(ResourcesCollector())
 
 
 @plugins.register('process-monitor')
 class ProcessMonitor(Plugin):
-    """Logs stalls of the process and what its threads use."""
+    """Logs stalls of the process, what its threads use, and its memory."""
 
     def start(self) -> None:
-        """Start the monitoring thread."""
+        """Log the limits in force and start the monitoring thread."""
+        _LOG.info(
+            'limits in force',
+            extra={
+                # The settings tell it where the users limit the memory.
+                'memory_limit_mb': getattr(
+                    self.kernel.settings.instance, 'memory_mb', None
+                ),
+                'address_space_limit_mb': address_space_limit_mb(),
+                'descriptor_limit': descriptor_limit(),
+            },
+        )
         threading.Thread(
             target=self.run, name='process-monitor', daemon=True
         ).start()
@@ -144,6 +198,7 @@
         """Check for stalls and log the usage until the instance stops."""
         logged_s = monotonic_s()
         used_before: dict[str, float] = {}
+        logged = read_resources()
         while True:
             started_s = monotonic_s()
             if not self.kernel.wait_while_running(_CHECK_INTERVAL_S):
@@ -156,7 +211,9 @@
                     'process was stalled',
                     extra={'stalled_ms': int(late_s * 1000)},
                 )
-            if now_s - logged_s < _LOG_INTERVAL_S:
+            resources = read_resources()
+            is_due = now_s - logged_s >= _LOG_INTERVAL_S
+            if not is_due and not _has_grown(logged, resources):
                 continue
             used_s, counts = USAGE.sample()
             _log_usage(
@@ -164,8 +221,15 @@
                 used_before,
                 interval_s=now_s - logged_s,
                 thread_count=sum(counts.values()),
+                resources=resources,
             )
-            logged_s, used_before = now_s, used_s
+            logged_s, used_before, logged = now_s, used_s, resources
+
+
+def _has_grown(before: ProcessResources, now: ProcessResources) -> bool:
+    if before.resident_bytes is None or now.resident_bytes is None:
+        return False
+    return now.resident_bytes - before.resident_bytes >= _LOGGED_GROWTH_BYTES
 
 
 def _log_usage(
@@ -174,6 +238,7 @@
     *,
     interval_s: float,
     thread_count: int,
+    resources: ProcessResources,
 ) -> None:
     spent_ms = Counter(
         {
@@ -188,5 +253,9 @@
             'used_ms': spent_ms.total(),
             'threads': thread_count,
             'by_group_ms': dict(spent_ms.most_common(_LOGGED_GROUPS)),
+            'resident_mb': resources.resident_mb,
+            'peak_resident_mb': resources.peak_resident_mb,
+            'open_descriptors': resources.open_descriptors,
+            'descriptor_limit': resources.descriptor_limit,
         },
     )
