Let no signal change the exit code of a planned stop

Cause: the interpreter gives up the handlers of signals before it ends, so that SIGHUP after the last line of our code ended the process with -1, and a second SIGTERM with -15: a planned stop looked like a crash.

The console entry point is tested too.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from .signals import SIGNALS
+from .signals import SIGNALS, end_process
 
 if __name__ == '__main__':
     # A signal during the imports below, which take long, is noted.
@@ -163,4 +163,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    end_process(main())
--- a/oleanderpin/signals.py
+++ b/oleanderpin/signals.py
@@ -4,9 +4,13 @@
 """
 
 import faulthandler
+import os
 import queue
 import signal
+import sys
 import time
+from contextlib import suppress
+from typing import NoReturn
 
 _STOPS = frozenset((signal.SIGTERM, signal.SIGINT))
 
@@ -76,3 +80,23 @@
 
 
 SIGNALS = Signals()
+
+
+def end_process(exit_code: int) -> NoReturn:
+    """End the process at once, after all that was written.
+
+    Parameters
+    ----------
+    exit_code : int
+        Exit code of the process.
+
+    Notes
+    -----
+    An ordinary exit gives up the handlers of signals before the process ends,
+    so that SIGHUP changes the exit code, and may abort in a thread that writes.
+    """
+    for stream in (sys.stdout, sys.stderr):
+        # If its reader is gone, there is nobody to tell.
+        with suppress(OSError):
+            stream.flush()
+    os._exit(exit_code)
--- a/platform_tests/test_signals.py
+++ b/platform_tests/test_signals.py
@@ -21,7 +21,12 @@
 _POLL_S = 0.002
 _BETWEEN_SIGNALS_S = 0.01
 _MODULE = ['-m', 'oleanderpin.daemon', '--settings']
-_COMMANDS = {'module': _MODULE, 'platform': ['platform/run.py']}
+_CONSOLE = 'from oleanderpin.start import main; main()'
+_COMMANDS = {
+    'module': _MODULE,
+    'console': ['-c', _CONSOLE, '--settings'],
+    'platform': ['platform/run.py'],
+}
 # Modules that are imported early, in the middle and late.
 _MOMENTS = ('pydantic', 'uvloop', 'oleanderpin.targets.table')
 
@@ -41,7 +46,7 @@
         self.log = folder / 'daemon.log'
         settings = str(self.daemon.settings)
         command = [sys.executable, '-X', 'importtime', *_COMMANDS[entry_point]]
-        if entry_point == 'module':
+        if entry_point != 'platform':
             command.append(settings)
         with self.log.open('wb') as log_file:
             self.process = subprocess.Popen(
@@ -145,3 +150,23 @@
             'process ends',
         )
         assert all(len(started.lines(each)) == 1 for each in steps)
+
+
+@pytest.mark.parametrize('entry_point', _COMMANDS)
+def test_signals_until_the_end_do_not_change_the_exit_code(
+    tmp_path: Path, entry_point: str
+) -> None:
+    """Guards against a planned stop that looks like a crash.
+
+    The interpreter gives up the handlers before it ends, so that a signal then
+    ended the process.
+    """
+    with _started(tmp_path, entry_point) as started:
+        started.wait_until_fresh(started.daemon)
+        started.process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + _TIMEOUT_S
+        while started.process.poll() is None and time.monotonic() < end_s:
+            started.process.send_signal(signal.SIGHUP)
+            time.sleep(_POLL_S)
+        assert started.process.poll() == 0
+        assert len(started.lines('process ends')) == 1
