Keep the process monitor running after an error

Cause: an unexpected error while the memory or the processor time is read ended the monitoring thread: no further lines about stalls and memory.

Change: it is a background thread, which logs the error and goes on.

Measured: test_monitor_goes_on_after_an_error failed before and passes after.

--- a/oleanderpin/core/process_usage.py
+++ b/oleanderpin/core/process_usage.py
@@ -20,6 +20,7 @@
 )
 from prometheus_client.registry import Collector
 
+from .background import background_thread
 from .clock import monotonic_s
 from .metrics import EVENTS
 from .plugin import Plugin, plugins
@@ -190,9 +191,7 @@
                 'descriptor_limit': descriptor_limit(),
             },
         )
-        threading.Thread(
-            target=self.run, name='process-monitor', daemon=True
-        ).start()
+        background_thread(self.kernel, self.run, name='process-monitor').start()
 
     def run(self) -> None:
         """Check for stalls and log the usage until the instance stops."""
--- a/oleanderpin/tests/core/test_process_resources.py
+++ b/oleanderpin/tests/core/test_process_resources.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import resource
+import threading
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -131,3 +132,29 @@
     assert line.getMessage() == 'limits in force'
     assert line.memory_limit_mb == 300
     assert line.descriptor_limit == read_resources().descriptor_limit
+
+
+def test_monitor_goes_on_after_an_error(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process whose memory is no longer logged."""
+    rounds = iter([True, True, False])
+    ended = threading.Event()
+
+    def wait(_duration_s: float) -> bool:
+        goes_on = next(rounds)
+        if not goes_on:
+            ended.set()
+        return goes_on
+
+    def fail() -> ProcessResources:
+        raise ValueError('unknown unit')
+
+    kernel: Any = SimpleNamespace(
+        settings=SimpleNamespace(instance=SimpleNamespace()),
+        wait_while_running=wait,
+    )
+    monkeypatch.setattr(process_usage, 'read_resources', fail)
+    ProcessMonitor(kernel).start()
+    assert ended.wait(5)
+    assert 'background thread process-monitor failed' in caplog.text
