Name the plug-in that takes long to drain or stop

Change: a line for each step of a plug-in of 50 ms or more.

Measured: the 2 tests failed before and pass after.

--- a/oleanderpin/core/kernel.py
+++ b/oleanderpin/core/kernel.py
@@ -2,6 +2,8 @@
 
 import logging
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TypeVar
 
 from .clock import Clock, MonotonicClock
@@ -9,6 +11,8 @@
 from .settings import Settings
 
 _LOG = logging.getLogger(__name__)
+# A part of the time between the end of a drain and that of the grace period.
+_LONG_STEP_S = 0.05
 
 PluginT = TypeVar('PluginT', bound=Plugin)
 
@@ -78,7 +82,8 @@
         failures: list[Exception] = []
         for plugin in reversed(self._started):
             try:
-                plugin.drain(deadline_s=deadline_s)
+                with self._noted(plugin, 'drain'):
+                    plugin.drain(deadline_s=deadline_s)
             except Exception as error:
                 failures.append(error)
         if failures:
@@ -97,13 +102,32 @@
         while self._started:
             plugin = self._started.pop()
             try:
-                plugin.stop()
+                with self._noted(plugin, 'stop'):
+                    plugin.stop()
             except Exception as error:
                 failures.append(error)
         if failures:
             raise ExceptionGroup('plug-ins failed to stop', failures)
         _LOG.info('instance stopped')
 
+    @contextmanager
+    def _noted(self, plugin: Plugin, step: str) -> Iterator[None]:
+        """Log a step that takes long; the time for a stop is limited."""
+        begun_s = self.clock.now_s()
+        try:
+            yield
+        finally:
+            took_s = self.clock.now_s() - begun_s
+            if took_s >= _LONG_STEP_S:
+                _LOG.info(
+                    'plug-in took long to %s',
+                    step,
+                    extra={
+                        'plugin': type(plugin).__name__,
+                        'took_ms': int(took_s * 1000),
+                    },
+                )
+
     def _stop_after_failure(self) -> None:
         try:
             self.stop()
--- a/oleanderpin/tests/core/test_kernel.py
+++ b/oleanderpin/tests/core/test_kernel.py
@@ -13,12 +13,14 @@
 from oleanderpin.core.kernel import Kernel
 from oleanderpin.core.logs import log_unhandled_errors
 from oleanderpin.core.plugin import Plugin, plugins
+from oleanderpin.testing import ManualClock
 
 
 class _Recorder(Plugin):
     """Notes what it is asked to do, and fails where it is told to."""
 
     fails_in: frozenset[str] = frozenset()
+    slow_in = ''
 
     def __init__(self, kernel: Any) -> None:
         """Start without calls."""
@@ -39,6 +41,8 @@
 
     def _note(self, call: str) -> None:
         self.calls.append(call)
+        if call == self.slow_in:
+            self.kernel.clock.advance(0.5)
         if call in self.fails_in:
             raise RuntimeError(f'{call} fails')
 
@@ -98,6 +102,21 @@
         kernel.start()
 
 
+@pytest.mark.parametrize('step', ['drain', 'stop'])
+def test_long_step_names_its_plugin(
+    kernel: Kernel, caplog: pytest.LogCaptureFixture, step: str
+) -> None:
+    """Guards against a stop beyond the grace period that nothing explains."""
+    kernel.clock = ManualClock()
+    kernel.start()
+    kernel.plugin(_Last).slow_in = step
+    with caplog.at_level(logging.INFO):
+        daemon._stop(kernel)
+    message = f'plug-in took long to {step}'
+    [line] = [each for each in caplog.records if each.getMessage() == message]
+    assert (line.plugin, line.took_ms) == ('_Last', 500)
+
+
 def test_error_of_a_thread_is_a_log_line(
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
