--- a/oleanderpin/core/kernel.py
+++ b/oleanderpin/core/kernel.py
@@ -2,6 +2,8 @@
 
 import logging
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TypeVar
 
 from .clock import Clock, MonotonicClock
@@ -10,6 +12,8 @@
 from .settings import Settings
 
 _LOG = logging.getLogger(__name__)
+# A part of the time between the end of a drain and that of the grace period.
+_LONG_STEP_S = 0.05
 
 PluginT = TypeVar('PluginT', bound=Plugin)
 
@@ -63,17 +67,30 @@
             try:
                 plugin.start()
             except Exception:
-                self.stop()
+                self._stop_after_failure()
                 raise
             self._started.append(plugin)
         _LOG.info('instance started')
 
     def drain(self, *, timeout_s: float) -> None:
-        """Finish work in progress, waiting at most ``timeout_s`` seconds."""
+        """Finish work in progress, waiting at most ``timeout_s`` seconds.
+
+        Raises
+        ------
+        ExceptionGroup
+            If plug-ins failed to drain; the others are drained nonetheless.
+        """
         self.draining.set()
         deadline_s = self.clock.now_s() + timeout_s
+        failures: list[Exception] = []
         for plugin in reversed(self._started):
-            plugin.drain(deadline_s=deadline_s)
+            try:
+                with self._noted(plugin, 'drain'):
+                    plugin.drain(deadline_s=deadline_s)
+            except Exception as error:
+                failures.append(error)
+        if failures:
+            raise ExceptionGroup('plug-ins failed to drain', failures)
 
     def stop(self) -> None:
         """Stop the started plug-ins in reverse order.
@@ -88,13 +105,39 @@
         while self._started:
             plugin = self._started.pop()
             try:
-                plugin.stop()
+                with self._noted(plugin, 'stop'):
+                    plugin.stop()
             except Exception as error:
                 failures.append(error)
         if failures:
             raise ExceptionGroup('plug-ins failed to stop', failures)
         _LOG.info('instance stopped')
 
+    @contextmanager
+    def _noted(self, plugin: Plugin, step: str) -> Iterator[None]:
+        """Log a step that takes long; the time for a stop is limited."""
+        begun_s = self.clock.now_s()
+        try:
+            yield
+        finally:
+            took_s = self.clock.now_s() - begun_s
+            if took_s >= _LONG_STEP_S:
+                _LOG.info(
+                    'plug-in took long to %s',
+                    step,
+                    extra={
+                        'plugin': type(plugin).__name__,
+                        'took_ms': int(took_s * 1000),
+                    },
+                )
+
+    def _stop_after_failure(self) -> None:
+        try:
+            self.stop()
+        except ExceptionGroup:
+            # The caller gets the failure of the start.
+            _LOG.exception('cannot stop after a failed start')
+
     def wait_while_running(self, duration_s: float) -> bool:
         """Sleep; return False as soon as the instance is stopping."""
         return not self.stopping.wait(duration_s)
