Count all connections of an entry instance, and make room for callers

The limit of connections counted those that wait for bytes. It did not count connections in the queue of the worker threads, with a worker, or refused ones that stay until the refusal has been read; and beyond the limit the new caller was closed. At the limit of descriptors, accept failed again at once, with a traceback each time.

All open connections count now. Beyond the limit, connections without a request in progress are closed, refused and unfinished ones first. If there is no descriptor all the same, accepting pauses for 0.1 s.

--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -52,6 +52,7 @@
         self.linger_remaining_bytes = 0
         self._is_reset = False
         self._delivery = DeliveryProgress()
+        server.open_connections.add(self)
 
     @property
     def undelivered_bytes(self) -> int:
@@ -86,6 +87,7 @@
                 EVENTS.labels('http', 'closed_before_linger').inc()
             else:
                 return
+        self.server.open_connections.discard(self)
         super().close()
 
     def _close_kernel_socket(self) -> None:
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -1,5 +1,6 @@
 """A cheroot server whose worker threads never wait for a slow head."""
 
+import errno
 import re
 import resource
 import select
@@ -18,6 +19,10 @@
 # connections.
 REQUEST_TIMEOUT_S = 10.0
 _MAX_CONNECTIONS = 4096
+# Connections closed at once when there are too many, as a divisor of the limit.
+_ROOM_DIVISOR = 16
+_NO_DESCRIPTOR_ERRORS = frozenset((errno.EMFILE, errno.ENFILE))
+_NO_DESCRIPTOR_PAUSE_S = 0.1
 # Maximum time a worker waits for the next request on the same connection.
 _NEXT_REQUEST_WAIT_MS = 2
 _SMALL_BODY_BYTES = 65536
@@ -34,11 +39,32 @@
     return bool(poller.poll(_NEXT_REQUEST_WAIT_MS))
 
 
+def _closing_order(conn: CallerConnection) -> tuple[int, float]:
+    """Return a sort key: refused, then without a request, then idle."""
+    if conn.linger_remaining_bytes:
+        stage = 0
+    else:
+        stage = 2 if conn.requests_seen else 1
+    return (stage, conn.last_used or 0.0)
+
+
 class _ConnectionManager(connections.ConnectionManager):
     """Tracks idle connections and those with an incomplete request."""
 
     _selector: Any
 
+    def make_room(self, count: int) -> None:
+        """Close ``count`` connections that no worker is serving.
+
+        Only between two passes over the readable connections.
+        """
+        waiting = sorted(self.snapshot(), key=_closing_order)
+        for conn in waiting[:count]:
+            EVENTS.labels('http', 'connection_limit').inc()
+            self._selector.unregister(conn.socket.fileno())
+            conn.linger_on_close = False
+            conn.close()
+
     def snapshot(self) -> list[Any]:
         """Return the connections that no worker is serving."""
         return [
@@ -47,16 +73,38 @@
             if conn is not self.server
         ]
 
-    def count(self) -> int:
-        """Return the number of connections that no worker is serving."""
-        return len(self._selector) - 1
-
     def watch(self, conn: CallerConnection) -> None:
         """Register a connection until more bytes arrive."""
         if conn.last_used is None:
             conn.last_used = time.time()
         self._selector.register(conn.socket.fileno(), 1, data=conn)
 
+    def run(self, expiration_interval: float) -> None:
+        """Serve until the server stops."""
+        select = self._selector.select
+
+        def select_with_room(timeout: float) -> Any:
+            self.server.make_room()
+            return select(timeout=timeout)
+
+        # Each pass accepts at most one connection.
+        self._selector.select = select_with_room
+        super().run(expiration_interval)
+
+    def _from_server_socket(self, server_socket: Any) -> Any:
+        try:
+            # The stubs of cheroot name its public methods only.
+            return super()._from_server_socket(  # type: ignore[misc]
+                server_socket
+            )
+        except OSError as error:
+            if error.errno not in _NO_DESCRIPTOR_ERRORS:
+                raise
+        # Accepting fails again at once until a descriptor is free.
+        EVENTS.labels('http', 'no_descriptor').inc()
+        time.sleep(_NO_DESCRIPTOR_PAUSE_S)
+        return None
+
     def _expire(self, threshold: float) -> None:
         expired = [
             (descriptor, conn)
@@ -91,6 +139,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Set the connection limit and time-outs."""
         super().__init__(*args, **kwargs)
+        # All that are open: waiting, queued, with a worker, or refused.
+        self.open_connections: set[CallerConnection] = set()
         self.in_flight_requests = InFlightRequests()
         self.is_draining = False
         self.timeout = REQUEST_TIMEOUT_S
@@ -105,8 +155,20 @@
         self._connections.close()
         self._connections = _ConnectionManager(self)
 
+    def make_room(self) -> None:
+        """Close waiting connections if there is no room for a new one."""
+        if len(self.open_connections) >= self._max_connections:
+            self._connections.make_room(
+                max(1, self._max_connections // _ROOM_DIVISOR)
+            )
+
     def process_conn(self, conn: CallerConnection) -> None:
         """Receive available bytes; queue the connection if a worker can serve it."""
+        if len(self.open_connections) > self._max_connections:
+            # All others wait for a worker or are with one.
+            EVENTS.labels('http', 'connection_limit').inc()
+            conn.close()
+            return
         is_open = self._receive(conn)
         if conn.linger_remaining_bytes:
             self._discard(conn, is_open=is_open)
@@ -197,10 +259,6 @@
         return length > _SMALL_BODY_BYTES or missing <= 0
 
     def _await_more_data(self, conn: CallerConnection) -> None:
-        if self._connections.count() > self._max_connections:
-            EVENTS.labels('http', 'connection_limit').inc()
-            conn.close()
-            return
         try:
             self._connections.watch(conn)
         except (OSError, ValueError, KeyError):
--- a/oleanderpin/tests/forwarding/test_misbehaving_callers.py
+++ b/oleanderpin/tests/forwarding/test_misbehaving_callers.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from ...testing.entry_process import EntryProcess
+from ...testing.targets import TargetAnswer
 
 MAX_RESIDENT_MB = 200
 HEAD = b' HTTP/1.1\r\nHost: desk\r\n'
@@ -82,3 +83,47 @@
         repeat(step, duration_s=4)
         check_process(entry, max_descriptors=100)
         close_all(crowd)
+
+
+def test_refused_callers_that_stay(tmp_path: Path) -> None:
+    """Guards against refused connections that use up the descriptors.
+
+    A refused connection stays until its caller has read the refusal.
+    """
+    with EntryProcess(tmp_path, max_descriptors=200) as entry:
+        crowd = open_connections(entry, 150, b'BAD\r\n\r\n')
+        check_process(entry, max_descriptors=180)
+        more = open_connections(entry, 150, b'BAD\r\n\r\n')
+        check_process(entry, max_descriptors=180)
+        close_all(crowd + more)
+
+
+def test_connections_without_a_request(tmp_path: Path) -> None:
+    """Guards against ordinary callers who find all connections taken."""
+    with EntryProcess(tmp_path, max_descriptors=200) as entry:
+        crowd = open_connections(entry, 300, b'')
+        check_process(entry, max_descriptors=180)
+        # An ordinary caller that sends a moment after it has connected.
+        with entry.connect() as ordinary:
+            time.sleep(0.5)
+            ordinary.sendall(LOOKUP)
+            assert ordinary.recv(1024).startswith(b'HTTP/1.1 200 ')
+        check_process(entry, max_descriptors=180)
+        close_all(crowd)
+
+
+def test_more_requests_than_worker_threads(tmp_path: Path) -> None:
+    """Guards against waiting requests that use up the descriptors."""
+    settings = '[forwarding]\nthreads = 4\n'
+    with EntryProcess(
+        tmp_path,
+        max_descriptors=200,
+        extra=settings,
+        behaviour=lambda _request: TargetAnswer(delay_s=0.5),
+    ) as entry:
+        crowd = open_connections(entry, 300, b'GET /' + HEAD + b'\r\n')
+        assert entry.descriptors() < 180
+        close_all(crowd)
+        # Requests that have begun end first.
+        time.sleep(1)
+        check_process(entry, max_descriptors=180)
