Bound the workers and the time that bodies of requests may take

Three crowds held worker threads for what did not arrive: - small bodies after Expect: 100-continue took no place of the streamed bodies, so that they could hold all workers - sizes of chunks and trailers count as no progress: a byte in each progress time-out kept an upload, and its place, for hours - the admin port read bodies without any limit of time: targets could no longer announce themselves, and all requests were refused with no_target

A small body that has not arrived takes a place like a streamed one. On the admin port half of the workers wait for bodies, the others are refused with 503. The body that a test of the admin routes stores is now a Body, since more of it is used.

The three tests with real processes failed before.

--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -10,9 +10,9 @@
 from cheroot.server import Gateway
 
 from .clock import monotonic_s
-from .errors import Refusal, ValidationError
+from .errors import Refusal, UnavailableError, ValidationError
 from .http_head import Header, bad_request
-from .http_server import CallerServer
+from .http_server import REQUEST_TIMEOUT_S, CallerServer
 from .http_stream import Body, StreamError
 from .metrics import EVENTS
 
@@ -70,11 +70,30 @@
         Raises
         ------
         ValidationError
-            If it is longer than ``limit_bytes`` or malformed.
+            If it is longer than ``limit_bytes``, malformed or late.
+        UnavailableError
+            If half of the workers wait for bodies already.
         """
+        if self.raw.has_whole_body():
+            return self._read_body(limit_bytes)
+        slots = self.raw.server.slow_bodies
+        if not slots.acquire(blocking=False):
+            raise UnavailableError(
+                'too many requests whose body has not arrived',
+                remedy='try again later, and send head and body together',
+                maybe_applied=False,
+            )
+        try:
+            return self._read_body(limit_bytes)
+        finally:
+            slots.release()
+
+    def _read_body(self, limit_bytes: int) -> bytes:
+        stream = self.open_body()
+        stream.limit_time(REQUEST_TIMEOUT_S)
         try:
-            body = self.open_body().read_up_to(limit_bytes + 1)
-        except StreamError as error:
+            body = stream.read_up_to(limit_bytes + 1)
+        except (StreamError, TimeoutError) as error:
             raise ValidationError(
                 f'malformed body: {error}', remedy='send the whole body'
             ) from error
--- a/oleanderpin/core/http_request.py
+++ b/oleanderpin/core/http_request.py
@@ -66,6 +66,10 @@
             return
         self.ready = True
 
+    def has_whole_body(self) -> bool:
+        """Return whether the whole body has arrived; before it is read."""
+        return not self._awaits_continue and self.body.has_arrived()
+
     def open_body(self) -> Body:
         """Return the body; send ``100 Continue`` first if the caller expects it."""
         if self._awaits_continue:
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -5,6 +5,7 @@
 import resource
 import select
 import socket
+import threading
 import time
 from typing import Any
 
@@ -142,6 +143,10 @@
         # All that are open: waiting, queued, with a worker, or refused.
         self.open_connections: set[CallerConnection] = set()
         self.in_flight_requests = InFlightRequests()
+        # Leaves half of the workers to requests that have arrived.
+        self.slow_bodies = threading.BoundedSemaphore(
+            max(1, int(self.requests.max) // 2)
+        )
         self.is_draining = False
         self.timeout = REQUEST_TIMEOUT_S
         self.request_queue_size = 512
--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -4,6 +4,8 @@
 import socket
 from collections.abc import Callable
 
+from .clock import monotonic_s
+
 _RECEIVE_BYTES = 65536
 _MAX_CHUNK_LINE_BYTES = 256
 _MAX_TRAILER_BYTES = 8192
@@ -34,6 +36,8 @@
         self.bytes_read = 0
         # Called before each blocking receive; may raise to abort the read.
         self.before_receive: Callable[[], None] | None = None
+        # Monotonic time after which no blocking receive begins.
+        self.deadline_s: float | None = None
 
     def __len__(self) -> int:
         """Return the number of buffered bytes."""
@@ -59,8 +63,7 @@
             If ``blocking`` is False and nothing has arrived.
         """
         if blocking:
-            if self.before_receive is not None:
-                self.before_receive()
+            self._prepare_receive()
             received = self.socket.recv(max_bytes)
         else:
             received = self._receive_nonblocking(max_bytes)
@@ -68,6 +71,12 @@
         self.bytes_read += len(received)
         return bool(received)
 
+    def _prepare_receive(self) -> None:
+        if self.deadline_s is not None and monotonic_s() >= self.deadline_s:
+            raise TimeoutError('too slow')
+        if self.before_receive is not None:
+            self.before_receive()
+
     def _receive_nonblocking(self, max_bytes: int) -> bytes:
         # A socket with a time-out blocks even if MSG_DONTWAIT is given.
         timeout_s = self.socket.gettimeout()
@@ -97,8 +106,7 @@
         """Return between one and ``size`` bytes, or ``b''`` at the end."""
         if self._buffer:
             return self.take(size)
-        if self.before_receive is not None:
-            self.before_receive()
+        self._prepare_receive()
         received = self.socket.recv(size)
         self.bytes_read += len(received)
         return received
@@ -164,6 +172,16 @@
         """
         return b''
 
+    def has_arrived(self) -> bool:
+        """Return whether the whole body is buffered; before it is read."""
+        return True
+
+    def limit_time(self, timeout_s: float) -> None:
+        """Raise TimeoutError from reads that wait after ``timeout_s``.
+
+        It also bounds what is no payload: sizes of chunks and trailers.
+        """
+
     def read_up_to(self, size: int) -> bytes:
         """Return ``size`` bytes, or fewer if the body ends earlier."""
         parts = []
@@ -188,6 +206,14 @@
         self.remaining = length
         self.is_finished = not length
 
+    def has_arrived(self) -> bool:
+        """Return whether the whole body is buffered; before it is read."""
+        return len(self._reader) >= self.remaining
+
+    def limit_time(self, timeout_s: float) -> None:
+        """Raise TimeoutError from reads that wait after ``timeout_s``."""
+        self._reader.deadline_s = monotonic_s() + timeout_s
+
     def read_some(self, size: int) -> bytes:
         """Return between one and ``size`` bytes, or ``b''`` at the end."""
         if not self.remaining:
@@ -213,6 +239,25 @@
         self._is_first = True
         self.is_finished = False
 
+    def has_arrived(self) -> bool:
+        """Return whether the whole body is buffered; before it is read."""
+        buffered = self._reader.peek(len(self._reader))
+        position = 0
+        while position < len(buffered):
+            line_end = buffered.find(b'\r\n', position)
+            match = _CHUNK_SIZE.match(buffered[position : max(0, line_end)])
+            if match is None:
+                return False
+            size = int(match.group(1), 16)
+            if not size:
+                return b'\r\n\r\n' in buffered[line_end:]
+            position = line_end + 2 + size + 2
+        return False
+
+    def limit_time(self, timeout_s: float) -> None:
+        """Raise TimeoutError from reads that wait after ``timeout_s``."""
+        self._reader.deadline_s = monotonic_s() + timeout_s
+
     def read_some(self, size: int) -> bytes:
         """Return between one and ``size`` bytes, or ``b''`` at the end."""
         if self.is_finished:
--- a/oleanderpin/forwarding/body.py
+++ b/oleanderpin/forwarding/body.py
@@ -93,6 +93,7 @@
         CallerBodyError
             If the body is incomplete, stalled or malformed.
         """
+        self._body.limit_time(self._progress_timeout_s)
         try:
             part = self._body.read_some(_MAX_PART_BYTES)
         except TimeoutError:
@@ -140,6 +141,7 @@
 def _read_prefix(body: Body, size: int) -> bytes:
     parts: list[bytes] = []
     remaining = size
+    body.limit_time(REQUEST_TIMEOUT_S)
     deadline_s = monotonic_s() + REQUEST_TIMEOUT_S
     while remaining > 0:
         part = body.read_some(remaining)
--- a/oleanderpin/forwarding/forwarder.py
+++ b/oleanderpin/forwarding/forwarder.py
@@ -133,7 +133,9 @@
     def _read_body(self, request: HttpRequest, stack: ExitStack) -> RequestBody:
         limit = self.kernel.settings.forwarding.replay_buffer_bytes
         length = request.raw.body.length
-        if length is None or length > limit:
+        is_streamed = length is None or length > limit
+        # A small body that has not arrived was asked for with 100 Continue.
+        if is_streamed or not request.raw.has_whole_body():
             if not self._transfers.acquire(blocking=False):
                 raise Refusal(
                     'too_many_transfers',
--- a/oleanderpin/tests/forwarding/test_misbehaving_callers.py
+++ b/oleanderpin/tests/forwarding/test_misbehaving_callers.py
@@ -127,3 +127,56 @@
         # Requests that have begun end first.
         time.sleep(1)
         check_process(entry, max_descriptors=180)
+
+
+def test_bodies_that_are_asked_for_and_do_not_come(tmp_path: Path) -> None:
+    """Guards against worker threads that all wait for small bodies."""
+    first = (
+        b'POST /' + HEAD + b'Content-Length: 9\r\nExpect: 100-continue\r\n\r\n'
+    )
+    with EntryProcess(tmp_path, extra='[forwarding]\nthreads = 4\n') as entry:
+        crowd = open_connections(entry, 8, first)
+        check_process(entry, max_descriptors=100)
+        close_all(crowd)
+
+
+def test_trailers_in_single_bytes(tmp_path: Path) -> None:
+    """Guards against uploads that last for ever after their last chunk."""
+    head = b'POST /' + HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+    settings = '[forwarding]\nthreads = 4\nreplay_buffer_bytes = 0\n'
+    with EntryProcess(
+        tmp_path, extra=settings, profile={'progress_timeout_s': 1.0}
+    ) as entry:
+        crowd = open_connections(entry, 2, head + b'1\r\na\r\n1\r\nb\r\n0\r\n')
+
+        def step() -> None:
+            send_all(crowd, b't')
+            time.sleep(0.2)
+
+        repeat(step, duration_s=4)
+        with entry.connect() as ordinary:
+            ordinary.sendall(head + b'1\r\na\r\n0\r\n\r\n')
+            assert ordinary.recv(1024).startswith(b'HTTP/1.1 200 ')
+        check_process(entry, max_descriptors=100)
+        close_all(crowd)
+
+
+def test_bodies_in_single_bytes_on_the_admin_port(tmp_path: Path) -> None:
+    """Guards against targets that can no longer announce themselves."""
+    first = (
+        b'POST /targets/announce' + HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    with EntryProcess(tmp_path) as entry:
+        crowd = []
+        for _number in range(16):
+            connection = socket.create_connection(entry.admin, timeout=5)
+            connection.sendall(first)
+            crowd.append(connection)
+
+        def step() -> None:
+            send_all(crowd, b'1')
+            time.sleep(0.5)
+
+        repeat(step, duration_s=6)
+        check_process(entry, max_descriptors=100)
+        close_all(crowd)
--- a/oleanderpin/tests/operators/test_members.py
+++ b/oleanderpin/tests/operators/test_members.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ...core.http import HttpResponse, HttpRequest
+from ...core.http_stream import Body
 from ...operators.admin import Admin
 from ...testing import free_ports
 from ..control.group import Group
@@ -24,13 +25,21 @@
     group_under_test.stop()
 
 
+class StoredBody(Body):
+    """A body that has arrived."""
+
+    def __init__(self, content: bytes) -> None:
+        super().__init__()
+        self.read_some = io.BytesIO(content).read  # type: ignore
+
+
 def send_request(
     group: Group, method: str, path: str, document: Any = None
 ) -> Any:
     body = json.dumps(document).encode()
-    stream = io.BytesIO(body)
-    stream_body = SimpleNamespace(read_up_to=stream.read)
-    raw = SimpleNamespace(open_body=lambda: stream_body)
+    raw = SimpleNamespace(
+        open_body=lambda: StoredBody(body), has_whole_body=lambda: True
+    )
     request = HttpRequest(method, path, '', [], '127.0.0.1', raw)
     answer: HttpResponse = group.kernels['c0'].plugin(Admin).handle(request)
     return answer.status, json.loads(answer.body)
