--- a/oleanderpin/tests/forwarding/test_misbehaving_callers.py
+++ b/oleanderpin/tests/forwarding/test_misbehaving_callers.py
@@ -180,3 +180,14 @@
         repeat(step, duration_s=6)
         check_process(entry, max_descriptors=100)
         close_all(crowd)
+
+
+def test_many_small_bodies_that_stop_short(tmp_path: Path) -> None:
+    """Guards against memory by connections, each within its own limit."""
+    first = (
+        b'POST /' + HEAD + b'Content-Length: 65000\r\nX: ' + b'a' * 30000
+    ) + b'\r\n\r\n'
+    with EntryProcess(tmp_path, max_descriptors=6000) as entry:
+        crowd = open_connections(entry, 2000, first + b'x' * 64000)
+        check_process(entry, max_descriptors=2200)
+        close_all(crowd)
