Bound the items of a document at the admin port

Cause: an empty list takes three bytes of a document and a hundred in memory, so a few legal sizes of 4 MB ended a process on a small machine. Change: a document has at most 100,000 items. Test: tests/operators/test_crowds.py, documents of empty lists, failed before.

--- a/oleanderpin/operators/admin.py
+++ b/oleanderpin/operators/admin.py
@@ -18,6 +18,7 @@
 from ..control.log import ControlLog
 from ..control.state import RECORD_TYPES
 from ..control.view import ControlView
+from ..core.documents import decode_document
 from ..core.errors import (
     ConflictError,
     NotFoundError,
@@ -148,7 +149,7 @@
     """
     body = request.read_body(limit_bytes=_MAX_BODY_BYTES)
     try:
-        return model.model_validate_json(body)
+        return decode_document(body, model)
     except pydantic.ValidationError as error:
         raise ValidationError(
             describe_validation(error), remedy='correct the named fields'
--- a/oleanderpin/tests/operators/test_crowds.py
+++ b/oleanderpin/tests/operators/test_crowds.py
@@ -109,3 +109,17 @@
         assert response.status == 400
         assert b'EOF' in response.read()
         client.close()
+
+
+def test_documents_of_empty_lists_take_bounded_memory(tmp_path: Path) -> None:
+    """Guards against items that take three bytes, and a hundred in memory."""
+    text = b'{"arguments": {"x": [[]%s]}}' % (b',[]' * 1_200_000)
+    body = b'Content-Length: %d\r\n\r\n' % len(text) + text
+    with control_daemon(tmp_path) as daemon:
+        with crowd_at(daemon, ADMIN_PORT) as crowd:
+            crowd.connect(4)
+            crowd.send(POST + body)
+            crowd.await_ends()
+            assert answers_operators(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
