--- a/platform_tests/test_crowds.py
+++ b/platform_tests/test_crowds.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from oleanderpin.testing.crowds import (
+from oleanderpin.testing.listener_crowds import (
     answers_operators,
     control_daemon,
     crowd_at,
