Keep descriptors and threads of the admin port for other clients

The parts of of the admin port that the entry listener's does not cover: a listener that lacks descriptors closes the connection that has waited longest, and clients that keep the last thread in writing are closed. test_lack_of_descriptors_takes_no_processor and test_responses_that_nobody_reads_leave_threads failed before.

--- a/oleanderpin/core/http_connection.py
+++ b/oleanderpin/core/http_connection.py
@@ -1,5 +1,6 @@
 """Caller connections, and the number of requests in flight."""
 
+import math
 import socket
 import struct
 import threading
@@ -7,6 +8,7 @@
 
 from cheroot.server import HTTPConnection
 
+from .clock import monotonic_s
 from .errors import Refusal
 from .http_request import ParsedRequest
 from .http_stream import ChunkScanner, SocketReader
@@ -26,10 +28,16 @@
         """Store the socket."""
         self._socket = sock
         self.bytes_written = 0
+        # Infinite while no thread waits for the caller.
+        self.blocked_since_s = math.inf
 
     def write(self, payload: bytes) -> None:
         """Send all bytes."""
-        self._socket.sendall(payload)
+        self.blocked_since_s = monotonic_s()
+        try:
+            self._socket.sendall(payload)
+        finally:
+            self.blocked_since_s = math.inf
         self.bytes_written += len(payload)
 
 
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -12,6 +12,7 @@
 from cheroot import connections
 from cheroot.server import HTTPServer
 
+from .clock import monotonic_s
 from .http_connection import CallerConnection, InFlightRequests
 from .http_head import bad_request
 from .http_waiting import WaitingBytes, WholeBodies
@@ -30,6 +31,8 @@
 _SMALL_BODY_BYTES = 65536
 # Slower callers are given up once they have used up the time-out.
 _MIN_BYTES_PER_S = 8192
+# Time that a thread waits for a caller to read while others wait for a thread.
+_MAX_BLOCKED_S = 1.0
 _MAX_WAITING_BYTES = 16 * 1024 * 1024
 _RECEIVE_BYTES = 65536
 _CONTENT_LENGTH = re.compile(
@@ -57,6 +60,7 @@
     """Tracks idle connections and those with an incomplete request."""
 
     _selector: Any
+    _lacks_descriptors: bool
 
     def make_room(self, count: int) -> None:
         """Close ``count`` connections that no worker is serving.
@@ -88,9 +92,13 @@
     def run(self, expiration_interval: float) -> None:
         """Serve until the server stops."""
         select = self._selector.select
+        self._lacks_descriptors = False
 
         def select_with_room(timeout: float) -> Any:
             self.server.make_room()
+            if self._lacks_descriptors:
+                self._lacks_descriptors = False
+                self.make_room(1)
             return select(timeout=timeout)
 
         # Each pass accepts at most one connection.
@@ -108,10 +116,14 @@
                 raise
         # Accepting fails again at once until a descriptor is free.
         EVENTS.labels('http', 'no_descriptor').inc()
+        self._lacks_descriptors = True
         time.sleep(_NO_DESCRIPTOR_PAUSE_S)
         return None
 
     def _expire(self, threshold: float) -> None:
+        requests = self.server.requests
+        if self.server.whole_bodies and requests.qsize and not requests.idle:
+            self.server.give_up_blocked()
         expired = [
             (descriptor, conn)
             for descriptor, conn in self._selector.connections
@@ -174,6 +186,14 @@
                 max(1, self._max_connections // _ROOM_DIVISOR)
             )
 
+    def give_up_blocked(self) -> None:
+        """Close callers for which a thread has waited in writing for long."""
+        since_s = monotonic_s() - _MAX_BLOCKED_S
+        for conn in list(self.open_connections):
+            if conn.wfile.blocked_since_s < since_s:
+                EVENTS.labels('http', 'slow_reader').inc()
+                conn.give_up()
+
     def process_conn(self, conn: CallerConnection) -> None:
         """Receive available bytes; queue the connection if a worker can serve it."""
         conn.is_waiting = False
--- a/oleanderpin/testing/listener_crowds.py
+++ b/oleanderpin/testing/listener_crowds.py
@@ -1,6 +1,7 @@
 """Crowds of clients that do not behave, against one real daemon."""
 
 import contextlib
+import os
 import resource
 import socket
 import struct
@@ -152,8 +153,22 @@
     return len(list(Path(f'/proc/{daemon.pid}/fd').iterdir()))
 
 
+def processor_s(daemon: DaemonProcess) -> float:
+    """Return the processor time that the daemon has used."""
+    status = Path(f'/proc/{daemon.pid}/stat').read_text()
+    user, system = status.rpartition(')')[2].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+
+
+def log_lines(daemon: DaemonProcess) -> int:
+    """Return the number of lines in its log."""
+    log = daemon.settings.with_suffix('.log')
+    return len(log.read_text().splitlines())
+
+
 def answers_operators(daemon: DaemonProcess) -> bool:
-    """Return whether an ordinary call at the admin port is answered."""
+    """Return whether a call on a new connection to the admin port is answered."""
+    daemon.http.clear()
     return daemon.is_fresh()
 
 
--- a/oleanderpin/tests/operators/test_crowds.py
+++ b/oleanderpin/tests/operators/test_crowds.py
@@ -4,6 +4,7 @@
 import http.client
 import socket
 import threading
+import time
 from pathlib import Path
 
 import pytest
@@ -12,8 +13,11 @@
     answers_operators,
     control_daemon,
     crowd_at,
+    descriptors,
     is_alive,
+    log_lines,
     memory_mb,
+    processor_s,
 )
 from ...testing.processes import ADMIN_PORT
 
@@ -123,3 +127,54 @@
             assert answers_operators(daemon)
             assert memory_mb(daemon) < MAX_MEMORY_MB
         assert is_alive(daemon)
+
+
+@pytest.mark.parametrize('request_before', [b'', GET])
+def test_idle_connections_leave_room_for_operators(
+    tmp_path: Path, request_before: bytes
+) -> None:
+    """Guards against connections without a request that shut others out.
+
+    The operator's request arrives a moment after its connection.
+    """
+    with control_daemon(tmp_path, max_descriptors=200) as daemon:
+        with (
+            crowd_at(daemon, ADMIN_PORT) as crowd,
+            crowd_at(daemon, ADMIN_PORT) as operator,
+        ):
+            crowd.connect(150)
+            crowd.send(request_before)
+            operator.connect(1)
+            time.sleep(0.3)
+            operator.send(GET)
+            assert operator.sockets[0].recv(100).startswith(b'HTTP/1.1 200')
+            assert descriptors(daemon) < 170
+        assert is_alive(daemon)
+
+
+def test_lack_of_descriptors_takes_no_processor(tmp_path: Path) -> None:
+    """Guards against a listener that tries to accept without a pause."""
+    with control_daemon(tmp_path, max_descriptors=32) as daemon:
+        with crowd_at(daemon, ADMIN_PORT) as crowd:
+            crowd.connect(60)
+            used_s = processor_s(daemon)
+            lines = log_lines(daemon)
+            time.sleep(2)
+            assert processor_s(daemon) - used_s < 1
+            assert log_lines(daemon) - lines < 100
+            assert answers_operators(daemon)
+        assert is_alive(daemon)
+
+
+def test_responses_that_nobody_reads_leave_threads(tmp_path: Path) -> None:
+    """Guards against clients that keep all threads in writing."""
+    request = b'GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n'
+    with control_daemon(tmp_path) as daemon:
+        with crowd_at(daemon, ADMIN_PORT) as crowd:
+            crowd.connect(8, receive_buffer_bytes=4096)
+            crowd.send(request * 1000)
+            for _attempt in range(8):
+                time.sleep(1)
+                assert answers_operators(daemon)
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+        assert is_alive(daemon)
