Limit warnings that clients can cause

Cause: each malformed datagram or call writes a line with a traceback: 9.4 MB of log in 5 s of random datagrams, on the disk that also holds the control log.

--- a/oleanderpin/core/logs.py
+++ b/oleanderpin/core/logs.py
@@ -8,6 +8,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .log_rate import WarningRate
+
 _LOG = logging.getLogger(__name__)
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
@@ -33,6 +35,7 @@
         static_fields={'instance': instance},
     )
     handler.setFormatter(formatter)
+    handler.addFilter(WarningRate())
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
--- a/oleanderpin/tests/wire/test_crowds.py
+++ b/oleanderpin/tests/wire/test_crowds.py
@@ -1,5 +1,8 @@
 """Clients of the peer port that do not behave, against a real process."""
 
+import random
+import socket
+import time
 import zlib
 from pathlib import Path
 
@@ -12,6 +15,7 @@
     descriptors,
     framed,
     is_alive,
+    log_lines,
     memory_mb,
     peer_call,
     varint,
@@ -103,3 +107,22 @@
             assert answers_peers(daemon)
             assert memory_mb(daemon) < MAX_MEMORY_MB
         assert is_alive(daemon)
+
+
+def test_malformed_messages_do_not_fill_the_log(tmp_path: Path) -> None:
+    """Guards against a traceback in the log for each malformed message."""
+    numbers = random.Random(1)
+    call = framed(peer_call('Exchange:push', b'\x1c\x39\x1c\0\0\0'))
+    with control_daemon(tmp_path) as daemon:
+        lines = log_lines(daemon)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _number in range(20_000):
+                payload = numbers.randbytes(200)
+                sender.sendto(payload, (daemon.host, PEER_PORT))
+        with crowd_at(daemon, PEER_PORT) as crowd:
+            crowd.connect(1)
+            crowd.send(call * 1000)
+            time.sleep(2)
+            assert answers_peers(daemon)
+        assert log_lines(daemon) - lines < 300
+        assert is_alive(daemon)
