--- a/oleanderpin/tests/gateway/test_lost_connections.py
+++ b/oleanderpin/tests/gateway/test_lost_connections.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from ...gateway.caller_connection import CallerConnection
-from ...gateway.listener import HttpListener, StaticLimits
+from ...gateway.listener import HttpListener, ListenerOptions, StaticLimits
 from ...gateway.messages import CallerRequest, Response
 from ...testing.gateway import request_bytes
 
@@ -37,7 +37,9 @@
             await released.wait()
             return Response(200)
 
-        listener = HttpListener(serve, limits=lambda: _LIMITS)
+        listener = HttpListener(
+            serve, ListenerOptions(limits=lambda: _LIMITS)
+        )
         server = await loop.create_server(
             lambda: CallerConnection(listener), '127.0.0.1', 0
         )
