End a response head that arrives in single bytes at the deadline

Each byte of the head of a target's response counted as progress, and the deadline of the request was not looked at again: a target that sends a byte in each progress time-out held a worker thread and the caller for hours. The head must now arrive by the deadline; the caller gets 504, not_run false.

Own run before, real process, request_timeout_s 10: no answer within 25 s. The new test failed before (the caller waited for the whole head, then got 502); 50 tests of streaming and attempts pass. Bodies of responses still need any byte in each progress time-out only.

Not run again with a real process after the change.

--- a/oleanderpin/forwarding/attempt.py
+++ b/oleanderpin/forwarding/attempt.py
@@ -6,6 +6,7 @@
 
 import socket
 
+from ..core.clock import monotonic_s
 from ..core.errors import Refusal
 from ..core.http_head import ResponseHead, parse_response_head
 from ..core.http_stream import StreamError
@@ -110,13 +111,20 @@
         now_s = self._call.clock.now_s()
         self._first_byte_ms = max(0.0, now_s - self.sent_s) * 1000
         connection.sock.settimeout(self._call.profile.progress_timeout_s)
-        connection.reader.before_receive = self._wait_for_progress
+        reader = connection.reader
+        reader.before_receive = self._wait_for_progress
+        # A head that arrives byte by byte makes progress all the time.
+        reader.deadline_s = monotonic_s() + self._call.remaining_s()
         try:
             head = self._read_head()
         except Refusal as error:
             raise self._malformed_response(str(error)) from error
         except (StreamError, OSError) as error:
+            is_late = self._call.remaining_s() <= 0
+            if is_late and isinstance(error, TimeoutError):
+                raise self.timed_out() from error
             raise self.connection_lost(error) from error
+        reader.deadline_s = None
         if head.status == 101:
             raise self._malformed_response('unexpected 101')
         tokens = head.headers.tokens('connection')
--- a/oleanderpin/tests/forwarding/test_streaming.py
+++ b/oleanderpin/tests/forwarding/test_streaming.py
@@ -258,6 +258,30 @@
     assert instance.router.held == 0
 
 
+def test_response_head_in_single_bytes_ends_with_the_deadline(
+    instance: Instance,
+) -> None:
+    """Guards against a target that holds a worker thread for hours."""
+    instance.set_profile(request_timeout_s=1.0)
+
+    def drip(connection: ScriptedConnection) -> None:
+        connection.read_head()
+        connection.send(b'HTTP/1.1 200 OK\r\nX-Long: ')
+        for _number in range(40):
+            try:
+                connection.send(b'x')
+            except OSError:
+                return
+            time.sleep(0.1)
+
+    instance.use_targets(ScriptedTarget(drip))
+    started_s = time.monotonic()
+    received = instance.send_raw(GET)
+    assert received.startswith(b'HTTP/1.1 504 ')
+    assert time.monotonic() - started_s < 2
+    assert instance.router.held == 0
+
+
 def test_caller_disconnect_during_response(instance: Instance) -> None:
     closed = threading.Event()
 
