Lower the bound on calls of peers to 24 MB

Cause: crowds at the admin port, the peer port and the platform's control interface at the same time took 397 MB in one control process. Change: calls of all peers that are read take at most 24 MB together.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -110,7 +110,7 @@
     probe_timeout_s: Annotated[float, Field(ge=0.01, le=10)] = 0.4
     suspect_timeout_s: Annotated[float, Field(ge=0.1, le=120)] = 3.0
     compress_calls: bool = True
-    max_received_bytes: Annotated[int, Field(ge=1048576)] = 48 * 1024 * 1024
+    max_received_bytes: Annotated[int, Field(ge=1048576)] = 24 * 1024 * 1024
 
     def seed_addresses(self) -> tuple[str, ...]:
         """Return the peer addresses of the seeds."""
