--- a/oleanderpin/tests/gateway/test_lost_connections.py
+++ b/oleanderpin/tests/gateway/test_lost_connections.py
@@ -37,9 +37,7 @@
             await released.wait()
             return Response(200)
 
-        listener = HttpListener(
-            serve, ListenerOptions(limits=lambda: _LIMITS)
-        )
+        listener = HttpListener(serve, ListenerOptions(limits=lambda: _LIMITS))
         server = await loop.create_server(
             lambda: CallerConnection(listener), '127.0.0.1', 0
         )
