Read on after a request with a whole body is refused

Also a share that does not change no longer counts as active, and a token is given back for a request that a stopping gateway does not take.

--- a/oleanderpin/core/memory_budget.py
+++ b/oleanderpin/core/memory_budget.py
@@ -49,7 +49,7 @@
             Whether the budget is kept; otherwise the caller has to release
             what it holds.
         """
-        if self.is_closed:
+        if self.is_closed or not size_bytes:
             return True
         self.changed_s = monotonic_s()
         if not self.held_bytes:
@@ -59,7 +59,7 @@
 
     def release(self, size_bytes: int) -> None:
         """Remove memory that is no longer held."""
-        if not self.is_closed:
+        if size_bytes and not self.is_closed:
             self.changed_s = monotonic_s()
             self.held_bytes -= size_bytes
             self.budget.held_bytes -= size_bytes
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -298,6 +298,7 @@
         if self._is_closing or self._closes_soon():
             self._adjust_buffered(-len(incoming.body))
             self._share.release(incoming.charged_bytes)
+            self._abandon(request)
             return
         pending = _PendingRequest(request, charged_bytes=incoming.charged_bytes)
         self._pending.append(pending)
@@ -400,10 +401,10 @@
         if self._options.admit is None:
             return None
         refused = await self._options.admit(request)
+        self._is_awaiting_admission = False
         if self._is_closing:
             return refused
         if refused is None:
-            self._is_awaiting_admission = False
             self._expect_body(request)
             self._resume_reading()
         elif self._incoming is not None and self._incoming.request is request:
--- a/oleanderpin/tests/gateway/test_large_bodies.py
+++ b/oleanderpin/tests/gateway/test_large_bodies.py
@@ -62,6 +62,20 @@
         assert status_of(read_message(connection, bytearray())) == 401
 
 
+def test_connection_goes_on_after_a_refused_body(
+    gateway: GatewayFixture,
+) -> None:
+    """Guards against a connection that is not read after a refusal."""
+    gateway.announce(ScriptedHttpTarget().start(), 't1')
+    refused = request_bytes(method='POST', key='wrong', body=BODY[:20_000])
+    buffer = bytearray()
+    with gateway.connect() as connection:
+        connection.sendall(refused)
+        assert status_of(read_message(connection, buffer)) == 401
+        connection.sendall(request_bytes())
+        assert status_of(read_message(connection, buffer)) == 200
+
+
 def test_admitted_body_reaches_the_target(gateway: GatewayFixture) -> None:
     """Guards against a body that stays unread after the decision."""
     target = ScriptedHttpTarget().start()
