--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -55,8 +55,8 @@
         """Limits and hooks."""
         ...
 
-    def add(self, connection: 'CallerConnection') -> bool:
-        """Register a connection; return whether there is room for it."""
+    def add(self, connection: 'CallerConnection') -> None:
+        """Register a connection."""
         ...
 
     def remove(self, connection: 'CallerConnection') -> None:
@@ -157,12 +157,8 @@
         self._transport = transport
         peer = transport.get_extra_info('peername')
         self._caller_host = str(peer[0]) if peer else ''
-        if self._listener.add(self):
-            self._start_timer(self._options.limits().idle_timeout_s)
-        else:
-            EVENTS.labels('gateway', 'connection_limit').inc()
-            self._is_closing = True
-            transport.abort()
+        self._listener.add(self)
+        self._start_timer(self._options.limits().idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, except those that must finish."""
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -3,10 +3,13 @@
 import asyncio
 import logging
 import resource
+import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from ..core.clock import monotonic_s
 from ..core.memory_budget import MemoryBudget
+from ..core.metrics import EVENTS
 from .caller_connection import CallerConnection
 from .listener_options import ListenerOptions, StaticLimits
 from .messages import CallerRequest, Response
@@ -16,6 +19,8 @@
 
 _LOG = logging.getLogger(__name__)
 _BACKLOG = 1024
+# Requests on open connections are served between so many new ones.
+_ACCEPTED_AT_ONCE = 64
 _DRAIN_POLL_S = 0.05
 # For a listener without a budget of its own process.
 _MAX_HELD_BYTES = 67108864
@@ -60,27 +65,78 @@
         # Those that wait for a request, the one that waits longest first.
         self._idle: dict[CallerConnection, None] = {}
         self._max_connections = options.max_connections or _max_connections()
-        self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._opening: set[asyncio.Task[Any]] = set()
 
     async def listen(self, address: str) -> None:
         """Start accepting connections."""
         host, _colon, port = address.rpartition(':')
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=_BACKLOG
+        self._socket = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        self._socket.setblocking(False)
+        asyncio.get_running_loop().add_reader(self._socket, self._accept)
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _accept(self) -> None:
+        """Accept some connections; those beyond the limit one at a time.
+
+        What is given up for a connection is closed only after this call, so
+        that more of them at a time would use up the descriptors.
+        """
+        is_full = False
+        accepted = 0
+        while accepted < _ACCEPTED_AT_ONCE and not is_full:
+            connected = self._accept_one()
+            if connected is None:
+                return
+            accepted += 1
+            open_count = len(self.connections) + len(self._opening)
+            is_full = open_count >= self._max_connections
+            if not is_full or self._make_room():
+                self._open(connected)
+            else:
+                EVENTS.labels('gateway', 'connection_limit').inc()
+                connected.close()
+
+    def _accept_one(self) -> socket.socket | None:
+        if self._socket is None:
+            return None
+        try:
+            return self._socket.accept()[0]
+        except BlockingIOError:
+            return None
+        except OSError:
+            # The system lacks descriptors or memory, or the caller has left.
+            EVENTS.labels('gateway', 'accept_failed').inc()
+            self._make_room()
+            return None
+
+    def _open(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(
+                lambda: CallerConnection(self), connected
+            )
         )
+        self._opening.add(task)
+        task.add_done_callback(self._note_open)
 
-    def add(self, connection: CallerConnection) -> bool:
-        """Register a connection; return whether there is room for it.
+    def _note_open(self, task: asyncio.Task[Any]) -> None:
+        self._opening.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            EVENTS.labels('gateway', 'accept_failed').inc()
 
-        Beyond the limit, the connection whose request has been incomplete for
-        longest is given up, or the one that has been idle for longest.
-        """
-        is_full = len(self.connections) >= self._max_connections
-        if is_full and not self._make_room():
-            return False
+    def add(self, connection: CallerConnection) -> None:
+        """Register a connection."""
         self.connections.add(connection)
         self._idle[connection] = None
-        return True
 
     def remove(self, connection: CallerConnection) -> None:
         """Forget a connection that has ended."""
@@ -103,7 +159,11 @@
         return self.options.body_time_limit_s(request)
 
     def _make_room(self) -> bool:
-        """Give up one connection; return whether there was any to give up."""
+        """Give up one connection; return whether there was any to give up.
+
+        Beyond the limit, the connection whose request has been incomplete for
+        longest is given up, or the one that has been idle for longest.
+        """
         slowest = max(
             self.connections, key=lambda each: each.request_age_s, default=None
         )
@@ -125,8 +185,7 @@
         ``timeout_s`` stay open.
         """
         self.is_draining = True
-        if self._server is not None:
-            self._server.close()
+        self.close()
         end_s = monotonic_s() + timeout_s
         while self.connections and monotonic_s() < end_s:
             for connection in list(self.connections):
--- a/oleanderpin/tests/core/test_kernel.py
+++ b/oleanderpin/tests/core/test_kernel.py
@@ -62,6 +62,7 @@
     settings: Any = SimpleNamespace(
         instance=SimpleNamespace(roles=('gateway',)),
         forwarding=SimpleNamespace(drain_timeout_s=1.0),
+        max_held_bytes=1,
     )
     made = Kernel(settings)
     made._plugins = {_First: _First(made), _Last: _Last(made)}
