--- a/oleanderpin/testing/gateway_process.py
+++ b/oleanderpin/testing/gateway_process.py
@@ -100,8 +100,9 @@
     daemon = DaemonProcess(
         'g1', '127.0.0.1', 'gateway', path, admin_port=ports[1]
     )
-    with _descriptor_limit(max_descriptors):
-        daemon.start()
+    daemon.start()
+    if max_descriptors is not None:
+        _limit_descriptors(daemon.pid, max_descriptors)
     stopped = threading.Event()
     try:
         _configure(daemon, limits)
@@ -115,16 +116,13 @@
         stop_all([daemon])
 
 
-@contextmanager
-def _descriptor_limit(count: int | None) -> Iterator[None]:
-    """Set the limit on open descriptors that child processes inherit."""
-    before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if count is not None:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (count, before[1]))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+def _limit_descriptors(pid: int, count: int) -> None:
+    """Set the limit on open descriptors of a process that starts.
+
+    The process of the tests may have more of them open.
+    """
+    _soft_limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, hard_limit))
 
 
 def _configure(daemon: DaemonProcess, limits: LimitsDocument | None) -> None:
