--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -11,7 +11,7 @@
 from ..core.memory_budget import MemoryBudget
 from ..core.metrics import EVENTS
 from .caller_connection import CallerConnection
-from .listener_options import ListenerOptions, StaticLimits
+from .listener_options import ListenerOptions, StaticLimits, bounded_options
 from .messages import CallerRequest, Response
 from .rate_limited_log import RateLimitedLog
 from .response_output import OutputWatch
@@ -34,7 +34,12 @@
 
 Serve = Callable[[CallerRequest], Awaitable[Response]]
 
-__all__ = ('HttpListener', 'ListenerOptions', 'StaticLimits')
+__all__ = (
+    'HttpListener',
+    'ListenerOptions',
+    'StaticLimits',
+    'bounded_options',
+)
 
 
 class HttpListener:
--- a/oleanderpin/gateway/listener_options.py
+++ b/oleanderpin/gateway/listener_options.py
@@ -59,3 +59,21 @@
     admit: Admit | None = None
     abandon: Callable[[CallerRequest], None] | None = None
     body_time_limit_s: Callable[[CallerRequest], float] | None = None
+
+
+def bounded_options(
+    *, max_body_bytes: int, max_held_bytes: int
+) -> ListenerOptions:
+    """Return options for an interface with small requests.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest body.
+    max_held_bytes : int
+        Limit on the memory held for all connections.
+    """
+    limits = StaticLimits(max_body_bytes=max_body_bytes)
+    return ListenerOptions(
+        limits=lambda: limits, memory=MemoryBudget(max_held_bytes)
+    )
