Serve connections that are not open yet when a stop begins

Cause: HttpListener.drain closed the listening socket, which resets the connections in its queue, and did not count those that were being opened as open, so that a drain without others could end before their requests were read. Change: drain accepts what waits, and waits for what is being opened.

--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -87,18 +87,23 @@
             self._socket.close()
             self._socket = None
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
         """Accept some connections; those beyond the limit one at a time.
 
         What is given up for a connection is closed only after this call, so
         that more of them at a time would use up the descriptors.
+
+        Returns
+        -------
+        bool
+            Whether more can be accepted at once, if any wait.
         """
         is_full = False
         accepted = 0
         while accepted < _ACCEPTED_AT_ONCE and not is_full:
             connected = self._accept_one()
             if connected is None:
-                return
+                return False
             accepted += 1
             open_count = len(self.connections) + len(self._opening)
             is_full = open_count >= self._max_connections
@@ -107,6 +112,7 @@
             else:
                 EVENTS.labels('gateway', 'connection_limit').inc()
                 connected.close()
+        return not is_full
 
     def _accept_one(self) -> socket.socket | None:
         if self._socket is None:
@@ -186,17 +192,23 @@
     async def drain(self, *, timeout_s: float) -> None:
         """Stop accepting connections and finish the requests on open ones.
 
-        Connections without a request are closed; those that are left after
-        ``timeout_s`` stay open.
+        Connections that wait to be accepted are served. Those without a request
+        are closed; those that are left after ``timeout_s`` stay open.
         """
         self.is_draining = True
+        accepts_more = True
+        while accepts_more:
+            accepts_more = self._accept()
         self.close()
         end_s = monotonic_s() + timeout_s
-        while self.connections and monotonic_s() < end_s:
+        while self._is_used() and monotonic_s() < end_s:
             for connection in list(self.connections):
                 connection.close_if_idle()
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    def _is_used(self) -> bool:
+        return bool(self.connections or self._opening)
+
     async def deliver(self, *, timeout_s: float) -> None:
         """Wait until callers have acknowledged what was written to them."""
         end_s = monotonic_s() + timeout_s
