Count what callers make a gateway hold in one place

Cause: HttpListener.buffered_bytes counted bodies beside the memory budget; only tests read it. ResponseOutput.note_written returned what nobody used, and the arguments of the budget were named after their use at one place. Change: the count and the return value go; but and least_bytes become excluded and larger_than_bytes. Three test files wait for the budget instead: as strict, since it counts the bodies too; the wait for the end of a connection is for the connection itself.

--- a/oleanderpin/core/memory_budget.py
+++ b/oleanderpin/core/memory_budget.py
@@ -108,7 +108,9 @@
         """
         if size_bytes > self.max_bytes:
             return False
-        return self._make_space(size_bytes, but=None, least_bytes=math.inf)
+        return self._make_space(
+            size_bytes, excluded=None, larger_than_bytes=math.inf
+        )
 
     def charge(self, share: MemoryShare, size_bytes: int) -> bool:
         """Count memory of a share; return whether the budget is kept."""
@@ -116,18 +118,26 @@
         if self.held_bytes <= self.max_bytes:
             return True
         # What others may lose yields to what may not be given up.
-        least_bytes = share.held_bytes if share.give_up else 0
-        return self._make_space(0, but=share, least_bytes=least_bytes)
+        larger_than_bytes = share.held_bytes if share.give_up else 0
+        return self._make_space(
+            0, excluded=share, larger_than_bytes=larger_than_bytes
+        )
 
     def _make_space(
-        self, size_bytes: int, *, but: MemoryShare | None, least_bytes: float
+        self,
+        size_bytes: int,
+        *,
+        excluded: MemoryShare | None,
+        larger_than_bytes: float,
     ) -> bool:
         """Give up shares that are stalled, or hold more, until it fits."""
         if self.held_bytes + size_bytes <= self.max_bytes:
             return True
         now_s = monotonic_s()
         if now_s >= self._retry_s:
-            others = self._candidates(now_s, but=but, least_bytes=least_bytes)
+            others = self._candidates(
+                now_s, excluded=excluded, larger_than_bytes=larger_than_bytes
+            )
             while self.held_bytes + size_bytes > self.max_bytes and others:
                 give_up = others.pop().give_up
                 if give_up is not None and give_up():
@@ -139,18 +149,22 @@
         return False
 
     def _candidates(
-        self, now_s: float, *, but: MemoryShare | None, least_bytes: float
+        self,
+        now_s: float,
+        *,
+        excluded: MemoryShare | None,
+        larger_than_bytes: float,
     ) -> list[MemoryShare]:
         """Return what may be given up, what goes first at the end."""
         ranked = [
             (now_s - each.changed_s >= _STALL_S, each)
             for each in self._shares
-            if each is not but and each.held_bytes
+            if each is not excluded and each.held_bytes
         ]
         usable = [
             (is_stalled, each.held_bytes * (now_s - each.since_s), each)
             for is_stalled, each in ranked
-            if is_stalled or each.held_bytes > least_bytes
+            if is_stalled or each.held_bytes > larger_than_bytes
         ]
         usable.sort(key=lambda entry: entry[:2])
         return [each for _is_stalled, _rank, each in usable]
--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -43,8 +43,6 @@
     is_draining: bool
     meter: TrafficMeter
     log: RateLimitedLog
-    # Bytes of bodies held for requests that have no response yet.
-    buffered_bytes: int
     memory: MemoryBudget
     output_watch: OutputWatch
     # Handles a request; cancelled when the caller disconnects.
@@ -111,7 +109,6 @@
         self._incoming: IncomingRequest | None = None
         self._share = listener.memory.share(self._give_up)
         self._output = ResponseOutput(self._share)
-        self._buffered_bytes = 0
         self._header_bytes = 0
         self._is_output_full = False
         # The body of the next request is not read before the decision.
@@ -163,7 +160,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, except those that must finish."""
         self._is_closing = True
-        self._adjust_buffered(-self._buffered_bytes)
         self._listener.remove(self)
         self._share.close()
         if self._timer is not None:
@@ -292,7 +288,6 @@
             self._is_awaiting_admission = False
         request.body = incoming.body
         if self._is_closing or self._closes_soon():
-            self._adjust_buffered(-len(incoming.body))
             self._share.release(incoming.charged_bytes)
             self._abandon(request)
             return
@@ -343,8 +338,6 @@
             self._reject(status)
             return False
         change_bytes = incoming.cost_bytes - incoming.charged_bytes
-        self._adjust_buffered(len(incoming.body) - incoming.buffered_bytes)
-        incoming.buffered_bytes = len(incoming.body)
         incoming.charged_bytes += change_bytes
         if not self._share.charge(change_bytes):
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -509,7 +502,6 @@
             pending = self._pending.popleft()
             if self._is_closing or pending.response is None:
                 return
-            self._adjust_buffered(-len(pending.request.body))
             self._share.release(pending.charged_bytes)
             closes = pending.response.closes or not pending.request.keeps_alive
             is_last = self._listener.is_draining and not self._pending
@@ -549,17 +541,12 @@
         if not self._is_closing and not is_held:
             self._transport.resume_reading()
 
-    def _adjust_buffered(self, change_bytes: int) -> None:
-        self._buffered_bytes += change_bytes
-        self._listener.buffered_bytes += change_bytes
-
     def _drop_incoming(self) -> CallerRequest | None:
         """Forget the request being read and release its memory."""
         incoming = self._incoming
         if incoming is None:
             return None
         self._incoming = None
-        self._adjust_buffered(-incoming.buffered_bytes)
         self._share.release(incoming.charged_bytes)
         return incoming.request
 
--- a/oleanderpin/gateway/incoming_request.py
+++ b/oleanderpin/gateway/incoming_request.py
@@ -36,8 +36,6 @@
         self.body = bytearray()
         # What is charged for the request.
         self.charged_bytes = 0
-        # Bytes of the body that the listener counts.
-        self.buffered_bytes = 0
         self._fields_bytes = 0
         self._pieces = 0
         self._trailer_bytes = 0
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -66,7 +66,6 @@
         self.output_watch = OutputWatch()
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
-        self.buffered_bytes = 0
         # Those that wait for a request, the one that waits longest first.
         self._idle: dict[CallerConnection, None] = {}
         self._max_connections = options.max_connections or _max_connections()
--- a/oleanderpin/gateway/response_output.py
+++ b/oleanderpin/gateway/response_output.py
@@ -25,10 +25,10 @@
         self._window_s: float | None = None
         self._window_bytes = 0
 
-    def note_written(self, size_bytes: int, unsent_bytes: int) -> bool:
-        """Record a response; return whether the memory budget is kept."""
+    def note_written(self, size_bytes: int, unsent_bytes: int) -> None:
+        """Record a response and charge what is unsent of it."""
         self._written_bytes += size_bytes
-        return self.update(unsent_bytes)
+        self.update(unsent_bytes)
 
     def update(self, unsent_bytes: int) -> bool:
         """Charge what is unsent now; return whether the budget is kept."""
--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -415,9 +415,9 @@
             connection.sendall(b''.join(requests))
             return [read_message(connection, buffer) for _each in requests]
 
-    def buffered_bytes(self) -> int:
-        """Return the number of body bytes that the gateway buffers."""
-        return self.kernel.plugin(Gateway).listener.buffered_bytes
+    def held_bytes(self) -> int:
+        """Return the bytes that the gateway holds for callers and targets."""
+        return self.kernel.memory.held_bytes
 
     def buffered_response_bytes(self) -> int:
         """Return the number of bytes of incomplete responses."""
--- a/oleanderpin/tests/gateway/test_large_bodies.py
+++ b/oleanderpin/tests/gateway/test_large_bodies.py
@@ -119,9 +119,9 @@
     request = request_bytes(method='POST', body=BODY)
     with gateway.connect() as connection:
         connection.sendall(request[:-1])
-        wait_until('the body', gateway.buffered_bytes)
+        wait_until('the body', lambda: gateway.held_bytes() >= len(BODY))
         connection.shutdown(socket.SHUT_RDWR)
-    wait_until('free memory', lambda: not gateway.buffered_bytes())
+    wait_until('free memory', lambda: not gateway.held_bytes())
 
 
 def test_body_that_no_target_can_take_is_not_read(
@@ -151,7 +151,9 @@
         for _each in range(10):
             with gateway.connect() as connection:
                 connection.sendall(request[:-1])
-                wait_until('the body', gateway.buffered_bytes)
-            wait_until('free memory', lambda: not gateway.buffered_bytes())
+                wait_until(
+                    'the body', lambda: gateway.held_bytes() >= len(BODY)
+                )
+            wait_until('free memory', lambda: not gateway.held_bytes())
         (response,) = gateway.ask(request_bytes(deadline_ms=1000))
     assert status_of(response) == 200
--- a/oleanderpin/tests/gateway/test_plugin.py
+++ b/oleanderpin/tests/gateway/test_plugin.py
@@ -220,7 +220,7 @@
     head = head.replace(b'Content-Length: 1', b'Content-Length: %d' % most)
     with gateway.connect() as held:
         held.sendall(head[:-1] + bytes(65536))
-        while not gateway.buffered_bytes():
+        while gateway.held_bytes() < 65536:
             pass
         (response,) = gateway.ask(head)
     assert status_of(response) == 503
--- a/oleanderpin/tests/gateway/test_response_bounds.py
+++ b/oleanderpin/tests/gateway/test_response_bounds.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from ...control.configuration import ProfileDocument
+from ...gateway.plugin import Gateway
 from ...testing.gateway import (
     ScriptedHttpTarget,
     answer_bytes,
@@ -113,7 +114,8 @@
         with gateway.connect() as connection:
             connection.sendall(request)
             wait_until('the upload', lambda: target.requests)
-        wait_until('the end', lambda: not gateway.buffered_bytes())
+        listener = gateway.kernel.plugin(Gateway).listener
+        wait_until('the end', lambda: not listener.connections)
         assert memory.held_bytes > 300_000
         released.set()
         wait_until('free memory', lambda: not memory.held_bytes)
