Close the event loop of an instance that has stopped

Cause: EventLoop.stop left its loop open: five descriptors a loop, and timers that keep the instance in memory. Whoever called a stopped loop waited for ever. Change: the loop is closed once its thread has ended; calls handed in later are cancelled.

--- a/oleanderpin/core/event_loop.py
+++ b/oleanderpin/core/event_loop.py
@@ -50,14 +50,36 @@
         """Stop the loop; tasks that are still running are abandoned."""
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(_STOP_TIMEOUT_S)
+        if not self._thread.is_alive():
+            # Its timers and sockets would keep the instance in memory.
+            self.loop.close()
 
     def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
-        """Run a coroutine on the loop and return its result."""
+        """Run a coroutine on the loop and return its result.
+
+        Raises
+        ------
+        concurrent.futures.CancelledError
+            If the loop has stopped.
+        """
         return self.submit(coroutine).result()
 
     def submit(self, coroutine: Coroutine[Any, Any, Any]) -> Future[Any]:
-        """Start a coroutine on the loop."""
-        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        """Start a coroutine on the loop.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Its result; cancelled if the loop has stopped.
+        """
+        try:
+            return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        except RuntimeError:
+            # The loop is closed.
+            coroutine.close()
+            cancelled: Future[Any] = Future()
+            cancelled.cancel()
+            return cancelled
 
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
