Stop the targets and plug-ins that tests start

Change: stop shuts the socket down first; GatewayFixture stops the targets announced to it; the harness stops all plug-ins that it has started.

--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Protocol, Self
 
@@ -138,17 +138,22 @@
 
     def stop(self) -> None:
         """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
+        server = self._server
+        self._server = None
+        if server is not None:
+            # A blocked accept keeps the port open otherwise.
+            server.shutdown(socket.SHUT_RDWR)
+            server.close()
 
     def serve(self, connection: socket.socket) -> None:
         """Serve one connection until it is closed."""
         raise NotImplementedError
 
     def _accept(self) -> None:
-        while self._server is not None:
+        server = self._server
+        while server is not None:
             try:
-                connection, _address = self._server.accept()
+                connection, _address = server.accept()
             except OSError:
                 return
             threading.Thread(
@@ -265,7 +270,10 @@
     def _accept(self) -> None:
         if self._server is None:
             return
-        connection, _address = self._server.accept()
+        try:
+            connection, _address = self._server.accept()
+        except OSError:
+            return
         threading.Thread(
             target=self._serve, args=(connection,), daemon=True
         ).start()
@@ -391,6 +399,14 @@
 
     kernel: Kernel
     port: int
+    announced: list[LoopbackTarget] = field(default_factory=list)
+
+    def stop(self) -> None:
+        """Stop the gateway and the targets that were announced to it."""
+        self.kernel.drain(timeout_s=0)
+        self.kernel.stop()
+        for target in self.announced:
+            target.stop()
 
     def connect(self) -> socket.socket:
         """Open a connection to the caller port."""
@@ -434,6 +450,7 @@
         slots: int = 4,
     ) -> None:
         """Announce a target in the gateway's own failure domain."""
+        self.announced.append(target)
         self.kernel.plugin(TargetTable).announce(
             Announcement(
                 service=service,
@@ -575,12 +592,12 @@
     text = gateway_settings(ports, folder, options=options, grace_s=grace_s)
     kernel = Kernel(build_settings(text))
     kernel.start()
+    gateway = GatewayFixture(kernel, ports[0])
     try:
         configure(kernel, change)
-        yield GatewayFixture(kernel, ports[0])
+        yield gateway
     finally:
-        kernel.drain(timeout_s=0)
-        kernel.stop()
+        gateway.stop()
 
 
 @contextmanager
@@ -607,12 +624,12 @@
     )
     kernel = Kernel(build_settings(text))
     kernel.start()
+    gateway = GatewayFixture(kernel, ports[0])
     try:
         _wait_until_configured(kernel)
-        yield GatewayFixture(kernel, ports[0])
+        yield gateway
     finally:
-        kernel.drain(timeout_s=0)
-        kernel.stop()
+        gateway.stop()
 
 
 def _wait_until_configured(kernel: Kernel) -> None:
--- a/oleanderpin/tests/forwarding/harness.py
+++ b/oleanderpin/tests/forwarding/harness.py
@@ -240,7 +240,9 @@
     def stop(self) -> None:
         self.kernel.stopping.set()
         self.http.close()
-        self.pipeline.stop()
+        for plugin in reversed(self.kernel.plugins.values()):
+            if hasattr(plugin, 'stop'):
+                plugin.stop()
 
     def use_targets(self, *targets: Any, connections: int = 100) -> None:
         self.router.targets = [
