Keep no stopped HTTP server in the statistics of its library

Cause: cheroot adds each server to a table of the process and never removes it. The table keeps the server, its handler and so the whole instance in memory: 18 instances that tests of the control log had stopped were still there. Change: CallerServer.clear_stats takes its entry out of the table. Result: test_no_table_refers_to_stopped_instances failed before (three entries) and passes; a probe that starts and stops a group finds all three instances collected.

--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -1,6 +1,7 @@
 """A cheroot server whose worker threads never wait for a slow head."""
 
 import errno
+import logging
 import re
 import resource
 import select
@@ -173,6 +174,15 @@
         # Reserves half of the file descriptors for targets and peers.
         self._max_connections = min(_MAX_CONNECTIONS, soft_limit // 2)
 
+    def clear_stats(self) -> None:
+        """Reset the statistics, but keep no reference to this server.
+
+        cheroot adds each server to a table of the process and never removes it.
+        """
+        super().clear_stats()
+        table: dict[str, Any] = getattr(logging, 'statistics', {})
+        table.pop(f'Cheroot HTTPServer {id(self)}', None)
+
     def prepare(self) -> None:
         """Bind the address and install this module's connection manager."""
         super().prepare()
