Release the whole buffer of a connection that is closed

Cause: a closed connection of the threaded listener cleared its buffer, which shrank to one byte in place, and is referenced until it is collected. The bytes split the free memory into pieces too short for the next buffer of that size, so that bodies that were given up went on to take memory: of 1,500 unfinished bodies of 65 KB, 16 MB may wait, and the process grew by their whole size. Change: a closed connection has a new, empty buffer.

--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -206,7 +206,9 @@
 
     def close(self) -> None:
         """Clear the buffer; the owner of the socket closes it."""
-        self._buffer.clear()
+        # Cleared, it would keep one byte until the connection is collected, and
+        # the memory between such bytes is too short for buffers of that size.
+        self._buffer = bytearray()
 
 
 class Body:
--- a/oleanderpin/tests/operators/test_crowds.py
+++ b/oleanderpin/tests/operators/test_crowds.py
@@ -95,6 +95,22 @@
         assert is_alive(daemon)
 
 
+def test_bodies_that_are_given_up_release_their_memory(tmp_path: Path) -> None:
+    """Guards against memory of closed connections that nothing else can use.
+
+    Of 97 MB, 16 MB may wait.
+    """
+    body = b'Content-Length: 65000\r\n\r\n' + b' ' * 64_999
+    with control_daemon(tmp_path) as daemon:
+        before_mb = memory_mb(daemon)
+        with crowd_at(daemon, ADMIN_PORT) as crowd:
+            crowd.connect(1500)
+            crowd.send(POST + body)
+            assert answers_operators(daemon)
+            assert memory_mb(daemon) < before_mb + 40
+        assert is_alive(daemon)
+
+
 @pytest.mark.parametrize('chunk_bytes', [1000, 4_000_000])
 def test_largest_change_is_read(tmp_path: Path, chunk_bytes: int) -> None:
     """Guards against a legal body that the bounds refuse.
