Release bodies that wait as soon as they are given up

Cause: when calls that wait hold too much, the largest is given up and no longer counted, but its bytes were held until the accepting thread came to its connection, after it had read from all others that were readable in the same pass. 1,500 bodies of 65 KB that arrive together were all held, where 16 MB are allowed. Change: the buffer is emptied when the connection is given up. A thread that takes up a connection says so under the lock of the count, so that no buffer is emptied while it is used, also not one whose time-out has ended.

--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -135,7 +135,9 @@
                 conn.last_used = time.time()
                 continue
             self._selector.unregister(descriptor)
-            if conn.rfile.has_data() and not conn.linger_remaining_bytes:
+            is_kept = self.server.waiting_bytes.end_wait(conn)
+            is_partial = is_kept and conn.rfile.has_data()
+            if is_partial and not conn.linger_remaining_bytes:
                 conn.pending_refusal = bad_request(
                     'request_timeout',
                     f'no whole request within {REQUEST_TIMEOUT_S} s',
@@ -206,8 +208,7 @@
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Receive available bytes; queue the connection if a worker can serve it."""
-        conn.is_waiting = False
-        if conn.is_given_up:
+        if not self.waiting_bytes.end_wait(conn):
             conn.close()
             return
         if len(self.open_connections) > self._max_connections:
--- a/oleanderpin/core/http_waiting.py
+++ b/oleanderpin/core/http_waiting.py
@@ -107,11 +107,25 @@
             while self._total_bytes > self._max_bytes and self._give_up():
                 EVENTS.labels('http', 'bodies_too_large').inc()
 
+    def end_wait(self, conn: Any) -> bool:
+        """Keep a connection from being given up while a thread uses it.
+
+        Returns
+        -------
+        bool
+            False if it has been given up; its buffer is empty then.
+        """
+        with self._lock:
+            conn.is_waiting = False
+            return not conn.is_given_up
+
     def _give_up(self) -> bool:
         waiting = [each for each in self._sizes if each.is_waiting]
         if not waiting:
             return False
         largest = max(waiting, key=self._sizes.__getitem__)
         self._total_bytes -= self._sizes.pop(largest)
+        # The accepting thread closes it only after others have received more.
+        largest.rfile.close()
         largest.give_up()
         return True
--- a/oleanderpin/testing/listener_crowds.py
+++ b/oleanderpin/testing/listener_crowds.py
@@ -130,7 +130,7 @@
                 resource.RLIMIT_NOFILE,
                 (max_descriptors, max_descriptors),
             )
-        _await(daemon.is_fresh)
+        wait_until(daemon.is_fresh)
         yield daemon
     finally:
         daemon.kill()
@@ -207,7 +207,14 @@
     return bytes(encoded)
 
 
-def _await(condition: Callable[[], bool]) -> None:
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, for a while.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not come true.
+    """
     end_s = time.monotonic() + _START_TIMEOUT_S
     while not condition():
         if time.monotonic() > end_s:
--- a/oleanderpin/tests/operators/test_crowds.py
+++ b/oleanderpin/tests/operators/test_crowds.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import signal
 import socket
 import threading
 import time
@@ -18,6 +19,7 @@
     log_lines,
     memory_mb,
     processor_s,
+    wait_until,
 )
 from ...testing.processes import ADMIN_PORT
 
@@ -111,6 +113,27 @@
         assert is_alive(daemon)
 
 
+def test_bodies_that_arrive_together_take_bounded_memory(
+    tmp_path: Path,
+) -> None:
+    """Guards against bodies that are given up, but held until others are read.
+
+    They arrive while the instance is stopped, so that it reads all in one pass.
+    """
+    body = b'Content-Length: 65000\r\n\r\n' + b' ' * 64_999
+    with control_daemon(tmp_path) as daemon:
+        before_mb = memory_mb(daemon)
+        with crowd_at(daemon, ADMIN_PORT) as crowd:
+            crowd.connect(1500)
+            wait_until(lambda: descriptors(daemon) > 1500)
+            daemon.send_signal(signal.SIGSTOP)
+            crowd.send(POST + body)
+            daemon.send_signal(signal.SIGCONT)
+            assert any(answers_operators(daemon) for _attempt in range(10))
+            assert memory_mb(daemon) < before_mb + 40
+        assert is_alive(daemon)
+
+
 @pytest.mark.parametrize('chunk_bytes', [1000, 4_000_000])
 def test_largest_change_is_read(tmp_path: Path, chunk_bytes: int) -> None:
     """Guards against a legal body that the bounds refuse.
