Let the threads of a control instance use memory that others freed

Cause: with crowds at all its ports, a control instance took more than the 296 MB of its machine. Its listeners' budgets come to 43 MB, but each thread's arena of the C library's allocator kept what the thread had freed, and freed blocks of several megabytes were not returned to the system. Change: control instances have two arenas, and get blocks of 128 KiB and more from the system.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -22,6 +22,7 @@
     view,
 )
 from .core import event_loop, process_usage  # noqa: F401
+from .core.allocator import return_freed_memory
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs, log_unhandled_errors
@@ -47,6 +48,7 @@
 from .wire import datagrams, network, server  # noqa: F401
 
 _LOG = logging.getLogger(__name__)
+_CONTROL = 'control'
 _EXIT_SETTINGS = 2
 _EXIT_START_FAILED = 1
 _EXIT_STOP_FAILED = 3
@@ -84,6 +86,9 @@
         stream=settings.log.stream,
     )
     log_unhandled_errors()
+    if _CONTROL in settings.instance.roles:
+        # A gateway reads into blocks that this would make slower to get.
+        return_freed_memory()
     exit_code = _run(settings)
     _LOG.info('process ends', extra={'exit_code': exit_code})
     return exit_code
--- a/oleanderpin/testing/listener_crowds.py
+++ b/oleanderpin/testing/listener_crowds.py
@@ -95,6 +95,7 @@
 def control_daemon(
     folder: Path,
     *,
+    instance: Iterable[str] = (),
     peers: Iterable[str] = (),
     max_descriptors: int = 0,
     start: Callable[[DaemonProcess], None] = DaemonProcess.start,
@@ -105,8 +106,8 @@
     ----------
     folder : Path
         Folder for settings, logs and data.
-    peers : iterable of str
-        Lines for section ``[peers]``.
+    instance, peers : iterable of str
+        Lines for sections ``[instance]`` and ``[peers]``.
     max_descriptors : int
         Limit on its descriptors; 0 leaves it as it is.
     start : callable
@@ -120,8 +121,9 @@
         domains=[('north', 'north-a')],
     )[0]
     text = daemon.settings.read_text()
-    lines = '\n'.join(['[peers]', *peers, ''])
-    daemon.settings.write_text(text.replace('[peers]\n', lines))
+    for section, lines in (('[instance]', instance), ('[peers]', peers)):
+        text = text.replace(f'{section}\n', '\n'.join([section, *lines, '']))
+    daemon.settings.write_text(text)
     start(daemon)
     try:
         if max_descriptors:
--- a/platform_tests/test_crowds.py
+++ b/platform_tests/test_crowds.py
@@ -12,8 +12,15 @@
 
 import pytest
 
+from oleanderpin.testing.control_crowds import (
+    CrowdPlan,
+    all_at_once,
+    operator_plans,
+    peer_plans,
+)
 from oleanderpin.testing.listener_crowds import (
     answers_operators,
+    answers_peers,
     control_daemon,
     crowd_at,
     is_alive,
@@ -24,8 +31,10 @@
 CONTROL_PORT = 7001
 DIRECTORY_PORT = 7002
 MAX_MEMORY_MB = 200
+MACHINE_MEMORY_MB = 296
 MB = 1024 * 1024
 PUT = b'PUT /config HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+EMPTY_LISTS = b'{"routes": {"a": {"x": [[]%s]}}}' % (b',[]' * 600_000)
 
 
 def start_adapter(daemon: DaemonProcess) -> None:
@@ -98,7 +107,7 @@
 
 def test_documents_of_empty_lists_take_bounded_memory(tmp_path: Path) -> None:
     """Guards against items that take three bytes, and a hundred in memory."""
-    document = b'{"routes": {"a": {"x": [[]%s]}}}' % (b',[]' * 600_000)
+    document = EMPTY_LISTS
     with control_daemon(tmp_path, start=start_adapter) as daemon:
         with crowd_at(daemon, CONTROL_PORT) as crowd:
             crowd.connect(4)
@@ -121,3 +130,35 @@
             assert call(daemon, 'GET', '/config', b'') == 200
             assert memory_mb(daemon) < MAX_MEMORY_MB
         assert is_alive(daemon)
+
+
+def platform_plans() -> list[CrowdPlan]:
+    """Return the crowds of this module."""
+    unfinished = PUT % (60 * MB) + b' ' * 50 * MB
+    document = configuration(5000)
+    return [
+        CrowdPlan(CONTROL_PORT, 4, unfinished),
+        CrowdPlan(DIRECTORY_PORT, 4, unfinished),
+        CrowdPlan(CONTROL_PORT, 4, PUT % len(EMPTY_LISTS) + EMPTY_LISTS),
+        CrowdPlan(CONTROL_PORT, 8, PUT % len(document) + document),
+    ]
+
+
+def test_all_crowds_at_once_take_bounded_memory(tmp_path: Path) -> None:
+    """Guards against bounds that hold one by one, but not together.
+
+    Crowds at all ports of an instance send at the same time.
+    """
+    plans = [*peer_plans(), *operator_plans(), *platform_plans()]
+    memory = [f'memory_mb = {MACHINE_MEMORY_MB}']
+    with control_daemon(
+        tmp_path, instance=memory, start=start_adapter
+    ) as daemon:
+        with all_at_once(daemon, plans) as crowds:
+            # The last one changes the configuration.
+            crowds[-1].await_ends()
+            assert answers_operators(daemon)
+            assert answers_peers(daemon)
+            assert call(daemon, 'GET', '/config', b'') == 200
+            assert memory_mb(daemon) < MACHINE_MEMORY_MB
+        assert is_alive(daemon)
