Keep the control leader while disks sync slowly

Cause: a member replied to the leader only when its disk queue was synced. When syncs took longer than the election timeout on a majority, no reply arrived in time, and the leader stepped down after each change.

Change: a member replies after half a heartbeat at most and confirms only the entries that are synced by then. The leader asks again for those that are not. Commits still count synced entries only. A member whose disk takes no writes replies now, but counts as silent for removals and promotions, as before.

--- a/oleanderpin/control/disk.py
+++ b/oleanderpin/control/disk.py
@@ -142,6 +142,20 @@
         StorageError
             If it is not durable within ``timeout_s`` or the disk failed.
         """
+        if not self.is_durable_within(ticket, timeout_s=timeout_s):
+            raise StorageError(
+                f'the disk did not sync within {timeout_s} s',
+                remedy='check the disk of this instance',
+            )
+
+    def is_durable_within(self, ticket: int, *, timeout_s: float) -> bool:
+        """Return whether a write is durable after ``timeout_s`` at most.
+
+        Raises
+        ------
+        StorageError
+            If the disk failed and the write is lost.
+        """
         with self._condition:
             self._condition.wait_for(
                 lambda: (
@@ -153,11 +167,7 @@
             failure = self._failure_of(ticket)
             if failure is not None:
                 raise failure
-            if self._completed_ticket < ticket:
-                raise StorageError(
-                    f'the disk did not sync within {timeout_s} s',
-                    remedy='check the disk of this instance',
-                )
+            return self._completed_ticket >= ticket
 
     def _failure_of(self, ticket: int) -> StorageError | None:
         """Return why a write is not performed, also after a recovery."""
--- a/oleanderpin/control/members.py
+++ b/oleanderpin/control/members.py
@@ -276,7 +276,7 @@
         progress = node.state.progress.get(member.member_id)
         if member.member_id == node.own_id or progress is None:
             return node.now_s()
-        return max(progress.acked_s, progress.created_s)
+        return max(progress.synced_s, progress.created_s)
 
     def _append(self, members: Members, changed: Members) -> None:
         """Append a change of the members and log what it changes."""
@@ -303,13 +303,14 @@
         return state.log.members_index > state.commit_index
 
     def _is_responding(self, member: Member) -> bool:
+        """Return whether the member replies and its disk takes writes."""
         node = self._node
         if member.member_id == node.own_id:
             return True
         progress = node.state.progress.get(member.member_id)
         limit_s = node.settings.election_timeout_min_s
         return (
-            progress is not None and node.now_s() - progress.acked_s < limit_s
+            progress is not None and node.now_s() - progress.synced_s < limit_s
         )
 
     def _find_caught_up_learner(self, members: Members) -> Member | None:
--- a/oleanderpin/control/progress.py
+++ b/oleanderpin/control/progress.py
@@ -12,9 +12,10 @@
 class Progress:
     """Replication progress of one member.
 
-    ``created_s`` is when the leader began to replicate to the member and
-    ``acked_s`` when the last acknowledged message was sent, by the monotonic
-    clock of the leader.
+    ``created_s`` is when the leader began to replicate to the member,
+    ``acked_s`` when the last acknowledged message was sent and ``synced_s``
+    when the last one was sent whose reply shows that the member's disk takes
+    writes; by the monotonic clock of the leader.
     """
 
     next_index: int
@@ -22,6 +23,23 @@
     match_index: int = 0
     sent_s: float = _NEVER_S
     acked_s: float = _NEVER_S
+    synced_s: float = _NEVER_S
+
+    def record_match(self, matched_index: int, sent_index: int) -> None:
+        """Record that a member holds, and up to which index it has synced.
+
+        Entries that it holds but has not synced are not sent again: it refuses
+        the next request if it loses them.
+        """
+        if matched_index > self.match_index or matched_index >= sent_index:
+            self.synced_s = self.sent_s
+        self.match_index = max(self.match_index, matched_index)
+        self.next_index = max(self.match_index, sent_index) + 1
+
+    def has_work(self, last_index: int) -> bool:
+        """Return whether the member has entries to get or to sync."""
+        is_synced = self.match_index >= self.next_index - 1
+        return last_index >= self.next_index or not is_synced
 
 
 def voter_ids(members: Members) -> tuple[str, ...]:
--- a/oleanderpin/control/receiver.py
+++ b/oleanderpin/control/receiver.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..core.errors import StorageError
+from ..core.metrics import EVENTS
 from ..wire.generated.common.ttypes import Unavailable
 from ..wire.generated.raft.ttypes import (
     AppendReply,
@@ -17,9 +18,11 @@
 from .entries import EntryLog
 from .raft import RaftNode
 from .raft_state import Role
-from .records import LogEntry, SnapshotInfo
+from .records import EntryKind, LogEntry, SnapshotInfo
 
 _SYNC_TIMEOUT_S = 10.0
+# A reply that waits no longer arrives well before the leader's lease ends.
+_SYNC_SHARE_OF_HEARTBEAT = 0.5
 
 InstallSnapshot = Callable[[bytes], bool]
 
@@ -33,8 +36,16 @@
     content: bytearray
 
 
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """A write, and the recoveries of the disk before it."""
+
+    ticket: int
+    after_recoveries: int
+
+
 class Receiver:
-    """Stores what the leader sends; replies only after it is synced.
+    """Stores what the leader sends; confirms only what is synced.
 
     Parameters
     ----------
@@ -62,9 +73,8 @@
                     match_index=0,
                 )
             reply = self._append(request)
-            ticket = node.disk.ticket
-        self.wait_until_synced(ticket)
-        return reply
+            write = _Write(node.disk.ticket, node.disk.recovery_count)
+        return self._limit_to_synced(reply, write)
 
     def install_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
         """Store a chunk; install the snapshot once it is complete."""
@@ -107,9 +117,39 @@
         try:
             disk.wait(ticket, timeout_s=_SYNC_TIMEOUT_S)
         except StorageError as error:
-            raise Unavailable(
-                problem=str(error), maybe_applied=False
-            ) from error
+            raise _unavailable(error) from error
+
+    def _limit_to_synced(
+        self, reply: AppendReply, write: _Write
+    ) -> AppendReply:
+        """Return the reply with the entries that are synced soon.
+
+        Fault: syncs take longer than the election timeout. The leader has to
+        hear from this member meanwhile, or it steps down after each entry. Its
+        lease depends on no write here: the vote of this member is synced, and
+        after a restart it grants none for an election timeout.
+        """
+        node = self._node
+        try:
+            is_synced = node.disk.is_durable_within(
+                write.ticket,
+                timeout_s=node.settings.heartbeat_interval_s
+                * _SYNC_SHARE_OF_HEARTBEAT,
+            )
+        except StorageError as error:
+            raise _unavailable(error) from error
+        if is_synced:
+            return reply
+        EVENTS.labels('control', 'slow_sync').inc()
+        with node.lock:
+            # Otherwise the log may hold other entries at these indexes.
+            is_same_log = (
+                node.state.hard_state.term == reply.term
+                and node.disk.recovery_count == write.after_recoveries
+            )
+            synced_index = node.state.durable_index if is_same_log else 0
+            reply.match_index = min(reply.match_index, synced_index)
+        return reply
 
     def _accept_leader(self, envelope: Envelope, leader_address: str) -> bool:
         """Follow the sender if its term is current; return whether it is."""
@@ -210,12 +250,18 @@
             state.log.compact(info, keep=0)
         else:
             state.log = EntryLog(info)
-            state.durable_index = info.index
+            state.durable_index = 0
             node.disk.submit(storage.discard_log)
+        last_entry = LogEntry(info.index, info.term, EntryKind.CHANGE, b'')
+        node.disk.submit(lambda: node.mark_durable(last_entry))
         state.commit_index = info.index
         state.applied_index = max(state.applied_index, info.index)
 
 
+def _unavailable(error: StorageError) -> Unavailable:
+    return Unavailable(problem=str(error), maybe_applied=False)
+
+
 def _missing_entries(
     log: EntryLog, entries: Sequence[LogEntry]
 ) -> Sequence[LogEntry]:
--- a/oleanderpin/control/replication.py
+++ b/oleanderpin/control/replication.py
@@ -119,7 +119,7 @@
         return (
             not self._node.is_leading(term)
             or self._node.kernel.stopping.is_set()
-            or state.log.last_index >= progress.next_index
+            or progress.has_work(state.log.last_index)
             or progress.sent_s < state.read_barrier_s
         )
 
@@ -143,9 +143,9 @@
             if not reply.accepted:
                 progress.next_index = reply.match_index + 1
                 return
-            matched = max(progress.match_index, reply.match_index)
-            progress.match_index = matched
-            progress.next_index = matched + 1
+            progress.record_match(
+                reply.match_index, request.prev_index + len(request.entries)
+            )
             node.advance_commit()
 
     def _append_request(
@@ -196,6 +196,7 @@
             with node.lock:
                 if not self._record_reply(term, progress, reply.term):
                     return
+                progress.synced_s = progress.sent_s
             offset = reply.received_bytes
         with node.lock:
             progress.match_index = max(progress.match_index, info.index)
--- a/oleanderpin/tests/control/test_voting.py
+++ b/oleanderpin/tests/control/test_voting.py
@@ -1,6 +1,8 @@
 """Votes and the leader lease, with a manual clock."""
 
 import errno
+import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -54,6 +56,7 @@
         storage.save_identity(identity)
         self.node = RaftNode(kernel, storage, StoredState(identity))
         self.node.disk.start()
+        self.may_sync = threading.Event()
         self.installed: list[bytes] = []
         self.receiver = Receiver(self.node, self.install)
         self.voting = Voting(self.node, self.receiver)
@@ -98,11 +101,35 @@
             )
         )
 
+    def receive_heartbeat(self, last_index: int) -> AppendReply:
+        """Receive a message without entries behind an entry of term 1."""
+        return self.receiver.append_entries(
+            AppendRequest(
+                envelope=Envelope('group', 'm2', 'm1', 1),
+                leader_address='127.0.0.1:2',
+                prev_index=last_index,
+                prev_term=1,
+                entries=[],
+                commit_index=0,
+            )
+        )
+
+    def hold_syncs(self) -> None:
+        """Let all syncs wait until ``may_sync`` is set."""
+        sync = self.node.storage.sync
+
+        def wait_and_sync(descriptor: int) -> None:
+            self.may_sync.wait(60)
+            sync(descriptor)
+
+        self.node.storage.sync = wait_and_sync
+
 
 @pytest.fixture
 def voter(tmp_path: Path) -> Iterator[Voter]:
     made = Voter(tmp_path)
     yield made
+    made.may_sync.set()
     made.node.disk.stop()
 
 
@@ -228,6 +255,40 @@
         voter.ask_for_vote('pre_vote', 'm3', 9)
 
 
+def test_entry_that_is_synced_late_is_answered_but_not_counted(
+    voter: Voter,
+) -> None:
+    """Guards against a leader that steps down since disks are slow.
+
+    And against a majority that counts an entry in memory only.
+    """
+    voter.hold_syncs()
+    started_s = time.monotonic()
+    reply = voter.receive_entries(1, _ENTRY)
+    heartbeat = voter.receive_heartbeat(1)
+    assert time.monotonic() - started_s < 1.0
+    assert (reply.accepted, reply.match_index) == (True, 0)
+    assert (heartbeat.accepted, heartbeat.match_index) == (True, 0)
+    voter.may_sync.set()
+    voter.node.disk.wait(voter.node.disk.ticket, timeout_s=60)
+    assert voter.receive_heartbeat(1).match_index == 1
+
+
+def test_snapshot_that_is_synced_late_is_not_counted(voter: Voter) -> None:
+    """Guards against a member that is promoted with a snapshot in memory."""
+    voter.hold_syncs()
+    installing = threading.Thread(
+        target=voter.receive_chunk, args=(0, b'abc'), kwargs={'is_last': True}
+    )
+    installing.start()
+    wait_until('installed', lambda: voter.node.state.commit_index == 7)
+    heartbeat = voter.receive_heartbeat(7)
+    assert (heartbeat.accepted, heartbeat.match_index) == (True, 0)
+    voter.may_sync.set()
+    installing.join()
+    assert voter.receive_heartbeat(7).match_index == 7
+
+
 def test_entry_of_an_older_term_is_not_committed_alone(voter: Voter) -> None:
     """Guards against committing an entry that a later leader may replace."""
     node = voter.node
