Elect a control leader while disks sync slowly

Cause: a voter stored a new term and its vote in two writes of two syncs each, the candidate stored its own vote before it asked, and it waited for the shortest election timeout only. With syncs of a quarter of that timeout or more, votes came too late, and the other members began the next term meanwhile.

Change: term and vote are stored in one write. The candidate asks while its own vote is written, and counts that one once it is synced, before it leads. It waits until its election timer ends. A voter restarts its timer when it replies.

--- a/oleanderpin/control/raft.py
+++ b/oleanderpin/control/raft.py
@@ -201,11 +201,19 @@
         self.state.hard_state = hard_state
         self.disk.submit(lambda: self.storage.save_hard_state(hard_state))
 
-    def become_follower(self, term: int) -> None:
-        """Become a follower in ``term``, which is not below the current one."""
+    def become_follower(self, term: int, *, voted_for: str = '') -> None:
+        """Become a follower in ``term``, which is not below the current one.
+
+        Parameters
+        ----------
+        term : int
+            The term.
+        voted_for : str
+            Member that gets the vote of this member if the term is new.
+        """
         state = self.state
         if term > state.hard_state.term:
-            self.save_hard_state(HardState(term))
+            self.save_hard_state(HardState(term, voted_for))
             state.leader_address = ''
         if state.role is Role.LEADER:
             _LOG.warning('no longer the control leader, term %d', term)
--- a/oleanderpin/control/voting.py
+++ b/oleanderpin/control/voting.py
@@ -95,6 +95,10 @@
             term = node.state.hard_state.term
             ticket = node.disk.ticket
         self._receiver.wait_until_synced(ticket)
+        if granted:
+            # The candidate learns of the vote only now.
+            with node.lock:
+                node.postpone_election()
         return VoteReply(term=term, granted=granted)
 
     def _has_recent_leader(self) -> bool:
@@ -115,18 +119,21 @@
     def _try_grant(self, request: VoteRequest) -> bool:
         node = self._node
         candidate = request.envelope.from_id
-        if request.envelope.term < node.state.hard_state.term:
+        term = request.envelope.term
+        if term < node.state.hard_state.term:
             return False
-        if request.envelope.term > node.state.hard_state.term:
-            node.become_follower(request.envelope.term)
-        hard_state = node.state.hard_state
-        if hard_state.voted_for not in {'', candidate}:
+        is_up_to_date = self._is_up_to_date(request)
+        if term > node.state.hard_state.term:
+            # Term and vote are stored at once: on a slow disk, a second write
+            # takes longer than the candidate waits.
+            voted_for = candidate if is_up_to_date else ''
+            node.become_follower(term, voted_for=voted_for)
+        elif is_up_to_date and not node.state.hard_state.voted_for:
+            node.save_hard_state(HardState(term, candidate))
+        if node.state.hard_state.voted_for != candidate:
             return False
-        if not self._is_up_to_date(request):
-            return False
-        node.save_hard_state(HardState(hard_state.term, candidate))
         node.postpone_election()
-        return True
+        return is_up_to_date
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         log = self._node.state.log
@@ -176,7 +183,8 @@
             node.state.leader_address = ''
             term = node.state.hard_state.term + 1
             request = self._vote_request(term)
-        if not self._collect_votes('pre_vote', request):
+        timeout_s = node.settings.election_timeout_min_s
+        if not self._collect_votes('pre_vote', request, timeout_s=timeout_s):
             EVENTS.labels('control', 'pre_vote_lost').inc()
             return
         with node.lock:
@@ -190,15 +198,30 @@
             node.save_hard_state(HardState(term, node.own_id))
             request = self._vote_request(term)
             ticket = node.disk.ticket
-        node.disk.wait(ticket, timeout_s=_SYNC_TIMEOUT_S)
-        if not self._collect_votes('request_vote', request):
+        timeout_s = self._time_for_votes_s()
+        if not self._collect_votes(
+            'request_vote', request, timeout_s=timeout_s
+        ):
             EVENTS.labels('control', 'election_lost').inc()
             return
+        # The own vote counts once it is synced, like those of the others.
+        node.disk.wait(ticket, timeout_s=_SYNC_TIMEOUT_S)
         with node.lock:
             is_candidate = node.state.role is Role.CANDIDATE
             if is_candidate and node.state.hard_state.term == term:
                 node.become_leader()
 
+    def _time_for_votes_s(self) -> float:
+        """Restart the election timer and return the time until it ends.
+
+        Fault: disks are slow. Each voter syncs its vote before it replies, so
+        a candidate that waits less than it may is never elected.
+        """
+        node = self._node
+        with node.lock:
+            node.postpone_election()
+            return node.state.election_deadline_s - node.now_s()
+
     def _vote_request(self, term: int) -> VoteRequest:
         state = self._node.state
         return VoteRequest(
@@ -211,7 +234,9 @@
             last_term=state.log.last_term,
         )
 
-    def _collect_votes(self, method: str, request: VoteRequest) -> bool:
+    def _collect_votes(
+        self, method: str, request: VoteRequest, *, timeout_s: float
+    ) -> bool:
         node = self._node
         with node.lock:
             members = node.state.log.members
@@ -220,14 +245,12 @@
         for member in others:
             threading.Thread(
                 target=self._ask_for_vote,
-                args=(ballot, method, member, request),
+                args=(ballot, method, member, request, timeout_s),
                 name=f'log-{method}',
                 daemon=True,
             ).start()
         with ballot.changed:
-            ballot.changed.wait_for(
-                ballot.is_decided, node.settings.election_timeout_min_s
-            )
+            ballot.changed.wait_for(ballot.is_decided, timeout_s)
             is_elected = ballot.granted >= ballot.required
         with node.lock:
             if ballot.term > node.state.hard_state.term:
@@ -240,6 +263,7 @@
         method: str,
         member: Member,
         request: VoteRequest,
+        timeout_s: float,
     ) -> None:
         reply: Any = None
         try:
@@ -248,7 +272,7 @@
                 'Raft',
                 method,
                 _addressed_to(request, member.member_id),
-                timeout_s=self._node.settings.election_timeout_min_s,
+                timeout_s=timeout_s,
             )
         except (UnavailableError, Unavailable):
             EVENTS.labels('control', 'vote_unanswered').inc()
--- a/oleanderpin/tests/control/test_slow_disks.py
+++ b/oleanderpin/tests/control/test_slow_disks.py
@@ -14,6 +14,7 @@
 
 # The election timeouts of the group are between 0.5 and 1.0 s.
 _SLOWER_THAN_HEARTBEATS_S = 0.6
+_SLOWER_THAN_VOTES_S = 0.3
 
 
 @pytest.fixture
@@ -52,6 +53,15 @@
     assert group.log(leader).own_member().term == term
 
 
+def test_leader_is_elected_while_syncs_are_slow(group: Group) -> None:
+    """Guards against elections that never end."""
+    leader = group.leader()
+    group.change(0, through=leader)
+    _slow_down(group, _SLOWER_THAN_VOTES_S)
+    group.stop(leader)
+    assert group.change(1, through=group.leader()).kind == 'ok'
+
+
 def test_member_whose_disk_hangs_does_not_count_for_a_removal(
     group: Group,
 ) -> None:
