Take the limit on connections from one place

Only the first knew a process without a limit on descriptors; there the others would get a negative limit and refuse all. Change: core.process_resources.connection_limit serves the three. Limits are the same where descriptors are limited.

--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -3,11 +3,11 @@
 import errno
 import logging
 import re
-import resource
 import select
 import socket
 import threading
 import time
+from fractions import Fraction
 from typing import Any
 
 from cheroot import connections
@@ -18,11 +18,14 @@
 from .http_head import bad_request
 from .http_waiting import WaitingBytes, WholeBodies
 from .metrics import EVENTS
+from .process_resources import connection_limit
 
 # Time-out for receiving the head and small body of a request, and for idle
 # connections.
 REQUEST_TIMEOUT_S = 10.0
 _MAX_CONNECTIONS = 4096
+# The other descriptors are for targets and peers.
+_OF_DESCRIPTORS = Fraction(1, 2)
 # Connections closed at once when there are too many, as a divisor of the limit.
 _ROOM_DIVISOR = 16
 _NO_DESCRIPTOR_ERRORS = frozenset((errno.EMFILE, errno.ENFILE))
@@ -172,9 +175,9 @@
         self.is_draining = False
         self.timeout = REQUEST_TIMEOUT_S
         self.request_queue_size = 512
-        soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
-        # Reserves half of the file descriptors for targets and peers.
-        self._max_connections = min(_MAX_CONNECTIONS, soft_limit // 2)
+        self._max_connections = connection_limit(
+            _MAX_CONNECTIONS, of_descriptors=_OF_DESCRIPTORS
+        )
 
     def clear_stats(self) -> None:
         """Reset the statistics, but keep no reference to this server.
--- a/oleanderpin/core/process_resources.py
+++ b/oleanderpin/core/process_resources.py
@@ -2,6 +2,7 @@
 
 import resource
 from dataclasses import dataclass
+from fractions import Fraction
 from pathlib import Path
 
 from .metrics import EVENTS
@@ -63,6 +64,22 @@
     return _limit(resource.RLIMIT_NOFILE)
 
 
+def connection_limit(max_connections: int, *, of_descriptors: Fraction) -> int:
+    """Return how many connections a listener of this process may have.
+
+    Parameters
+    ----------
+    max_connections : int
+        Limit where descriptors are not limited, or the limit on them is large.
+    of_descriptors : Fraction
+        Part of the descriptors that connections may use.
+    """
+    descriptors = descriptor_limit()
+    if descriptors is None:
+        return max_connections
+    return min(max_connections, int(descriptors * of_descriptors))
+
+
 def address_space_limit_mb() -> int | None:
     """Return the limit of the address space; None if not limited."""
     return _in_mb(_limit(resource.RLIMIT_AS))
--- a/oleanderpin/gateway/listener.py
+++ b/oleanderpin/gateway/listener.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import logging
-import resource
 import socket
 from collections.abc import Awaitable, Callable
+from fractions import Fraction
 from typing import Any
 
 from ..core.clock import monotonic_s
 from ..core.memory_budget import MemoryBudget
 from ..core.metrics import EVENTS
+from ..core.process_resources import connection_limit
 from .caller_connection import CallerConnection
 from .listener_options import ListenerOptions, StaticLimits, bounded_options
 from .messages import CallerRequest, Response
@@ -25,9 +26,9 @@
 # For a listener without a budget of its own process.
 _MAX_HELD_BYTES = 67108864
 # The other descriptors are for targets, peers and files.
-_CONNECTION_DESCRIPTORS_FRACTION = 0.75
+_OF_DESCRIPTORS = Fraction(3, 4)
 # Bounds the memory of connections where descriptors are not limited.
-_MOST_CONNECTIONS = 4096
+_MAX_CONNECTIONS = 4096
 # A request that is incomplete for longer goes before idle connections.
 _STALL_S = 1.0
 
@@ -68,7 +69,9 @@
         self.is_draining = False
         # Those that wait for a request, the one that waits longest first.
         self._idle: dict[CallerConnection, None] = {}
-        self._max_connections = options.max_connections or _max_connections()
+        self._max_connections = options.max_connections or connection_limit(
+            _MAX_CONNECTIONS, of_descriptors=_OF_DESCRIPTORS
+        )
         self._socket: socket.socket | None = None
         self._opening: set[asyncio.Task[Any]] = set()
 
@@ -226,11 +229,3 @@
         """Give up requests whose missing response holds back complete ones."""
         for connection in list(self.connections):
             connection.give_up_blocking()
-
-
-def _max_connections() -> int:
-    soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft_limit == resource.RLIM_INFINITY:
-        return _MOST_CONNECTIONS
-    usable = int(soft_limit * _CONNECTION_DESCRIPTORS_FRACTION)
-    return min(_MOST_CONNECTIONS, usable)
--- a/oleanderpin/tests/core/test_process_resources.py
+++ b/oleanderpin/tests/core/test_process_resources.py
@@ -4,6 +4,7 @@
 import os
 import resource
 import threading
+from fractions import Fraction
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -14,6 +15,7 @@
 from oleanderpin.core import process_usage
 from oleanderpin.core.process_resources import (
     ProcessResources,
+    connection_limit,
     read_resources,
 )
 from oleanderpin.core.process_usage import ProcessMonitor
@@ -158,3 +160,17 @@
     ProcessMonitor(kernel).start()
     assert ended.wait(5)
     assert 'background thread process-monitor failed' in caplog.text
+
+
+@pytest.mark.parametrize(
+    ('descriptors', 'connections'),
+    [(1023, 341), (100_000, 1024), (resource.RLIM_INFINITY, 1024)],
+)
+def test_connections_leave_descriptors(
+    monkeypatch: pytest.MonkeyPatch, descriptors: int, connections: int
+) -> None:
+    """Guards against listeners that refuse all without a limit."""
+    monkeypatch.setattr(
+        resource, 'getrlimit', lambda _kind: (descriptors, descriptors)
+    )
+    assert connection_limit(1024, of_descriptors=Fraction(1, 3)) == connections
--- a/oleanderpin/wire/server.py
+++ b/oleanderpin/wire/server.py
@@ -1,10 +1,10 @@
 """Thrift server for requests from peers, with one thread per connection."""
 
 import logging
-import resource
 import socket
 import threading
 import time
+from fractions import Fraction
 from typing import Any
 
 from thrift.Thrift import TException
@@ -13,6 +13,7 @@
 
 from ..core.metrics import EVENTS
 from ..core.plugin import Plugin, plugins
+from ..core.process_resources import connection_limit
 from .inbound import InboundConnection, InboundPool
 from .transport import CountingSocket, framed_protocol
 
@@ -20,7 +21,7 @@
 _BACKLOG_CONNECTIONS = 128
 _MAX_CONNECTIONS = 1024
 # Leaves descriptors for callers, operators and targets.
-_DESCRIPTOR_FRACTION = 3
+_OF_DESCRIPTORS = Fraction(1, 3)
 _ACCEPT_RETRY_S = 0.05
 _MALFORMED = (TException, ValueError, TypeError, OverflowError)
 # Idle peer connections are closed so that unresponsive peers do not occupy
@@ -37,10 +38,9 @@
         super().__init__(kernel)
         self._processor = TMultiplexedProcessor()
         self._listener: socket.socket | None = None
-        soft_limit, _hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
         self._pool = InboundPool(
-            max_connections=min(
-                _MAX_CONNECTIONS, soft_limit // _DESCRIPTOR_FRACTION
+            max_connections=connection_limit(
+                _MAX_CONNECTIONS, of_descriptors=_OF_DESCRIPTORS
             ),
             max_held_bytes=kernel.settings.peers.max_received_bytes,
         )
