--- a/oleanderpin/gateway/rate_limited_log.py
+++ b/oleanderpin/gateway/rate_limited_log.py
@@ -2,15 +2,13 @@
 
 import logging
 
-from ..core.clock import monotonic_s
+from ..core.log_rate import LineRate
 
-# Lines per second of each kind; the next line reports how many were dropped.
-_LINES_PER_S = 5.0
 _BURST_LINES = 10.0
 
 
 class RateLimitedLog:
-    """Limits the rate of log lines of each kind with a token bucket.
+    """Limits the rate of log lines of each kind.
 
     Parameters
     ----------
@@ -21,7 +19,7 @@
     def __init__(self, logger: logging.Logger) -> None:
         """Start with a full bucket for each kind."""
         self._logger = logger
-        self._buckets: dict[str, tuple[float, float, int]] = {}
+        self._rate = LineRate(_BURST_LINES)
 
     def write(self, kind: str, **fields: object) -> None:
         """Write a line, or count it as dropped if its kind is over the rate.
@@ -33,15 +31,9 @@
         **fields : object
             Extra fields of the line.
         """
-        now_s = monotonic_s()
-        tokens, refilled_s, left_out = self._buckets.get(
-            kind, (_BURST_LINES, now_s, 0)
-        )
-        tokens = min(_BURST_LINES, tokens + (now_s - refilled_s) * _LINES_PER_S)
-        if tokens < 1:
-            self._buckets[kind] = (tokens, now_s, left_out + 1)
+        left_out = self._rate.take(kind)
+        if left_out is None:
             return
         if left_out:
             fields['left_out'] = left_out
-        self._buckets[kind] = (tokens - 1, now_s, 0)
         self._logger.info(kind, extra=fields)
