Find the end of a chunked body in one place

ChunkedBody.has_arrived parsed chunks beside ChunkScanner, on a copy of the whole buffer. It asks the scanner now, which tells a malformed body from one that has ended; a line or trailer beyond the reader's limits counts as not arrived, and is refused when it is read, as before.

--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -32,6 +32,7 @@
     def __init__(self, start: int) -> None:
         """Expect the size of the first chunk."""
         self.position = start
+        self.is_malformed = False
         self._trailer_start: int | None = None
 
     def scan(self, buffer: bytearray) -> bool:
@@ -49,6 +50,7 @@
                 limit = _MAX_TRAILER_BYTES - self.position + self._trailer_start
             last = len(buffer) if end < 0 else end
             if last - self.position >= limit:
+                self.is_malformed = True
                 return True
             if end < 0:
                 return False
@@ -63,6 +65,7 @@
             return not line
         match = _CHUNK_SIZE.match(line)
         if match is None:
+            self.is_malformed = True
             return True
         size = int(match.group(1), 16)
         if size:
@@ -298,18 +301,8 @@
 
     def has_arrived(self) -> bool:
         """Return whether the whole body is buffered; before it is read."""
-        buffered = self._reader.peek(len(self._reader))
-        position = 0
-        while position < len(buffered):
-            line_end = buffered.find(b'\r\n', position)
-            match = _CHUNK_SIZE.match(buffered[position : max(0, line_end)])
-            if match is None:
-                return False
-            size = int(match.group(1), 16)
-            if not size:
-                return b'\r\n\r\n' in buffered[line_end:]
-            position = line_end + 2 + size + 2
-        return False
+        scanner = ChunkScanner(0)
+        return self._reader.scan(scanner) and not scanner.is_malformed
 
     def limit_time(self, timeout_s: float) -> None:
         """Raise TimeoutError from reads that wait after ``timeout_s``."""
