--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -2,7 +2,6 @@
 
 import errno
 import logging
-import re
 import select
 import socket
 import threading
@@ -16,7 +15,7 @@
 from .clock import monotonic_s
 from .http_connection import CallerConnection, InFlightRequests
 from .http_head import bad_request
-from .http_waiting import WaitingBytes, WholeBodies
+from .http_waiting import CONTENT_LENGTH, EXPECT, WaitingBytes, WholeBodies
 from .metrics import EVENTS
 from .process_resources import connection_limit
 
@@ -39,10 +38,6 @@
 _MAX_BLOCKED_S = 1.0
 _MAX_WAITING_BYTES = 16 * 1024 * 1024
 _RECEIVE_BYTES = 65536
-_CONTENT_LENGTH = re.compile(
-    rb'\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n', re.IGNORECASE
-)
-_EXPECT = re.compile(rb'\nexpect:', re.IGNORECASE)
 
 
 def _is_readable(sock: socket.socket) -> bool:
@@ -314,8 +309,8 @@
         if self.whole_bodies is not None:
             return self.whole_bodies.has_arrived(conn, head_end)
         head = conn.rfile.peek(head_end)
-        match = _CONTENT_LENGTH.search(head)
-        if match is None or _EXPECT.search(head):
+        match = CONTENT_LENGTH.search(head)
+        if match is None or EXPECT.search(head):
             return True
         length = int(match.group(1))
         missing = head_end + length - len(conn.rfile)
--- a/oleanderpin/core/http_waiting.py
+++ b/oleanderpin/core/http_waiting.py
@@ -8,13 +8,14 @@
 from .http_stream import ChunkScanner
 from .metrics import EVENTS
 
-_CONTENT_LENGTH = re.compile(
+# Fields in the bytes of a head that is not parsed yet.
+CONTENT_LENGTH = re.compile(
     rb'\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n', re.IGNORECASE
 )
 _CHUNKED = re.compile(
     rb'\ntransfer-encoding:[ \t]*chunked[ \t]*\r\n', re.IGNORECASE
 )
-_EXPECT = re.compile(rb'\nexpect:', re.IGNORECASE)
+EXPECT = re.compile(rb'\nexpect:', re.IGNORECASE)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Chunk sizes may take as many bytes as the body.
 _MAX_CHUNKED_FACTOR = 2
@@ -48,14 +49,14 @@
         if _CHUNKED.search(head):
             has_arrived = self._has_last_chunk(conn, head_end)
         else:
-            match = _CONTENT_LENGTH.search(head)
+            match = CONTENT_LENGTH.search(head)
             length = int(match.group(1)) if match else 0
             self._check_length(conn, length, limit=self._max_body_bytes)
             conn.awaited_bytes = head_end + length
             has_arrived = head_end + length <= len(conn.rfile)
         if has_arrived or conn.pending_refusal is not None:
             return True
-        if _EXPECT.search(head) and not conn.has_continued:
+        if EXPECT.search(head) and not conn.has_continued:
             conn.ask_for_body(_CONTINUE)
         return False
 
