--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -331,8 +331,8 @@
     def _check_incoming(self, incoming: IncomingRequest) -> bool:
         """Charge for the request being read; reject it beyond the limits."""
         status = incoming.violation()
-        most_bytes = incoming.limits.max_header_bytes
-        if incoming.is_in_head and self._header_bytes > most_bytes:
+        max_bytes = incoming.limits.max_header_bytes
+        if incoming.is_in_head and self._header_bytes > max_bytes:
             status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if status is not None:
             self._reject(status)
--- a/oleanderpin/gateway/incoming_request.py
+++ b/oleanderpin/gateway/incoming_request.py
@@ -95,17 +95,17 @@
 
     def violation(self) -> HTTPStatus | None:
         """Return the status for a request beyond the limits, else None."""
-        most_bytes = self.limits.max_header_bytes
+        max_bytes = self.limits.max_header_bytes
         if (
-            self._fields_bytes > most_bytes
-            or self._trailer_bytes > most_bytes
-            or self._unparsed_bytes > most_bytes
+            self._fields_bytes > max_bytes
+            or self._trailer_bytes > max_bytes
+            or self._unparsed_bytes > max_bytes
         ):
             return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         if len(self.body) > self.limits.max_body_bytes:
             return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        most_pieces = _MAX_SMALL_PIECES + len(self.body) // _MIN_PIECE_BYTES
+        max_pieces = _MAX_SMALL_PIECES + len(self.body) // _MIN_PIECE_BYTES
         is_chunked = not self.request.declared_body_bytes
-        if is_chunked and self._pieces > most_pieces:
+        if is_chunked and self._pieces > max_pieces:
             return HTTPStatus.BAD_REQUEST
         return None
