--- a/oleanderpin/testing/entry_process.py
+++ b/oleanderpin/testing/entry_process.py
@@ -10,6 +10,7 @@
 
 import urllib3
 
+from . import process_readings
 from .builders import free_ports, settings_text
 from .targets import Behaviour, FakeTarget, answer_ok
 
@@ -123,21 +124,15 @@
 
     def resident_mb(self) -> float:
         """Return the largest resident memory since the start."""
-        status = Path(f'/proc/{self.pid}/status').read_text()
-        line = next(
-            each for each in status.splitlines() if each.startswith('VmHWM')
-        )
-        return int(line.split()[1]) * 1024 / _BYTES_PER_MB
+        return process_readings.memory_bytes(self.pid) / _BYTES_PER_MB
 
     def descriptors(self) -> int:
         """Return the number of open descriptors."""
-        return len(list(Path(f'/proc/{self.pid}/fd').iterdir()))
+        return process_readings.open_descriptors(self.pid)
 
     def processor_s(self) -> float:
         """Return the processor time used since the start."""
-        fields = Path(f'/proc/{self.pid}/stat').read_text().rsplit(')')[1]
-        user, system = fields.split()[11:13]
-        return (int(user) + int(system)) / 100
+        return process_readings.processor_s(self.pid)
 
     def log_bytes(self) -> int:
         """Return the size of the log."""
--- a/oleanderpin/testing/gateway_process.py
+++ b/oleanderpin/testing/gateway_process.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from ..control.configuration import LimitsDocument, ProfileDocument
+from . import process_readings
 from .builders import free_ports
 from .gateway import LoopbackTarget, configuration, gateway_settings
 from .processes import AdminError, DaemonProcess, stop_all
@@ -21,7 +22,7 @@
 _POLL_S = 0.1
 _TARGET_SLOTS = 1000
 _REQUEST_TIMEOUT_S = 30.0
-_KB_PER_MB = 1024
+_BYTES_PER_MB = 1024 * 1024
 # The line of the settings that the options replace.
 _SMALL_BUDGET = 'max_buffered_bytes = 1048576'
 _REPEATABLE = ProfileDocument(
@@ -52,15 +53,11 @@
 
     def peak_memory_mb(self) -> float:
         """Return the largest resident memory so far."""
-        status = Path(f'/proc/{self.daemon.pid}/status').read_text()
-        peak = next(
-            line for line in status.splitlines() if line.startswith('VmHWM')
-        )
-        return int(peak.split()[1]) / _KB_PER_MB
+        return process_readings.memory_bytes(self.daemon.pid) / _BYTES_PER_MB
 
     def open_descriptors(self) -> int:
         """Return the number of open descriptors."""
-        return len(list(Path(f'/proc/{self.daemon.pid}/fd').iterdir()))
+        return process_readings.open_descriptors(self.daemon.pid)
 
 
 @contextmanager
--- a/oleanderpin/testing/listener_crowds.py
+++ b/oleanderpin/testing/listener_crowds.py
@@ -1,7 +1,6 @@
 """Crowds of clients that do not behave, against one real daemon."""
 
 import contextlib
-import os
 import resource
 import socket
 import struct
@@ -17,11 +16,13 @@
 
 from ..wire.generated.raft.Raft import Client
 from ..wire.transport import framed_protocol
+from . import process_readings
 from .builders import free_network
 from .processes import PEER_PORT, DaemonProcess, build_processes
 
 _START_TIMEOUT_S = 30.0
 _POLL_S = 0.1
+_BYTES_PER_MB = 1024 * 1024
 _CLIENT_TIMEOUT_S = 5.0
 _FRAME_HEADER = struct.Struct('!i')
 # Version and type of a call in the compact protocol, and its number.
@@ -145,21 +146,17 @@
 
 def memory_mb(daemon: DaemonProcess, *, peak: bool = True) -> float:
     """Return its resident memory, by default the largest so far."""
-    name = 'VmHWM:' if peak else 'VmRSS:'
-    status = Path(f'/proc/{daemon.pid}/status').read_text()
-    return int(status.partition(name)[2].split()[0]) / 1024
+    return process_readings.memory_bytes(daemon.pid, peak=peak) / _BYTES_PER_MB
 
 
 def descriptors(daemon: DaemonProcess) -> int:
     """Return the number of its open descriptors."""
-    return len(list(Path(f'/proc/{daemon.pid}/fd').iterdir()))
+    return process_readings.open_descriptors(daemon.pid)
 
 
 def processor_s(daemon: DaemonProcess) -> float:
     """Return the processor time that the daemon has used."""
-    status = Path(f'/proc/{daemon.pid}/stat').read_text()
-    user, system = status.rpartition(')')[2].split()[11:13]
-    return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
+    return process_readings.processor_s(daemon.pid)
 
 
 def log_lines(daemon: DaemonProcess) -> int:
