Notice signals whichever thread the kernel interrupts

Callers lost requests that a gateway had passed on: after SIGTERM it served on as before, until it was killed at the end of the grace period.

Cause: the main thread waited for a lock without limit. Python runs handlers of signals in the main thread only, and a wait for a lock ends only if the kernel interrupts that very thread. A process that is paused (SIGSTOP), or whose main thread has another signal to handle, gets its signal in any thread; the handler then never ran.

Now the main thread reads a pipe that gets a byte with each signal in whichever thread (signal.set_wakeup_fd), so that it wakes up and runs the handlers.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -106,19 +106,20 @@
 
 def _run(settings: Settings) -> int:
     SIGNALS.install()
-    stopped = threading.Event()
+    is_stop_logged = threading.Event()
     threading.Thread(
-        target=_log_signals, args=(stopped,), name='signals', daemon=True
+        target=_log_signals, args=(is_stop_logged,), name='signals', daemon=True
     ).start()
     if SIGNALS.is_stop_received:
-        stopped.wait()
+        is_stop_logged.wait()
         return 0
     try:
         kernel = _start(settings)
     except Exception:
         _LOG.exception('cannot start the instance')
         return _EXIT_START_FAILED
-    stopped.wait()
+    SIGNALS.wait_for_stop()
+    is_stop_logged.wait()
     return _stop(kernel)
 
 
@@ -149,7 +150,7 @@
     return kernel
 
 
-def _log_signals(stopped: threading.Event) -> None:
+def _log_signals(is_stop_logged: threading.Event) -> None:
     """Log signals, also while the instance starts or drains."""
     while True:
         received = SIGNALS.wait()
@@ -164,7 +165,7 @@
             },
         )
         if received.is_stop:
-            stopped.set()
+            is_stop_logged.set()
 
 
 if __name__ == '__main__':
--- a/oleanderpin/signals.py
+++ b/oleanderpin/signals.py
@@ -13,6 +13,8 @@
 from typing import NoReturn
 
 _STOPS = frozenset((signal.SIGTERM, signal.SIGINT))
+_MAX_WAKEUPS = 4096
+_NOT_OPEN = -1
 
 
 class ReceivedSignal:
@@ -52,7 +54,14 @@
 
 
 class Signals:
-    """Notes the signals that the process is sent, in their order."""
+    """Notes the signals that the process is sent, in their order.
+
+    Notes
+    -----
+    The kernel may interrupt any thread with a signal, but handlers written in
+    Python run in the main thread only, once it executes bytecode. So it must
+    not wait for a lock without limit, see `wait_for_stop`.
+    """
 
     def __init__(self) -> None:
         """Start without signals."""
@@ -60,9 +69,17 @@
         # interrupts another use of it.
         self._received: queue.SimpleQueue[ReceivedSignal] = queue.SimpleQueue()
         self.is_stop_received = False
+        # Pipe that gets a byte with each signal, whichever thread has it.
+        self._wakeups = _NOT_OPEN
 
     def install(self) -> None:
         """Note signals from now on, and print a native crash to stderr."""
+        if self._wakeups == _NOT_OPEN:
+            wakeups, written = os.pipe()
+            self._wakeups = wakeups
+            os.set_blocking(written, False)
+            # A pipe that is full wakes the main thread as well.
+            signal.set_wakeup_fd(written, warn_on_full_buffer=False)
         for number in (signal.SIGHUP, *_STOPS):
             signal.signal(number, self.note)
         faulthandler.enable()
@@ -78,6 +95,15 @@
         """Return the next signal, as soon as there is one."""
         return self._received.get()
 
+    def wait_for_stop(self) -> None:
+        """Wait until the process is asked to end.
+
+        Only for the main thread, after `install`.
+        """
+        while not self.is_stop_received:
+            # The handlers run as soon as this call has returned.
+            os.read(self._wakeups, _MAX_WAKEUPS)
+
 
 SIGNALS = Signals()
 
--- a/platform_tests/test_signals.py
+++ b/platform_tests/test_signals.py
@@ -1,4 +1,4 @@
-"""Failures: a signal in the start ends the process, without a line about it."""
+"""Failures: a signal ends the process without a line, or is not noticed."""
 
 import json
 import os
@@ -20,6 +20,7 @@
 _TIMEOUT_S = 30.0
 _POLL_S = 0.002
 _BETWEEN_SIGNALS_S = 0.01
+_SIGNALS_IN_SERIES = 5
 _MODULE = ['-m', 'oleanderpin.daemon', '--settings']
 _CONSOLE = 'from oleanderpin.start import main; main()'
 _COMMANDS = {
@@ -66,6 +67,15 @@
         """Wait until the instance serves."""
         _wait_until(daemon.is_fresh, self)
 
+    def pause(self) -> None:
+        """Suspend the process and wait until it is."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
+
+    def names_of_signals(self) -> list[str]:
+        """Return the signals that the process has noticed, in their order."""
+        return [each['signal'] for each in self.lines('signal received')]
+
     def lines(self, message: str) -> list[dict[str, Any]]:
         """Return the log lines with a message."""
         found = []
@@ -86,6 +96,13 @@
         time.sleep(_POLL_S)
 
 
+def _wait_until_noticed(started: _Started, number: signal.Signals) -> None:
+    end_s = time.monotonic() + _TIMEOUT_S
+    while number.name not in started.names_of_signals():
+        assert time.monotonic() < end_s, f'{number.name} is not noticed'
+        time.sleep(_POLL_S)
+
+
 @contextmanager
 def _started(folder: Path, entry_point: str) -> Iterator[_Started]:
     started = _Started(folder, entry_point)
@@ -140,8 +157,7 @@
         _wait_until(lambda: started.lines('signal received'), started)
         started.process.send_signal(signal.SIGTERM)
         assert started.process.wait(_TIMEOUT_S) == 0
-        names = [each['signal'] for each in started.lines('signal received')]
-        assert names == ['SIGHUP', 'SIGTERM']
+        assert started.names_of_signals() == ['SIGHUP', 'SIGTERM']
         steps = (
             'instance started',
             'drain begun',
@@ -152,6 +168,39 @@
         assert all(len(started.lines(each)) == 1 for each in steps)
 
 
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
+@pytest.mark.parametrize('entry_point', _COMMANDS)
+def test_signal_to_a_paused_instance_is_noticed(
+    tmp_path: Path, entry_point: str, number: signal.Signals
+) -> None:
+    """Guards against an instance that serves on after SIGTERM until it is killed.
+
+    When a paused process goes on, any of its threads may get the signal.
+    """
+    with _started(tmp_path, entry_point) as started:
+        started.wait_until_fresh(started.daemon)
+        started.pause()
+        started.process.send_signal(number)
+        started.process.send_signal(signal.SIGCONT)
+        _wait_until_noticed(started, number)
+        started.process.send_signal(signal.SIGTERM)
+        assert started.process.wait(_TIMEOUT_S) == 0
+
+
+def test_stop_behind_other_signals_is_noticed(tmp_path: Path) -> None:
+    """Guards against a stop that is lost behind a series of reloads.
+
+    Another thread may get a signal while the main thread has one to handle.
+    """
+    with _started(tmp_path, 'module') as started:
+        started.wait_until_fresh(started.daemon)
+        for _each in range(_SIGNALS_IN_SERIES):
+            started.process.send_signal(signal.SIGHUP)
+        started.process.send_signal(signal.SIGTERM)
+        _wait_until_noticed(started, signal.SIGTERM)
+        assert started.process.wait(_TIMEOUT_S) == 0
+
+
 @pytest.mark.parametrize('entry_point', _COMMANDS)
 def test_signals_until_the_end_do_not_change_the_exit_code(
     tmp_path: Path, entry_point: str
