Log why a connection outlasts a drain

It now has whether the connection is closing, the age of an incomplete request, and what is unread, unsent and undelivered.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -149,6 +149,22 @@
         now_s = monotonic_s()
         return [now_s - each.request.received_s for each in self._pending]
 
+    def state_fields(self) -> dict[str, object]:
+        """Return what keeps the connection open, for the log."""
+        return {
+            'caller': self._caller_host,
+            'is_closing': self._is_closing,
+            'is_awaiting_admission': self._is_awaiting_admission,
+            'is_output_full': self._is_output_full,
+            'request_age_ms': int(self.request_age_s * 1000),
+            'pending_ages_ms': [
+                int(age_s * 1000) for age_s in self.pending_ages_s
+            ],
+            'unread_bytes': self._unread_bytes(),
+            'unsent_bytes': self.unsent_bytes,
+            'undelivered_bytes': self.undelivered_bytes,
+        }
+
     def connection_made(self, transport: Any) -> None:
         """Register with the listener and start the idle time-out."""
         self._transport = transport
--- a/oleanderpin/gateway/plugin.py
+++ b/oleanderpin/gateway/plugin.py
@@ -229,12 +229,7 @@
         for connection in self.listener.connections:
             _LOG.warning(
                 'drain ended before a connection',
-                extra={
-                    'pending_ages_ms': [
-                        int(age_s * 1000) for age_s in connection.pending_ages_s
-                    ],
-                    'unsent_bytes': connection.unsent_bytes,
-                },
+                extra=connection.state_fields(),
             )
 
     async def _run_maintenance(self) -> None:
