Close a refused upload whose caller has reset at once

Cause: a gateway does not read the body of an upload that it refuses, so that it does not notice when the caller leaves. Its refusal makes the caller's kernel reset the connection; the bytes of the refusal then count as undelivered until the idle time-out, and keep the connection open.

Bytes that wait on a connection that is reset are no longer counted, on the event loop and on the threaded path.

--- a/oleanderpin/core/socket_queues.py
+++ b/oleanderpin/core/socket_queues.py
@@ -1,6 +1,7 @@
 """Bytes that the kernel holds for a TCP socket, see tcp(7)."""
 
 import array
+import errno
 import fcntl
 import socket
 import struct
@@ -24,7 +25,8 @@
 def undelivered_bytes(connected: socket.socket) -> int:
     """Return the written bytes that the peer has not acknowledged.
 
-    The end of the outgoing direction counts as one byte.
+    The end of the outgoing direction counts as one byte. Of a connection that
+    the peer has reset, nothing can be delivered any more.
 
     Raises
     ------
@@ -32,7 +34,10 @@
         If the socket is closed.
     """
     # The same number as SIOCOUTQ.
-    return _queued_bytes(connected, termios.TIOCOUTQ)
+    queued_bytes = _queued_bytes(connected, termios.TIOCOUTQ)
+    if queued_bytes and _is_reset(connected):
+        return 0
+    return queued_bytes
 
 
 def reset_on_close(connected: socket.socket) -> None:
@@ -54,6 +59,17 @@
         return has_changed
 
 
+def _is_reset(connected: socket.socket) -> bool:
+    """Return whether the connection has ended without a close on this side."""
+    try:
+        connected.getpeername()
+    except OSError as error:
+        if error.errno != errno.ENOTCONN:
+            raise
+        return True
+    return False
+
+
 def _queued_bytes(connected: socket.socket, request: int) -> int:
     size = array.array('i', [0])
     fcntl.ioctl(connected.fileno(), request, size)
--- a/oleanderpin/tests/gateway/test_closing_connections.py
+++ b/oleanderpin/tests/gateway/test_closing_connections.py
@@ -30,6 +30,9 @@
 BODY = b'x' * 1_000_000
 # For a request to arrive, and for the drain to ask the loop to close.
 _ARRIVAL_S = 0.2
+_POLL_S = 0.05
+# The idle time-out of the configuration is a minute.
+_CLOSE_S = 30.0
 
 
 class LargeTarget(ScriptedHttpTarget):
@@ -206,3 +209,23 @@
     with connection:
         assert read_message(connection, bytearray()).endswith(BODY)
     draining.join(60)
+
+
+def test_refused_upload_of_a_caller_that_left_is_closed(
+    gateway: GatewayFixture,
+) -> None:
+    """Guards against a stop that takes its whole grace period.
+
+    The refusal of an upload that is not read stayed undelivered, and the reset
+    was not noticed, until the idle time-out.
+    """
+    upload = request_bytes(method='POST', key='', body=BODY)
+    listener = gateway.kernel.plugin(Gateway).listener
+    connection = gateway.connect()
+    wait_until('the connection', lambda: listener.connections)
+    with held_loop(gateway), connection:
+        connection.sendall(upload[: len(upload) // 10])
+    end_s = time.monotonic() + _CLOSE_S
+    while listener.connections and time.monotonic() < end_s:
+        time.sleep(_POLL_S)
+    assert not listener.connections
