Start deployed processes without the files of installed packages

The option -S leaves them out; libraries come from the path anyway. The tests of signals now run the deployed command.

--- a/platform_tests/test_signals.py
+++ b/platform_tests/test_signals.py
@@ -5,7 +5,9 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
+import tomllib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -23,11 +25,15 @@
 _SIGNALS_IN_SERIES = 5
 _MODULE = ['-m', 'oleanderpin.daemon', '--settings']
 _CONSOLE = 'from oleanderpin.start import main; main()'
+_DEPLOYMENT = tomllib.loads((_ROOT / 'deploy' / 'system.toml').read_text())
+_PLATFORM = _DEPLOYMENT['roles']['gateway']['run'].split()[1:]
 _COMMANDS = {
     'module': _MODULE,
     'console': ['-c', _CONSOLE, '--settings'],
-    'platform': ['platform/run.py'],
+    'platform': _PLATFORM,
 }
+# Where the platform has the libraries, and all that is on the path there.
+_LIBRARIES = sysconfig.get_path('purelib')
 # Modules that are imported early, in the middle and late.
 _MOMENTS = ('pydantic', 'uvloop', 'oleanderpin.targets.table')
 
@@ -53,7 +59,8 @@
             self.process = subprocess.Popen(
                 command,
                 cwd=_ROOT,
-                env=os.environ | {'OLEANDERPIN_BOOT': settings},
+                env=os.environ
+                | {'OLEANDERPIN_BOOT': settings, 'PYTHONPATH': _LIBRARIES},
                 stdout=log_file,
                 stderr=log_file,
             )
@@ -168,6 +175,23 @@
         assert all(len(started.lines(each)) == 1 for each in steps)
 
 
+def test_deployed_processes_skip_what_delays_their_first_line() -> None:
+    """Guards against an instance that SIGHUP ends before it notes signals.
+
+    Python runs the start-up files of installed packages before any code of ours.
+    """
+    for role in _DEPLOYMENT['roles'].values():
+        _interpreter, *arguments = role['run'].split()
+        options = arguments[: arguments.index('platform/run.py')]
+        shown = subprocess.run(
+            [sys.executable, *options, '-c', 'import sys; print(*sys.modules)'],
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        assert 'site' not in shown.stdout.split()
+
+
 @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
 @pytest.mark.parametrize('entry_point', _COMMANDS)
 def test_signal_to_a_paused_instance_is_noticed(
