Let the soak stop processes that are paused or have signals to handle

The soak disturbed a process in one way at a time, and killed without a report one that did not stop within 20 s, so it could not see that a stop was missed. Stops now come in three ways in turn: alone, in a pause, and behind five SIGHUP; one that does not end with exit code 0 is a problem.

--- a/oleanderpin/testing/processes.py
+++ b/oleanderpin/testing/processes.py
@@ -123,15 +123,21 @@
         self.send_signal(signal.SIGKILL)
         self.wait()
 
-    def wait(self) -> None:
-        """Wait until the daemon has ended; kill it if that takes too long."""
+    def wait(self) -> int:
+        """Wait until the daemon has ended; kill it if that takes too long.
+
+        Returns
+        -------
+        int
+            Exit code, 0 also for a daemon that was never started.
+        """
         if self.process is None:
-            return
+            return 0
         try:
-            self.process.wait(_STOP_TIMEOUT_S)
+            return self.process.wait(_STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             self.process.kill()
-            self.process.wait()
+            return self.process.wait()
 
     def call(
         self,
--- a/soak/changes.py
+++ b/soak/changes.py
@@ -49,6 +49,7 @@
 _FAULT_INTERVAL_S = (0.5, 2.0)
 _FAULT_LENGTH_S = (1.0, 5.0)
 _MAX_FAULTY_GATEWAYS = 4
+_RELOADS = 5
 _CONVERGE_TIMEOUT_S = 20.0
 _ANSWER_TIMEOUT_S = 1.0
 _UNANSWERED_TIMEOUT_S = 30.0
@@ -83,8 +84,9 @@
 class Fleet:
     """The daemons and when each of them was last disturbed."""
 
-    def __init__(self, folder: Path, network: str) -> None:
+    def __init__(self, folder: Path, network: str, seen: Observations) -> None:
         """Write the settings; `start` starts the daemons."""
+        self.seen = seen
         self.daemons = build_processes(
             folder,
             network=network,
@@ -92,6 +94,7 @@
             gateways=GATEWAYS,
             domains=_DOMAINS,
         )
+        self.stops = itertools.count()
         self.starts: defaultdict[str, int] = defaultdict(int)
         self.kills: defaultdict[str, int] = defaultdict(int)
         self._disturbed_s: dict[str, float] = {}
@@ -332,13 +335,40 @@
     daemon.start()
 
 
-def _terminate(fleet: Fleet, daemon: DaemonProcess, _length_s: float) -> None:
-    daemon.send_signal(signal.SIGTERM)
-    daemon.wait()
+def _terminate(fleet: Fleet, daemon: DaemonProcess, length_s: float) -> None:
+    send_stop = _STOPS[next(fleet.stops) % len(_STOPS)]
+    send_stop(daemon, length_s)
+    exit_code = daemon.wait()
+    if exit_code:
+        fleet.seen.add_problem(
+            f'{daemon.name} ended with {exit_code} after SIGTERM '
+            f'({send_stop.__name__[1:]})'
+        )
     fleet.starts[daemon.name] += 1
     daemon.start()
 
 
+def _stop(daemon: DaemonProcess, _length_s: float) -> None:
+    daemon.send_signal(signal.SIGTERM)
+
+
+def _stop_while_paused(daemon: DaemonProcess, length_s: float) -> None:
+    daemon.send_signal(signal.SIGSTOP)
+    daemon.send_signal(signal.SIGTERM)
+    time.sleep(length_s)
+    daemon.send_signal(signal.SIGCONT)
+
+
+def _stop_behind_reloads(daemon: DaemonProcess, _length_s: float) -> None:
+    for _each in range(_RELOADS):
+        daemon.send_signal(signal.SIGHUP)
+    daemon.send_signal(signal.SIGTERM)
+
+
+# Taken in turn, so that a seed chooses the same faults as before.
+_STOPS = (_stop, _stop_while_paused, _stop_behind_reloads)
+
+
 def check_end(fleet: Fleet, seen: Observations) -> None:
     """Check that all instances hold what was confirmed."""
     names = {change.name for change in seen.confirmed}
@@ -372,7 +402,7 @@
         First three numbers of the loopback addresses.
     """
     seen = Observations()
-    fleet = Fleet(folder, network)
+    fleet = Fleet(folder, network, seen)
     stopped = threading.Event()
     try:
         fleet.start()
