--- a/oleanderpin/tests/gateway/test_response_output.py
+++ b/oleanderpin/tests/gateway/test_response_output.py
@@ -49,7 +49,7 @@
 def test_rate_counts_over_a_period(
     output: ResponseOutput, clock: Clock, taken_bytes: int, expected: bool
 ) -> None:
-    """Guards against a caller that takes a byte now and then for ever."""
+    """Guards against a caller that takes single bytes without end."""
     output.note_written(50_000, 50_000)
     assert not is_too_slow(output, 50_000)
     clock.now_s = PERIOD_S - 1
