--- a/oleanderpin/testing/gateway.py
+++ b/oleanderpin/testing/gateway.py
@@ -281,30 +281,6 @@
         super()._accept()
 
 
-class EndlessTarget(LoopbackTarget):
-    """Responds with a beginning and then one part again and again.
-
-    ``closed`` is set once the caller has closed a connection.
-    """
-
-    def __init__(self, beginning: bytes, part: bytes) -> None:
-        """Store what to send."""
-        super().__init__()
-        self.closed = threading.Event()
-        self._beginning = beginning
-        self._part = part
-
-    def serve(self, connection: socket.socket) -> None:
-        """Send until the caller closes the connection."""
-        read_message(connection, bytearray())
-        try:
-            connection.sendall(self._beginning)
-            while True:
-                connection.sendall(self._part)
-        finally:
-            self.closed.set()
-
-
 class CrashingTarget(LoopbackTarget):
     """Ends when it begins to run a deadly request, with all its connections.
 
--- a/oleanderpin/testing/gateway_process.py
+++ b/oleanderpin/testing/gateway_process.py
@@ -1,17 +1,22 @@
 """One gateway as a real process, with a target, for tests of its limits."""
 
 import resource
+import socket
 import threading
 import time
 import uuid
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
 import urllib3
 
-from ..control.configuration import LimitsDocument, ProfileDocument
+from ..control.configuration import (
+    ConfigurationReplace,
+    LimitsDocument,
+    ProfileDocument,
+)
 from . import process_readings
 from .builders import free_ports
 from .gateway import LoopbackTarget, configuration, gateway_settings
@@ -23,6 +28,7 @@
 _TARGET_SLOTS = 1000
 _REQUEST_TIMEOUT_S = 30.0
 _BYTES_PER_MB = 1024 * 1024
+OTHER_SERVICE = 'other'
 # The line of the settings that the options replace.
 _SMALL_BUDGET = 'max_buffered_bytes = 1048576'
 _REPEATABLE = ProfileDocument(
@@ -51,6 +57,10 @@
         process = self.daemon.process
         return process is not None and process.poll() is None
 
+    def connect(self, timeout_s: float) -> socket.socket:
+        """Open a connection to the caller port."""
+        return socket.create_connection(('127.0.0.1', self.port), timeout_s)
+
     def peak_memory_mb(self) -> float:
         """Return the largest resident memory so far."""
         return process_readings.memory_bytes(self.daemon.pid) / _BYTES_PER_MB
@@ -68,6 +78,7 @@
     options: tuple[str, ...] = (),
     limits: LimitsDocument | None = None,
     max_descriptors: int | None = None,
+    others: Mapping[str, LoopbackTarget] | None = None,
 ) -> Iterator[GatewayProcess]:
     """Run a gateway in a process of its own until the block ends.
 
@@ -76,13 +87,17 @@
     folder : Path
         Folder for settings, log and data.
     target : LoopbackTarget
-        Serves the requests; it is announced until the block ends.
+        Serves the requests below ``/desk/``; it is announced until the block
+        ends.
     options : tuple of str
         Further lines of the settings, beginning in the section ``gateway``.
     limits : LimitsDocument, optional
         Limits on the requests of callers.
     max_descriptors : int, optional
         Limit on the open descriptors of the process.
+    others : mapping, optional
+        By name, targets of the service ``other``, which serve the requests
+        below ``/other/``.
 
     Raises
     ------
@@ -101,11 +116,18 @@
     if max_descriptors is not None:
         _limit_descriptors(daemon.pid, max_descriptors)
     stopped = threading.Event()
+    documents = [_announcement('desk', 't1', target)]
+    documents.extend(
+        _announcement(OTHER_SERVICE, name, other)
+        for name, other in (others or {}).items()
+    )
     try:
-        _configure(daemon, limits)
-        _announce(daemon, target)
+        _configure(daemon, _change(limits))
+        _announce(daemon, documents)
         threading.Thread(
-            target=_keep_announcing, args=(daemon, target, stopped), daemon=True
+            target=_keep_announcing,
+            args=(daemon, documents, stopped),
+            daemon=True,
         ).start()
         yield GatewayProcess(daemon, ports[0])
     finally:
@@ -122,10 +144,30 @@
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, hard_limit))
 
 
-def _configure(daemon: DaemonProcess, limits: LimitsDocument | None) -> None:
+def _change(limits: LimitsDocument | None) -> ConfigurationReplace:
+    """Return a configuration with a route to each of the two services."""
     change = configuration(profile=_REPEATABLE)
+    objects = change.objects
+    route = objects.routes['desk'].model_copy(
+        update={
+            'path_prefix': f'/{OTHER_SERVICE}/',
+            'services': (OTHER_SERVICE,),
+        }
+    )
+    objects = objects.model_copy(
+        update={
+            'services': objects.services
+            | {OTHER_SERVICE: objects.services['desk']},
+            'routes': objects.routes | {OTHER_SERVICE: route},
+        }
+    )
+    update: dict[str, object] = {'objects': objects}
     if limits is not None:
-        change = change.model_copy(update={'limits': limits})
+        update['limits'] = limits
+    return change.model_copy(update=update)
+
+
+def _configure(daemon: DaemonProcess, change: ConfigurationReplace) -> None:
     document = {
         'request_id': uuid.uuid4().hex,
         'command': 'configuration.replace',
@@ -149,22 +191,32 @@
     return True
 
 
-def _announce(daemon: DaemonProcess, target: LoopbackTarget) -> None:
-    document = {
-        'service': 'desk',
-        'target_id': 't1',
+def _announcement(
+    service: str, name: str, target: LoopbackTarget
+) -> dict[str, object]:
+    return {
+        'service': service,
+        'target_id': name,
         'address': f'127.0.0.1:{target.port}',
         'region': 'north',
         'failure_domain': 'north-a',
         'slots': _TARGET_SLOTS,
     }
-    daemon.call('POST', '/targets/announce', document)
+
+
+def _announce(
+    daemon: DaemonProcess, documents: Sequence[dict[str, object]]
+) -> None:
+    for document in documents:
+        daemon.call('POST', '/targets/announce', document)
 
 
 def _keep_announcing(
-    daemon: DaemonProcess, target: LoopbackTarget, stopped: threading.Event
+    daemon: DaemonProcess,
+    documents: Sequence[dict[str, object]],
+    stopped: threading.Event,
 ) -> None:
     while not stopped.wait(_ANNOUNCE_INTERVAL_S):
         # The test sees a gateway that has ended or does not answer.
         with suppress(AdminError, urllib3.exceptions.HTTPError):
-            _announce(daemon, target)
+            _announce(daemon, documents)
--- a/oleanderpin/tests/gateway/test_endless_responses.py
+++ b/oleanderpin/tests/gateway/test_endless_responses.py
@@ -6,8 +6,8 @@
 
 from ...control.configuration import ProfileDocument
 from ...core.clock import monotonic_s
+from ...testing.endless_targets import EndlessTarget
 from ...testing.gateway import (
-    EndlessTarget,
     ScriptedHttpTarget,
     answer_bytes,
     configuration,
