Release what arrived of a response that is given up

Callers lost every request of an instance that was ended for want of memory: a target sent a body without end, and the instance held 500 to 750 MB, although its budget of 100 MB refused responses.

Cause: a response that exceeds a limit was taken off the budget at once, but its buffer stayed in the connection object. That is part of a cycle with its parser and lives until a full collection, which objects without growth in number hardly ever cause. Now the buffer, the fields and the reason are released with the budget's share; the fields of a complete response too, and what follows a failed response is dropped.

--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -202,7 +202,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body += body
+        if self._waiter is not None:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an interim one."""
@@ -223,6 +224,7 @@
             headers=self._headers,
             body=body,
         )
+        self._headers = []
         waiter = self._waiter
         if waiter is None:
             self.close()
@@ -261,9 +263,13 @@
         self._transport.close()
 
     def _fail(self, result: str) -> None:
+        """Fail the request in progress, and release what has arrived."""
         waiter = self._waiter
         self._waiter = None
         self._meter.end()
+        # The parser refers to this connection, so that what both hold would
+        # wait for a collection of cycles.
+        self._reset_message()
         if waiter is not None and not waiter.done():
             waiter.set_exception(TargetFailure(result, may_have_run=True))
         if not self.is_closed:
