Close connections on which a response has begun that nobody asked for

By reading: such a connection was neither kept for reuse nor closed; it stayed open, with what it held, until the target sent more or closed it. It is closed now. No caller's failure of this cause was seen.

--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -162,6 +162,9 @@
     def _release(self, address: str, connection: TargetConnection) -> None:
         if connection.is_usable:
             self._idle.setdefault(address, []).append(connection)
+        elif not connection.is_closed:
+            # The beginning of a response that belongs to no request.
+            connection.close()
 
     async def _connect(self, candidate: Candidate) -> TargetConnection:
         started_s = monotonic_s()
