Bound the work of the event loop for a response

Callers of sound targets got 503 (service_no_connection) or answers seconds late while other targets responded in chunks of one byte.

Cause: limits counted bytes, not work. 16 MB in chunks of one byte are 2.8 million pieces; a connection was read for as long as data arrived, up to 32 reads of 256 KB in one turn of the event loop; and zeros, extensions and interim responses were parsed up to 16 MB although they complete nothing.

Now a response has at most 65,536 fields and small pieces, and framing of at most 64 KB beyond the size of its body. Reads go into one buffer of 64 KB; a read of many pieces is followed by other work, and by short reads. A declared length beyond the limit fails at once. What is charged follows the buffer's real size.

--- a/oleanderpin/core/settings.py
+++ b/oleanderpin/core/settings.py
@@ -208,7 +208,11 @@
     # A caller that takes less of its responses over an idle time-out is closed.
     min_delivery_bytes_per_s: Annotated[float, Field(ge=0)] = 64.0
     max_response_bytes: Annotated[int, Field(ge=65536)] = 16 * 1024 * 1024
+    # Bounds the framing of a response too: interim responses, sizes of chunks
+    # and trailers, beyond the size of its body.
     max_response_head_bytes: Annotated[int, Field(ge=1024)] = 65536
+    # Fields and pieces below 256 bytes, which cost time rather than memory.
+    max_response_parts: Annotated[int, Field(ge=1024)] = 65536
     connect_timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
     idle_connection_s: Annotated[float, Field(ge=0.1, le=300)] = 4.0
     grace_s: Annotated[Seconds, Field(ge=0, le=3600)] = 6.0
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -204,8 +204,9 @@
     Parameters
     ----------
     result : str
-        ``no_connection``, ``reset``, ``timeout``, ``bad_answer`` or
-        ``too_large``, or ``no_memory`` if the process may hold no more.
+        ``no_connection``, ``reset``, ``timeout``, ``bad_answer``,
+        ``too_large`` or ``too_fragmented``, or ``no_memory`` if the process
+        may hold no more.
     may_have_run : bool
         Whether any byte of the request may have reached the target.
     """
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -40,6 +40,7 @@
 _DEADLINE_MARGIN_S = 0.1
 _MISDIRECTED_EJECTION_S = 5.0
 _FIRST_SERVER_ERROR = 500
+_UNREADABLE = frozenset(('bad_answer', 'too_large', 'too_fragmented'))
 # From this size on, sending the body to another failure domain costs more than
 # loading the object again at a local target.
 _LARGE_BODY_BYTES = 16384
@@ -375,8 +376,7 @@
             candidate.health.note_connection_failure(result, now_s)
         else:
             candidate.health.note_failure()
-        is_unreadable = result in {'bad_answer', 'too_large'}
-        outcome = 'reset' if is_unreadable else result
+        outcome = 'reset' if result in _UNREADABLE else result
         self._observe(routed, candidate, outcome, 0.0, None)  # type: ignore[arg-type]
         self._log.write(
             'attempt failed',
--- a/oleanderpin/gateway/response_budget.py
+++ b/oleanderpin/gateway/response_budget.py
@@ -1,59 +1,94 @@
 """Bounds on what targets may send before their responses are complete.
 
 Fault: a target sends bytes without end, in a head, a body, interim responses or
-responses that belong to no request, until its connection is closed.
+responses that belong to no request, until its connection is closed. Many small
+pieces cost time of the event loop rather than memory.
 """
 
+from dataclasses import dataclass
 from typing import Literal
 
-from ..core.memory_budget import MemoryBudget, MemoryShare
+from ..core.memory_budget import MemoryBudget
 from ..core.settings import GatewaySettings
 
+Excess = Literal['', 'too_large', 'too_fragmented', 'no_memory']
 
-Excess = Literal['', 'too_large', 'no_memory']
+_READ_BYTES = 65536
+# A read of many pieces is followed by other work of the event loop.
+_SHORT_READ_BYTES = 4096
+
+
+@dataclass(slots=True)
+class Received:
+    """What has arrived after one request, until its response is complete.
+
+    Parameters
+    ----------
+    wire_bytes : int
+        Bytes of all responses, with their framing.
+    payload_bytes : int
+        Bytes of bodies.
+    parts : int
+        Fields, interim responses and pieces of a body below 256 bytes.
+    """
+
+    wire_bytes: int = 0
+    payload_bytes: int = 0
+    parts: int = 0
+
+    @property
+    def framing_bytes(self) -> int:
+        """Bytes of heads, sizes of chunks and trailers."""
+        return self.wire_bytes - self.payload_bytes
 
 
 class ResponseBudget:
-    """Bytes of incomplete responses on all connections to targets.
+    """Memory of incomplete responses on all connections to targets.
 
     Parameters
     ----------
     settings : GatewaySettings
         The limits on one response.
     memory : MemoryBudget
-        Budget that the bytes count towards.
+        Budget that the memory counts towards.
     """
 
     def __init__(self, settings: GatewaySettings, memory: MemoryBudget) -> None:
-        """Start without bytes."""
+        """Start without responses."""
         self.settings = settings
         self.total_bytes = 0
-        self._memory = memory
+        self.memory = memory
+        self._read_buffer = memoryview(bytearray(_READ_BYTES))
 
     def start(self) -> 'ResponseMeter':
         """Return the meter of the response to one request."""
-        return ResponseMeter(self, self._memory.share())
+        return ResponseMeter(self)
+
+    def read_buffer(self, *, is_short: bool) -> memoryview:
+        """Return the buffer for the next read on any connection."""
+        size_bytes = _SHORT_READ_BYTES if is_short else _READ_BYTES
+        return self._read_buffer[:size_bytes]
 
 
 class ResponseMeter:
-    """Counts the memory of what is received after one request.
+    """Counts what is received after one request, and the memory of it.
 
     Parameters
     ----------
     budget : ResponseBudget
         Budget that all connections share.
-    share : MemoryShare
-        What the response holds of the process's memory.
     """
 
-    def __init__(self, budget: ResponseBudget, share: MemoryShare) -> None:
-        """Start without bytes."""
+    def __init__(self, budget: ResponseBudget) -> None:
+        """Start with nothing received."""
+        self.held_bytes = 0
+        self.received = Received()
         self._budget = budget
-        self._share = share
+        self._share = budget.memory.share()
         self._head_bytes = 0
 
     def add(
-        self, size_bytes: int, *, is_in_head: bool, overhead_bytes: int = 0
+        self, size_bytes: int, *, is_in_head: bool, held_bytes: int
     ) -> Excess:
         """Add received bytes; return which limit they exceed.
 
@@ -63,28 +98,49 @@
             Number of bytes received.
         is_in_head : bool
             Whether they end inside the head of a response.
-        overhead_bytes : int
-            Memory that they take beside their size.
+        held_bytes : int
+            Memory that the response takes now.
 
         Returns
         -------
         str
-            ``too_large`` for a limit on one response, ``no_memory`` for the
-            budget of the process, else empty.
+            ``too_large`` or ``too_fragmented`` for a limit on one response,
+            ``no_memory`` for the budget of the process, else empty.
         """
         self._head_bytes = self._head_bytes + size_bytes if is_in_head else 0
-        held_bytes = size_bytes + overhead_bytes
-        self._budget.total_bytes += held_bytes
-        is_within_budget = self._share.charge(held_bytes)
+        self.received.wire_bytes += size_bytes
+        excess = self._excess()
+        if excess:
+            return excess
+        change_bytes = held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
+        self._budget.total_bytes += change_bytes
+        if change_bytes < 0:
+            self._share.release(-change_bytes)
+        elif not self._share.charge(change_bytes):
+            return 'no_memory'
+        return ''
+
+    def end(self) -> None:
+        """Release the memory; the response is complete or given up."""
+        self._budget.total_bytes -= self.held_bytes
+        self.held_bytes = 0
+        self._share.close()
+
+    def _excess(self) -> Excess:
         settings = self._budget.settings
+        received = self.received
         if (
             self._head_bytes > settings.max_response_head_bytes
-            or self._share.held_bytes > settings.max_response_bytes
+            or received.wire_bytes > settings.max_response_bytes
         ):
             return 'too_large'
-        return '' if is_within_budget else 'no_memory'
-
-    def end(self) -> None:
-        """Release the bytes; the response is complete or given up."""
-        self._budget.total_bytes -= self._share.held_bytes
-        self._share.close()
+        max_framing_bytes = (
+            settings.max_response_head_bytes + received.payload_bytes
+        )
+        if (
+            received.parts > settings.max_response_parts
+            or received.framing_bytes > max_framing_bytes
+        ):
+            return 'too_fragmented'
+        return ''
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -16,7 +16,7 @@
     TargetFailure,
     TargetResponse,
 )
-from .response_budget import ResponseBudget
+from .response_budget import ResponseBudget, ResponseMeter
 from .traffic import TrafficMeter
 
 _STATUSES = range(100, 600)
@@ -24,9 +24,12 @@
 _BODYLESS_STATUSES = frozenset((204, 304))
 # Attempts of one request follow each other within fewer requests than this.
 _MAX_CARRIED_IDS = 32
+_SMALL_PIECE_BYTES = 256
+# A read with more fields and small pieces is followed by other work.
+_MAX_READ_PARTS = 64
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """Sends requests and reads their responses.
 
     A response with another request id is skipped: it belongs to an earlier
@@ -52,7 +55,7 @@
         self._traffic = traffic
         self._id_header = request_id_header
         self._budget = budget
-        self._meter = budget.start()
+        self._meter: ResponseMeter | None = None
         self._transport: Any = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[TargetResponse] | None = None
@@ -64,8 +67,7 @@
         self.idle_since_s = monotonic_s()
         self.idle_limit_s = float('inf')
         self.mismatched_responses = 0
-        # Memory of objects, beside the bytes of the last read.
-        self._uncounted_bytes = 0
+        self._reads_little = False
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport."""
@@ -106,6 +108,7 @@
         self._request_id = request_id
         self._carried_ids.append(request_id)
         self._is_head = is_head
+        self._reads_little = False
         self._meter = self._budget.start()
         self._waiter = asyncio.get_running_loop().create_future()
         self._traffic.add_bytes('to_targets', encoded.size_bytes)
@@ -126,28 +129,35 @@
             reset_on_close(connected)
         self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into, which all connections share."""
+        return self._budget.read_buffer(is_short=self._reads_little)
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Feed the parser; close on bytes outside of a request."""
-        self._traffic.add_bytes('from_targets', len(data))
-        if self._waiter is None:
+        self._traffic.add_bytes('from_targets', nbytes)
+        meter = self._meter
+        if self._waiter is None or meter is None:
             self.close()
             return
+        parts_before = meter.received.parts
+        data = self._budget.read_buffer(is_short=self._reads_little)[:nbytes]
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail('bad_answer')
-        overhead_bytes = self._uncounted_bytes
-        self._uncounted_bytes = 0
         if self._waiter is None:
             return
-        excess = self._meter.add(
-            len(data),
+        excess = meter.add(
+            nbytes,
             is_in_head=not self._has_head,
-            overhead_bytes=overhead_bytes,
+            held_bytes=self._held_bytes(),
         )
         if excess:
             EVENTS.labels('gateway', f'response_{excess}').inc()
             self._fail(excess)
+        elif meter.received.parts - parts_before > _MAX_READ_PARTS:
+            self._pause_reading()
 
     def eof_received(self) -> bool:
         """Complete a response that ends with the connection.
@@ -172,25 +182,26 @@
 
     def on_status(self, status: bytes) -> None:
         """Append a part of the reason phrase."""
-        self._reason += status
+        if self._count_part():
+            self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; drop a trailer.
 
         A caller would take trailers for headers, see RFC 9110, section 6.5.1.
         """
-        self._uncounted_bytes += FIELD_BYTES
-        if not self._has_head:
+        if self._count_part() and not self._has_head:
+            self._head_bytes += len(name) + len(value) + FIELD_BYTES
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the status and determine how the end is marked."""
         self._has_head = True
-        if self._parser.get_status_code() not in _STATUSES:
+        status = self._parser.get_status_code()
+        if status not in _STATUSES:
             self._fail('bad_answer')
             return
         names = {name for name, _value in self._headers}
-        status = self._parser.get_status_code()
         has_length = bool(names & {b'content-length', b'transfer-encoding'})
         self._ends_at_close = (
             not has_length
@@ -199,11 +210,18 @@
         )
         if self._is_head and status >= _FIRST_FINAL_STATUS:
             self._complete()
+        elif self._declared_bytes() > self._budget.settings.max_response_bytes:
+            self._fail('too_large')
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        if self._waiter is not None:
-            self._body += body
+        meter = self._meter
+        if self._waiter is None or meter is None:
+            return
+        meter.received.payload_bytes += len(body)
+        if len(body) < _SMALL_PIECE_BYTES:
+            meter.received.parts += 1
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an interim one."""
@@ -233,7 +251,7 @@
             self._skip_mismatched()
             return
         self._waiter = None
-        self._meter.end()
+        self._end_meter()
         self.idle_since_s = monotonic_s()
         response.is_reusable = self._is_reusable(response)
         self.idle_limit_s = keep_alive_timeout_s(response)
@@ -266,7 +284,7 @@
         """Fail the request in progress, and release what has arrived."""
         waiter = self._waiter
         self._waiter = None
-        self._meter.end()
+        self._end_meter()
         # The parser refers to this connection, so that what both hold would
         # wait for a collection of cycles.
         self._reset_message()
@@ -275,9 +293,47 @@
         if not self.is_closed:
             self.close()
 
+    def _end_meter(self) -> None:
+        meter = self._meter
+        self._meter = None
+        if meter is not None:
+            meter.end()
+
+    def _count_part(self) -> bool:
+        """Count a field; return whether a request waits for it."""
+        meter = self._meter
+        if meter is None:
+            return False
+        meter.received.parts += 1
+        return True
+
+    def _held_bytes(self) -> int:
+        """Return the memory of the response so far."""
+        # A buffer that grows takes more than its length.
+        return self._head_bytes + self._body.__alloc__()
+
+    def _declared_bytes(self) -> int:
+        lengths = [
+            int(value)
+            for name, value in self._headers
+            if name == b'content-length' and value.isdigit()
+        ]
+        return max(lengths, default=0)
+
+    def _pause_reading(self) -> None:
+        """Let other work of the event loop go first."""
+        self._reads_little = True
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if not self.is_closed:
+            self._transport.resume_reading()
+
     def _reset_message(self) -> None:
         self._reason = bytearray()
         self._headers: list[Header] = []
+        self._head_bytes = 0
         # One buffer, since small pieces would cost an object each.
         self._body = bytearray()
         self._ends_at_close = False
