Let a single response use more than a half of the memory

The limit is max_response_bytes now, if that is more, and the buffer counts by its length: its spare space is not resident.

--- a/oleanderpin/gateway/response_budget.py
+++ b/oleanderpin/gateway/response_budget.py
@@ -15,8 +15,8 @@
 
 Excess = Literal['', 'too_large', 'too_fragmented', 'no_memory']
 
-# One of so many parts of the memory is held for incomplete responses, so that
-# targets cannot use up what other callers need.
+# One of so many parts of the memory is held for incomplete responses, or more if
+# a response may be larger, so that targets cannot use up what other callers need.
 _MEMORY_PARTS = 2
 _READ_BYTES = 65536
 # A read of many pieces is followed by other work of the event loop.
@@ -62,7 +62,10 @@
         """Start without responses."""
         self.settings = settings
         self.total_bytes = 0
-        self.max_bytes = memory.max_bytes // _MEMORY_PARTS
+        self.max_bytes = min(
+            memory.max_bytes,
+            max(settings.max_response_bytes, memory.max_bytes // _MEMORY_PARTS),
+        )
         self.memory = memory
         self.meters: set[ResponseMeter] = set()
         self._read_buffer = memoryview(bytearray(_READ_BYTES))
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -319,8 +319,7 @@
 
     def _held_bytes(self) -> int:
         """Return the memory of the response so far."""
-        # A buffer that grows takes more than its length.
-        return self._head_bytes + self._body.__alloc__()
+        return self._head_bytes + len(self._body)
 
     def _declared_bytes(self) -> int:
         lengths = [
