Count responses that are too large together against their target

Such a response fails with too_large now, which sets the target aside after three in a row. What is given up for the whole budget stays no_memory, without a consequence for the target.

Reading on a connection that was given up by its own read is no longer paused.

--- a/oleanderpin/gateway/response_budget.py
+++ b/oleanderpin/gateway/response_budget.py
@@ -71,7 +71,7 @@
         self._read_buffer = memoryview(bytearray(_READ_BYTES))
 
     def start(
-        self, target: str, give_up: Callable[[], None]
+        self, target: str, give_up: Callable[[Excess], None]
     ) -> 'ResponseMeter':
         """Return the meter of the response to one request.
 
@@ -80,7 +80,7 @@
         target : str
             Address of the target.
         give_up : callable
-            Ends the request and its meter, for the sake of others.
+            Ends the request and its meter, for the reason that it gets.
         """
         return ResponseMeter(self, target, give_up)
 
@@ -90,10 +90,15 @@
         return self._read_buffer[:size_bytes]
 
     def change(self, change_bytes: int) -> None:
-        """Count memory; give up responses if there is too much."""
+        """Count memory; give up responses if there is too much.
+
+        That counts against their target: without it, a target that responds
+        without end would get further requests for as long as none of its
+        responses exceeds a limit alone.
+        """
         self.total_bytes += change_bytes
         while self.total_bytes > self.max_bytes and self.meters:
-            self._costliest().give_up()
+            self._costliest().give_up('too_large')
 
     def _costliest(self) -> 'ResponseMeter':
         """Return a large response of the target that is held most for.
@@ -121,27 +126,25 @@
     target : str
         Address of the target.
     give_up : callable
-        Ends the request and this meter.
+        Ends the request and this meter, for the reason that it gets.
     """
 
     def __init__(
-        self, budget: ResponseBudget, target: str, give_up: Callable[[], None]
+        self,
+        budget: ResponseBudget,
+        target: str,
+        give_up: Callable[[Excess], None],
     ) -> None:
         """Start with nothing received."""
         self.target = target
         self.held_bytes = 0
         self.received = Received()
         self._budget = budget
-        self._give_up = give_up
-        self._share = budget.memory.share(self.give_up)
+        self.give_up = give_up
+        self._share = budget.memory.share(self._give_up_for_others)
         self._head_bytes = 0
         budget.meters.add(self)
 
-    def give_up(self) -> bool:
-        """End the request for the sake of others."""
-        self._give_up()
-        return True
-
     def add(
         self, size_bytes: int, *, is_in_head: bool, held_bytes: int
     ) -> Excess:
@@ -183,6 +186,10 @@
         self.held_bytes = 0
         self._share.close()
 
+    def _give_up_for_others(self) -> bool:
+        self.give_up('no_memory')
+        return True
+
     def _excess(self) -> Excess:
         settings = self._budget.settings
         received = self.received
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -16,7 +16,7 @@
     TargetFailure,
     TargetResponse,
 )
-from .response_budget import ResponseBudget, ResponseMeter
+from .response_budget import Excess, ResponseBudget, ResponseMeter
 from .traffic import TrafficMeter
 
 _STATUSES = range(100, 600)
@@ -161,7 +161,9 @@
         if excess:
             EVENTS.labels('gateway', f'response_{excess}').inc()
             self._fail(excess)
-        elif meter.received.parts - parts_before > _MAX_READ_PARTS:
+            return
+        reads_on = self._waiter is not None
+        if reads_on and meter.received.parts - parts_before > _MAX_READ_PARTS:
             self._pause_reading()
 
     def eof_received(self) -> bool:
@@ -285,10 +287,10 @@
         self.is_closed = True
         self._transport.close()
 
-    def _give_up(self) -> None:
+    def _give_up(self, reason: Excess) -> None:
         """End the request, since others need the memory of its response."""
         EVENTS.labels('gateway', 'response_given_up').inc()
-        self._fail('no_memory')
+        self._fail(reason)
 
     def _fail(self, result: str) -> None:
         """Fail the request in progress, and release what has arrived."""
