Bound the numbers that targets state in headers

Cause: numbers were converted as they came. Now one function reads them, within a range: a limit up to 1e6 a second, a pause up to an hour. A load counts up to what makes the target full, since more would count against the others of its region. Log lines quote 100 bytes of a header.

--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -11,6 +11,7 @@
 from ..control.view import ControlView
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
+from ..core.stated_numbers import stated_count
 from .candidate import Candidate
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
@@ -25,6 +26,7 @@
 
 _PROBE_TIMEOUT_S = 1.0
 _DEFAULT_PATH = '/health'
+_MAX_COLD_MS = 3_600_000
 
 
 class Probes:
@@ -100,8 +102,9 @@
         if candidate.health.is_paused(now_s):
             # It is probed again when the pause is over.
             return
-        cold_ms = response.header(self._dialect.cold_ms) or b'0'
-        cold_s = int(cold_ms) / 1000 if cold_ms.isdigit() else 0.0
+        stated = response.header(self._dialect.cold_ms) or b'0'
+        cold_ms = stated_count(stated, most=_MAX_COLD_MS)
+        cold_s = (cold_ms or 0) / 1000
         candidate.health.note_cold(cold_s, now_s)
         self._log.write(
             'target no longer in doubt',
--- a/oleanderpin/gateway/target_answers.py
+++ b/oleanderpin/gateway/target_answers.py
@@ -1,9 +1,9 @@
 """What targets say in their responses, of requests and of themselves."""
 
-import math
 from http import HTTPStatus
 
 from ..core.metrics import EVENTS
+from ..core.stated_numbers import stated_count, stated_decimal
 from .candidate import Candidate
 from .dialect import Dialect
 from .messages import TargetResponse
@@ -12,6 +12,11 @@
 
 _LEAVING = b'1'
 _FIRST_REDIRECTION = 300
+# A target that wants nothing for longer stops its announcements.
+_MAX_PAUSE_S = 3600.0
+_MAX_REQUESTS_AT_TARGET = 1_000_000
+# What a log line quotes of a header.
+_QUOTED_BYTES = 100
 _NOT_RUN_STATUSES = frozenset(
     (
         HTTPStatus.REQUEST_TIMEOUT,
@@ -23,14 +28,7 @@
 
 def parse_pause_s(value: bytes) -> float | None:
     """Return the seconds that a header names, None if it cannot be read."""
-    try:
-        # Python would read 1_0 as 10.
-        pause_s = math.nan if b'_' in value else float(value)
-    except ValueError:
-        return None
-    if not math.isfinite(pause_s) or pause_s < 0:
-        return None
-    return pause_s
+    return stated_decimal(value, most=_MAX_PAUSE_S)
 
 
 class TargetAnswers:
@@ -115,9 +113,15 @@
         self, candidate: Candidate, response: TargetResponse, now_s: float
     ) -> None:
         load = response.header(self._dialect.load)
-        parts = load.split(b',') if load else []
-        if len(parts) >= 2 and parts[0].isdigit() and parts[1].isdigit():
-            candidate.health.note_load(int(parts[0]), int(parts[1]), now_s)
+        if not load:
+            return
+        counts = [
+            stated_count(part, most=_MAX_REQUESTS_AT_TARGET)
+            for part in load.split(b',', 2)[:2]
+        ]
+        if len(counts) == 2 and None not in counts:
+            running, waiting = (count or 0 for count in counts)
+            candidate.health.note_load(running, waiting, now_s)
 
     def _note_limit(
         self, candidate: Candidate, response: TargetResponse
@@ -127,7 +131,7 @@
             self._log.write(
                 'limit of a target changed',
                 target=candidate.target.target_id,
-                limit=header.decode('latin-1') if header else '',
+                limit=_quoted(header) if header else '',
             )
 
     def _note_pause(
@@ -142,8 +146,12 @@
             self._log.write(
                 'pause of a target is not a number of seconds',
                 target=candidate.target.target_id,
-                value=value.decode('latin-1'),
+                value=_quoted(value),
                 cause=cause,
             )
             return
         self._directory.states.note_pause(candidate, pause_s, cause)
+
+
+def _quoted(value: bytes) -> str:
+    return value[:_QUOTED_BYTES].decode('latin-1')
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -242,8 +242,13 @@
         self.answered_s = now_s
 
     def note_load(self, running: int, waiting: int, now_s: float) -> None:
-        """Record the load reported by a response."""
-        self.reported_busy = running + waiting
+        """Record the load reported by a response.
+
+        More than makes the target full says nothing of it, but would count
+        against the other targets of its region.
+        """
+        max_busy = math.ceil(self.slots * (1 + _MAX_WAITING_PER_SLOT))
+        self.reported_busy = min(running + waiting, max_busy)
         self.reported_s = now_s
         self.sent_since_report = 0
 
--- a/oleanderpin/routing/target_limits.py
+++ b/oleanderpin/routing/target_limits.py
@@ -6,18 +6,20 @@
 of a limit, and of its end, about a second after the first one.
 """
 
-import math
 import threading
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..core.metrics import EVENTS
+from ..core.stated_numbers import stated_decimal
 from ..wire.generated.loads.ttypes import TargetLimit
 from .change_versions import ChangeVersions
 
 # The smallest limit that is used; a target that names less is asked this often,
 # so that the end of its need is noticed.
 _MIN_LIMIT_PER_S = 0.1
+# More than a target can take; a larger limit means the same.
+_MAX_LIMIT_PER_S = 1e6
 # A target that nobody has heard of for this long is taken for gone.
 _FORGOTTEN_S = 60.0
 
@@ -54,11 +56,8 @@
     """
     if value is None:
         return 0.0
-    try:
-        limit_per_s = float(value)
-    except ValueError:
-        limit_per_s = math.nan
-    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+    limit_per_s = stated_decimal(value, most=_MAX_LIMIT_PER_S)
+    if limit_per_s is None:
         EVENTS.labels('gateway', 'limit_unreadable').inc()
         return None
     return max(limit_per_s, _MIN_LIMIT_PER_S)
