Count what the parser holds of a head

Interim responses count as parts now, also without a reason phrase.

test_unfinished_head_is_counted waits in vain for the charge on the code before.

--- a/oleanderpin/gateway/response_budget.py
+++ b/oleanderpin/gateway/response_budget.py
@@ -170,6 +170,8 @@
         excess = self._excess()
         if excess:
             return excess
+        # The parser and the reason phrase hold as much while a head arrives.
+        held_bytes = max(held_bytes, self._head_bytes)
         change_bytes = held_bytes - self.held_bytes
         self.held_bytes = held_bytes
         self._budget.change(change_bytes)
--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -186,6 +186,7 @@
         """Start a response."""
         self._reset_message()
         self._in_message = True
+        self._count_part()
 
     def on_status(self, status: bytes) -> None:
         """Append a part of the reason phrase."""
@@ -312,7 +313,7 @@
             meter.end()
 
     def _count_part(self) -> bool:
-        """Count a field; return whether a request waits for it."""
+        """Count a message or field; return whether a request waits for it."""
         meter = self._meter
         if meter is None:
             return False
--- a/oleanderpin/tests/gateway/test_response_bounds.py
+++ b/oleanderpin/tests/gateway/test_response_bounds.py
@@ -1,10 +1,13 @@
 """What of a target's response is kept and passed on."""
 
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import pytest
+
 from ...control.configuration import ProfileDocument
 from ...gateway.plugin import Gateway
 from ...testing.endless_targets import EndlessTarget
@@ -129,6 +132,32 @@
     sound.stop()
 
 
+@pytest.mark.parametrize(
+    'beginning', [b'HTTP/1.1 200 ', b'HTTP/1.1 200 OK\r\nX-Long: ']
+)
+def test_unfinished_head_is_counted(tmp_path: Path, beginning: bytes) -> None:
+    """Guards against heads of targets that are held uncounted."""
+    held = threading.Event()
+
+    def respond(_request: bytes) -> bytes:
+        return beginning + b'v' * 60_000
+
+    class Unfinished(ScriptedHttpTarget):
+        def serve(self, connection: socket.socket) -> None:
+            read_message(connection, bytearray())
+            connection.sendall(respond(b''))
+            held.wait(20)
+
+    target = Unfinished().start()
+    with started_gateway(tmp_path, configuration()) as gateway:
+        gateway.announce(target, 't1')
+        with gateway.connect() as connection:
+            connection.sendall(request_bytes(deadline_ms=20_000))
+            wait_until('the head', lambda: gateway.held_bytes() > 60_000)
+            held.set()
+    target.stop()
+
+
 def test_body_counts_after_its_caller_has_left(tmp_path: Path) -> None:
     """Guards against requests that go on, uncounted, for callers that left."""
     released = threading.Event()
