Show how late the event loop is

An endless response kept the loop of a gateway busy for seconds, and nothing told so: `process was stalled` is measured in a thread of its own, and it does not see a loop that is busy.

The loop ticks ten times a second; by how much a tick is late is the histogram `oleanderpin_event_loop_late_seconds`, and 250 ms or more the log line `event loop was late`, at most once a second. The watch of pauses uses the same ticks, instead of a task for each watch.

test_lateness.py fails before for want of the module; with it, a loop that is blocked for 0.6 s is counted.

--- a/oleanderpin/core/event_loop.py
+++ b/oleanderpin/core/event_loop.py
@@ -9,6 +9,8 @@
 
 import uvloop
 
+from .clock import MonotonicClock
+from .lateness import LoopLateness, watch_lateness
 from .pauses import TICK_INTERVAL_S, PauseWatch
 from .plugin import Plugin, plugins
 
@@ -26,24 +28,21 @@
         """Create the loop; ``start`` runs it."""
         super().__init__(kernel)
         self.loop = uvloop.new_event_loop()
+        self._pauses: list[PauseWatch] = []
         self._thread = threading.Thread(
             target=self._run, name='event-loop', daemon=True
         )
 
     def start(self) -> None:
         """Start the thread."""
+        lateness = watch_lateness(self.loop, MonotonicClock())
+        self.loop.call_soon(self._tick, lateness)
         self._thread.start()
 
     def watch_pauses(self) -> PauseWatch:
         """Return a watch of pauses of this process, which the loop updates."""
         watch = PauseWatch(self.kernel.clock)
-
-        async def tick() -> None:
-            while True:
-                watch.tick()
-                await asyncio.sleep(TICK_INTERVAL_S)
-
-        self.submit(tick())
+        self._pauses.append(watch)
         return watch
 
     def stop(self) -> None:
@@ -81,6 +80,12 @@
             cancelled.cancel()
             return cancelled
 
+    def _tick(self, lateness: LoopLateness) -> None:
+        self.loop.call_later(TICK_INTERVAL_S, self._tick, lateness)
+        lateness.tick()
+        for watch in self._pauses:
+            watch.tick()
+
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.set_exception_handler(_log_exception)
--- a/oleanderpin/core/metrics.py
+++ b/oleanderpin/core/metrics.py
@@ -76,6 +76,11 @@
     'Bytes of calls made to peers, by call and by the border they cross.',
     ['call', 'border'],
 )
+EVENT_LOOP_LATE_S = Histogram(
+    'oleanderpin_event_loop_late_seconds',
+    'By how much a timer of the event loop ran late, ten times a second.',
+    buckets=(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10),
+)
 EVENTS = Counter(
     'oleanderpin_events_total',
     'Internal events by concern and name.',
