Do not charge targets for delays of the own event loop

Callers of a sound target got 503 and 504 while a faulty one sent chunks of one byte: the loop was busy for longer than `connect_timeout_s`, its timers run before the sockets are read, and one connection that is not open in time sets a target aside. A deadline that passed during the delay replaced a response that had arrived by 504, and a probe failed in the same way.

RemoteTimeout takes the place of asyncio.timeout where a target is blamed: it lets the loop read what has arrived before it decides, and leaves out the time for which the loop was late. A caller's deadline is not extended, only what has arrived by then is read. A target is not charged for a time-out for the greater part of which the loop was late. With a loop that is on time the decisions are as before, but for a response that arrives in the last pass.

--- a/oleanderpin/gateway/connection_pool.py
+++ b/oleanderpin/gateway/connection_pool.py
@@ -10,6 +10,7 @@
 from ..core.clock import monotonic_s
 from ..core.memory_budget import MemoryBudget
 from ..core.metrics import EVENTS
+from ..core.remote_timeout import RemoteTimeout
 from ..core.settings import GatewaySettings
 from .messages import (
     EncodedRequest,
@@ -169,7 +170,7 @@
     async def _connect(self, candidate: Candidate) -> TargetConnection:
         started_s = monotonic_s()
         health = candidate.health
-        timeout = asyncio.timeout(self._settings.connect_timeout_s)
+        timeout = RemoteTimeout(self._settings.connect_timeout_s)
         health.connecting.add(timeout)
         try:
             async with timeout:
--- a/oleanderpin/gateway/crash_guard.py
+++ b/oleanderpin/gateway/crash_guard.py
@@ -15,6 +15,7 @@
 from ..core.clock import monotonic_s
 from ..core.errors import Refusal, RefusalDetails
 from ..core.metrics import EVENTS
+from ..core.remote_timeout import RemoteTimeout
 from ..routing.crash_suspects import Crash, CrashSuspects
 from ..routing.loss_rate import LossRate
 from .candidate import Candidate
@@ -203,7 +204,7 @@
 async def _is_refused(address: str) -> bool:
     host, _colon, port = address.rpartition(':')
     try:
-        async with asyncio.timeout(_CHECK_TIMEOUT_S):
+        async with RemoteTimeout(_CHECK_TIMEOUT_S):
             _reader, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -11,6 +11,7 @@
 from ..control.view import ControlView
 from ..core.clock import monotonic_s
 from ..core.metrics import EVENTS
+from ..core.remote_timeout import RemoteTimeout
 from .candidate import Candidate
 from .connection_pool import ConnectionPool
 from .dialect import Dialect
@@ -72,7 +73,7 @@
 
     async def _probe(self, candidate: Candidate) -> None:
         try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+            async with RemoteTimeout(_PROBE_TIMEOUT_S):
                 response = await self._pool.send(
                     candidate,
                     b'',
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -4,14 +4,14 @@
 is unsafe, out of attempts or over the retry budget.
 """
 
-import asyncio
 import random
 from dataclasses import dataclass, replace
 from typing import Any
 
 from ..core.clock import monotonic_s
 from ..core.errors import Refusal
-from ..core.metrics import RETRIES
+from ..core.metrics import EVENTS, RETRIES
+from ..core.remote_timeout import RemoteTimeout
 from ..routing.outcome import AttemptOutcome, AttemptResult, Observation
 from ..routing.router import Router
 from .admission import max_wait_s, return_after_s
@@ -240,8 +240,11 @@
         routed.tried.add(target.target_id)
         routed.request.must_finish = not routed.is_repeatable
         started_s = monotonic_s()
+        timeout = RemoteTimeout(
+            routed.left_s() + _DEADLINE_MARGIN_S, is_extended=False
+        )
         try:
-            async with asyncio.timeout(routed.left_s() + _DEADLINE_MARGIN_S):
+            async with timeout:
                 response = await self.pool.send(
                     candidate,
                     routed.request_id,
@@ -256,7 +259,7 @@
                     is_repeatable=routed.is_repeatable,
                 )
         except TimeoutError:
-            self._note_failure(routed, candidate, 'timeout')
+            self._note_timeout(routed, candidate, timeout)
             routed.may_have_run = True
             raise self._final_refusal(routed, 'deadline') from None
         except TargetDeclinedError as declined:
@@ -368,6 +371,24 @@
         else:
             health.note_shed(now_s)
 
+    def _note_timeout(
+        self,
+        routed: RoutedRequest,
+        candidate: Candidate,
+        timeout: RemoteTimeout,
+    ) -> None:
+        if not timeout.is_own_delay:
+            self._note_failure(routed, candidate, 'timeout')
+            return
+        EVENTS.labels('gateway', 'timeout_of_late_loop').inc()
+        self._log.write(
+            'attempt ended while the event loop was late',
+            request_id=routed.request_id.decode('latin-1'),
+            target=candidate.target.target_id,
+            attempt=routed.attempts,
+            late_ms=int(timeout.late_s * 1000),
+        )
+
     def _note_failure(
         self, routed: RoutedRequest, candidate: Candidate, result: str
     ) -> None:
--- a/oleanderpin/gateway/target_health.py
+++ b/oleanderpin/gateway/target_health.py
@@ -1,10 +1,10 @@
 """Load, failures and latency of a target, as observed by this instance."""
 
-import asyncio
 import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from ..core.remote_timeout import RemoteTimeout
 from .limit_bucket import LimitBucket
 
 _NEVER_S = -math.inf
@@ -86,7 +86,7 @@
     last_resort_until_s: float = math.inf
     paused_until_s: float = _NEVER_S
     answered_s: float = _NEVER_S
-    connecting: set[asyncio.Timeout] = field(default_factory=set)
+    connecting: set[RemoteTimeout] = field(default_factory=set)
     _recent_objects: OrderedDict[str, float] = field(
         default_factory=OrderedDict
     )
@@ -317,5 +317,4 @@
     def _withdraw_connecting(self) -> None:
         """End the waits of requests for a connection, to place them again."""
         for timeout in self.connecting:
-            if not timeout.expired():
-                timeout.reschedule(asyncio.get_running_loop().time())
+            timeout.end()
