Do not avoid control instances for delays of the own event loop

A control instance that gave its tokens at once was avoided for a second if the loop was busy when the reply came: the timer for slow replies ran before the reply was read. A request whose wait ended meanwhile got no token although one had come, and was refused.

--- a/oleanderpin/gateway/part_client.py
+++ b/oleanderpin/gateway/part_client.py
@@ -15,6 +15,7 @@
 from ..core.errors import UnavailableError
 from ..core.metrics import EVENTS, OWNER_CALL_S, OWNER_CALLS
 from ..core.places import distance
+from ..core.remote_timeout import RemoteTimeout, RemoteTimer
 from ..limits.parts import MAX_HOLD_S
 from ..membership.peers import Peer, Peers
 from ..wire.generated.parts.ttypes import Given, Need
@@ -139,7 +140,9 @@
         self._waiting.append(waiting)
         self._ask()
         try:
-            async with asyncio.timeout(deadline_s - monotonic_s()):
+            async with RemoteTimeout(
+                deadline_s - monotonic_s(), is_extended=False
+            ):
                 return await waiting.result
         except TimeoutError:
             return Taken('short')
@@ -191,7 +194,9 @@
         loop = asyncio.get_running_loop()
         instance = self._instances[address]
         slow_after_s = instance.slow_after_s
-        slow = loop.call_later(slow_after_s, self._note_slow, address, number)
+        slow = RemoteTimer(
+            slow_after_s, lambda: self._note_slow(address, number)
+        )
         started_s = monotonic_s()
         replies: list[Given] = []
         try:
--- a/oleanderpin/tests/gateway/test_part_client.py
+++ b/oleanderpin/tests/gateway/test_part_client.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+import uvloop
 from thrift.protocol.TProtocol import TProtocolException
 
 from ...control.state import Account, ControlState, PART_OWNERS_KEY
@@ -184,3 +185,31 @@
     client = client_of(take, state=ControlState(part_owners=owners))
     asyncio.run(take_one(client))
     assert asked == [owner]
+
+
+@pytest.mark.parametrize('wait_s', [0.5, 5.0])
+def test_reply_that_waits_for_a_late_loop_is_used(wait_s: float) -> None:
+    """Guards against prompt instances avoided since the own loop was busy.
+
+    The request got no token either if its own time was over meanwhile.
+    """
+    is_busy = threading.Event()
+    loops: list[asyncio.AbstractEventLoop] = []
+
+    def work() -> None:
+        is_busy.set()
+        time.sleep(1.2)
+
+    def take(_address: str, needs: list[Need]) -> list[Given]:
+        loops[0].call_soon_threadsafe(work)
+        assert is_busy.wait(10)
+        return [Given(account=ACCOUNT, count=needs[0].count)]
+
+    async def run() -> tuple[Taken, list[float]]:
+        client = client_of(take)
+        loops.append(asyncio.get_running_loop())
+        taken = await take_one(client, wait_s=wait_s)
+        avoided_s = [each.avoid_until_s for each in client._instances.values()]
+        return taken, avoided_s
+
+    assert uvloop.run(run()) == (Taken('ok'), [0.0])
