Do not declare members dead for a stall of the own process

A process that was stopped for longer than `suspect_timeout_s` declared suspected members dead when it ran again, before it had read the refutations that were waiting in its socket.

A pause between two probes that ends 250 ms late or more does not count towards the time in which a member may refute (event `membership`, `stalled`).

test_own_stall_does_not_end_the_time_to_refute fails before (dead) and passes now.

--- a/oleanderpin/membership/members.py
+++ b/oleanderpin/membership/members.py
@@ -190,6 +190,13 @@
                 EVENTS.labels('membership', 'suspected').inc()
                 self._change(member, Status.suspect, member.incarnation)
 
+    def postpone_expiry(self, stalled_s: float) -> None:
+        """Leave out time in which this process could read no refutations."""
+        with self._lock:
+            for member in self._members.values():
+                if member.status is Status.suspect:
+                    member.changed_s += stalled_s
+
     def expire(self) -> None:
         """Declare members dead that did not refute a suspicion in time.
 
--- a/oleanderpin/membership/probing.py
+++ b/oleanderpin/membership/probing.py
@@ -28,6 +28,8 @@
 _JOIN_TIMEOUT_S = 2.0
 # Once in so many probe intervals, a dead member or unreachable seed is pinged.
 _RECONNECT_EVERY_INTERVALS = 2
+# Longer than the delays of the scheduler's time slices.
+_MIN_STALL_S = 0.25
 
 
 class Prober:
@@ -78,9 +80,20 @@
                 self.probe(member)
             spent_s = monotonic_s() - started_s
             pause_s = max(0, settings.probe_interval_s - spent_s)
-            if not self._kernel.wait_while_running(pause_s):
+            if not self._pause(pause_s):
                 return
 
+    def _pause(self, pause_s: float) -> bool:
+        """Wait; return False as soon as the instance is stopping."""
+        clock = self._kernel.clock
+        due_s = clock.now_s() + pause_s
+        is_running: bool = self._kernel.wait_while_running(pause_s)
+        stalled_s = clock.now_s() - due_s
+        if stalled_s >= _MIN_STALL_S:
+            EVENTS.labels('membership', 'stalled').inc()
+            self._table.postpone_expiry(stalled_s)
+        return is_running
+
     def probe(self, member: Member) -> None:
         """Probe a member and mark it as suspect if no path reaches it.
 
--- a/oleanderpin/tests/membership/test_members.py
+++ b/oleanderpin/tests/membership/test_members.py
@@ -1,13 +1,19 @@
 """Membership: suspicion, refutation, restarts and partitions of one link."""
 
+import threading
 from collections.abc import Iterator
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
 from ... import daemon  # noqa: F401  registers all plug-ins
+from ...core.errors import UnavailableError
 from ...core.kernel import Kernel
+from ...core.settings import PeersSettings
 from ...membership.members import MemberTable, Status, as_alive
 from ...membership.peers import Peers
+from ...membership.probing import Prober
 from ...testing.clock import ManualClock
 from ...testing.fleet import LinkFaults, build_fleet
 from ...wire.datagrams import PeerDatagrams
@@ -125,6 +131,45 @@
     assert max(sizes) <= 900
 
 
+def test_own_stall_does_not_end_the_time_to_refute() -> None:
+    """Guards against sound members declared dead after a stall of this process.
+
+    The refutation has arrived, and is read once the process runs again.
+    """
+    clock = ManualClock()
+    node_a, node_b = table('a', clock), table('b', clock)
+    merge_all(node_b, node_a)
+    node_a.suspect('b')
+    merge_all(node_a, node_b)
+    pauses = iter((SUSPECT_TIMEOUT_S + 1, 0.0))
+
+    def wait(duration_s: float) -> bool:
+        stalled_s = next(pauses)
+        clock.advance(duration_s + stalled_s)
+        if not stalled_s:
+            merge_all(node_b, node_a)
+        return bool(stalled_s)
+
+    def call(*_arguments: object, **_options: object) -> None:
+        raise UnavailableError('cut off', remedy='none')
+
+    kernel = SimpleNamespace(
+        clock=clock,
+        draining=threading.Event(),
+        plugin=lambda _kind: SimpleNamespace(call=call),
+        settings=SimpleNamespace(peers=PeersSettings()),
+        wait_while_running=wait,
+    )
+    gossip = SimpleNamespace(
+        forget=lambda _answered: None,
+        notify_suspicion=lambda _members, _name: None,
+        ping=lambda _address, name: threading.Event(),
+        ping_through=lambda _members, _address, _answered: None,
+    )
+    Prober(kernel, node_a, cast(Any, gossip))._probe_loop()
+    assert status(node_a, 'b') is Status.alive
+
+
 @pytest.fixture
 def three_kernels() -> Iterator[list[Kernel]]:
     kernels = build_fleet(
