Order the shares of memory once for many charges

The order is used for 0.1 s; what is given up is judged by its present state, and the shares are ordered again if that does not free enough. A share that begins to hold most within the 0.1 s may be preceded by another one. A closed share no longer refers to its connection, so that the order keeps nothing in memory.

test_shares_are_not_ranked_for_each_charge has 100 charges and one ranking; the method that it counts did not exist before, when each charge ranked anew.

--- a/oleanderpin/core/memory_budget.py
+++ b/oleanderpin/core/memory_budget.py
@@ -17,6 +17,9 @@
 _STALL_S = 1.0
 # After no share could be given up, the others are not looked at for so long.
 _RETRY_INTERVAL_S = 0.1
+# While the budget is used up, each read of thousands of connections needs space;
+# the order in which shares go is used for so long.
+_RANKING_VALID_S = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -64,10 +67,20 @@
             self.held_bytes -= size_bytes
             self.budget.held_bytes -= size_bytes
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether it has not changed for a while."""
+        return now_s - self.changed_s >= _STALL_S
+
+    def may_go(self, now_s: float, larger_than_bytes: float) -> bool:
+        """Return whether it may be given up for one that holds less."""
+        return self.is_stalled(now_s) or self.held_bytes > larger_than_bytes
+
     def close(self) -> None:
         """Release everything; what comes later is not counted."""
         self.release(self.held_bytes)
         self.is_closed = True
+        # The connection must not be kept in memory by the ranking.
+        self.give_up = None
         self.budget.remove(self)
 
 
@@ -88,6 +101,8 @@
         self.held_bytes = 0
         self._shares: set[MemoryShare] = set()
         self._retry_s = 0.0
+        self._ranking: list[MemoryShare] = []
+        self._ranked_s = -math.inf
 
     def share(self, give_up: Callable[[], bool] | None = None) -> MemoryShare:
         """Return a new share; without ``give_up`` it is kept at all events."""
@@ -135,36 +150,50 @@
             return True
         now_s = monotonic_s()
         if now_s >= self._retry_s:
-            others = self._candidates(
-                now_s, excluded=excluded, larger_than_bytes=larger_than_bytes
-            )
-            while self.held_bytes + size_bytes > self.max_bytes and others:
-                give_up = others.pop().give_up
-                if give_up is not None and give_up():
-                    EVENTS.labels('memory', 'share_given_up').inc()
+            limit_bytes = self.max_bytes - size_bytes
+            is_outdated = now_s - self._ranked_s >= _RANKING_VALID_S
+            if not is_outdated:
+                self._give_up(now_s, limit_bytes, excluded, larger_than_bytes)
+            if self.held_bytes > limit_bytes:
+                self._rank(now_s)
+                self._give_up(now_s, limit_bytes, excluded, larger_than_bytes)
         if self.held_bytes + size_bytes <= self.max_bytes:
             return True
         EVENTS.labels('memory', 'budget_used_up').inc()
         self._retry_s = max(self._retry_s, now_s + _RETRY_INTERVAL_S)
         return False
 
-    def _candidates(
+    def _give_up(
         self,
         now_s: float,
-        *,
+        limit_bytes: int,
         excluded: MemoryShare | None,
         larger_than_bytes: float,
-    ) -> list[MemoryShare]:
-        """Return what may be given up, what goes first at the end."""
-        ranked = [
-            (now_s - each.changed_s >= _STALL_S, each)
-            for each in self._shares
-            if each is not excluded and each.held_bytes
-        ]
-        usable = [
-            (is_stalled, each.held_bytes * (now_s - each.since_s), each)
-            for is_stalled, each in ranked
-            if is_stalled or each.held_bytes > larger_than_bytes
-        ]
-        usable.sort(key=lambda entry: entry[:2])
-        return [each for _is_stalled, _rank, each in usable]
+    ) -> None:
+        """Give up shares of the ranking until the limit is kept."""
+        kept = []
+        while self.held_bytes > limit_bytes and self._ranking:
+            share = self._ranking.pop()
+            if share.is_closed or not share.held_bytes:
+                continue
+            is_usable = share.may_go(now_s, larger_than_bytes)
+            if share is excluded or not is_usable:
+                kept.append(share)
+            elif _is_given_up(share):
+                EVENTS.labels('memory', 'share_given_up').inc()
+        self._ranking.extend(reversed(kept))
+
+    def _rank(self, now_s: float) -> None:
+        """Order what may be given up, what goes first at the end."""
+        self._ranked_s = now_s
+        self._ranking = [each for each in self._shares if each.held_bytes]
+        self._ranking.sort(
+            key=lambda each: (
+                each.is_stalled(now_s),
+                each.held_bytes * (now_s - each.since_s),
+            )
+        )
+
+
+def _is_given_up(share: MemoryShare) -> bool:
+    return share.give_up is not None and share.give_up()
--- a/oleanderpin/tests/core/test_memory_budget.py
+++ b/oleanderpin/tests/core/test_memory_budget.py
@@ -1,5 +1,7 @@
 """Who has to give up memory when a budget is used up."""
 
+import weakref
+
 import pytest
 
 from ...core import memory_budget
@@ -98,3 +100,59 @@
     active = Holder(budget, 900)
     assert not budget.has_space(400)
     assert not active.given_up
+
+
+def test_shares_are_not_ranked_for_each_charge(
+    budget: MemoryBudget, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a loop that sorts all shares for each read.
+
+    Load pattern: the budget is used up, and thousands of connections go on.
+    """
+    holders = [Holder(budget, 5) for _each in range(200)]
+    now_s = monotonic_s() + 0.5
+    monkeypatch.setattr(memory_budget, 'monotonic_s', lambda: now_s)
+    ranked_s: list[float] = []
+    rank = MemoryBudget._rank
+
+    def count(self: MemoryBudget, at_s: float) -> None:
+        ranked_s.append(at_s)
+        rank(self, at_s)
+
+    monkeypatch.setattr(MemoryBudget, '_rank', count)
+    response = budget.share()
+    assert all(response.charge(5) for _each in range(100))
+    assert len(ranked_s) == 1
+    assert sum(bool(each.given_up) for each in holders) == 100
+
+
+def test_share_that_has_changed_since_the_ranking_is_judged_anew(
+    budget: MemoryBudget, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an outdated order that ends requests in vain."""
+    holders = [Holder(budget, 100) for _each in range(10)]
+    now_s = monotonic_s() + 0.5
+    monkeypatch.setattr(memory_budget, 'monotonic_s', lambda: now_s)
+    response = budget.share()
+    assert response.charge(100)
+    left = [each for each in holders if each.share.held_bytes]
+    left[0].share.close()
+    left[1].share.release(90)
+    newcomer = Holder(budget, 90)
+    assert newcomer.is_kept
+    assert not left[0].given_up
+    assert budget.held_bytes <= BUDGET_BYTES
+
+
+def test_ranking_keeps_no_closed_connection_in_memory(
+    budget: MemoryBudget,
+) -> None:
+    """Guards against memory that is held after its share was released."""
+    holders = [Holder(budget, 100) for _each in range(10)]
+    assert budget.share().charge(100)
+    refs = [weakref.ref(each) for each in holders]
+    for holder in holders:
+        holder.share.close()
+    del holder
+    holders.clear()
+    assert not any(each() for each in refs)
