Do not measure targets while the own event loop is late

The time to a response that was read late went into the averages by which targets count as slow, so that targets with a request in flight during a delay of the loop got less afterwards than those without one.

The duration of an attempt during which the loop was late is not used, like one with a wait for a slot.

--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -279,6 +279,9 @@
         finally:
             candidate.health.in_flight -= 1
             routed.request.must_finish = False
+        if timeout.late_s:
+            # The duration tells nothing of the target.
+            routed.has_waited = True
         return self._handle_response(routed, candidate, response, started_s)
 
     def _place_again(
--- a/oleanderpin/tests/gateway/test_late_event_loop.py
+++ b/oleanderpin/tests/gateway/test_late_event_loop.py
@@ -163,3 +163,23 @@
     assert _events('probe_failed') == failed_before
     assert len(target.requests) == 2
     _require_no_blame(gateway)
+
+
+def test_duration_with_an_own_delay_is_no_measure_of_the_target(
+    gateway: GatewayFixture,
+) -> None:
+    """Guards against sound targets that count as slow, and get less."""
+
+    def script(request: bytes) -> bytes:
+        if b'/late' in request:
+            _block(gateway)
+        return answer_bytes(request)
+
+    gateway.announce(ScriptedHttpTarget(script).start(), 't1')
+    for path in ('/desk/1', '/desk/1', '/desk/late'):
+        (response,) = gateway.ask(request_bytes(path=path))
+        assert response.startswith(b'HTTP/1.1 200')
+    health = _candidate(gateway).health
+    assert health.responses == 3
+    assert health.warm_responses == 1
+    assert health.warm_latency_s < _BLOCKED_S / 10
