Free the body of a request whose caller has left

A caller that uploaded a body and left before the response made a process hold up to max_body_bytes (64 MB) for each such request beyond its budget.

Cause: the share of the connection was closed at once, but the request stayed in a cycle until a full collection. A cancelled task keeps its CancelledError with the frames of the handler, which refer to the pending request, which referred to the task; the request also refers to the task and the result of its early decision, which refer back to it. Now a pending request that is cancelled, or one that is abandoned, drops these references.

Seen before, with collections disabled: the two new tests fail, since the body is not free 60 s after the budget reports 0 bytes; in a trial on the code of main, five uploads of 2 MB left 10.5 MB in requests and 11.4 MB in all, with declared length or chunked. Now both tests pass, and the trial leaves 0.08 MB.

--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -88,6 +88,18 @@
         self.task: asyncio.Task[Any] | None = None
         self.response: Response | None = None
 
+    def cancel(self) -> None:
+        """Stop handling the request.
+
+        A cancelled task keeps its traceback, whose frames refer to the request
+        and its body, which would wait for a collection if it referred to the
+        task.
+        """
+        if self.task is not None:
+            self.task.cancel()
+        self.task = None
+        self.request.forget_decision()
+
 
 class CallerConnection(asyncio.Protocol):
     """Parses requests strictly and writes the responses in request order.
@@ -187,7 +199,7 @@
             if pending.request.must_finish:
                 self._keep_charge(pending, pending.task)
             else:
-                pending.task.cancel()
+                pending.cancel()
         if self._incoming is not None:
             self._abandon(self._incoming.request)
             self._incoming = None
@@ -421,6 +433,7 @@
             request.admission.cancel()
         if self._options.abandon is not None:
             self._options.abandon(request)
+        request.forget_decision()
 
     def _expect_body(self, request: CallerRequest) -> None:
         is_first = not self._pending and not self._is_closing
@@ -460,8 +473,7 @@
         for pending in list(self._pending)[: complete[-1]]:
             if pending.response is None:
                 pending.response = Response(HTTPStatus.GATEWAY_TIMEOUT)
-                if pending.task is not None:
-                    pending.task.cancel()
+                pending.cancel()
         self._write_completed()
         return True
 
@@ -490,8 +502,7 @@
             pending.response = await request.admission
         if pending.response is None:
             pending.response = await self._listener.serve(request)
-        # It refers to the request, whose body would wait for a collection.
-        request.admitted = None
+        request.forget_decision()
         self._charge_response(pending, pending.response)
         self._write_completed()
 
--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -94,6 +94,15 @@
         is_chunked = self.header(b'transfer-encoding') is not None
         return is_chunked or self.declared_body_bytes > 0
 
+    def forget_decision(self) -> None:
+        """Forget the task and the result of the decision about the request.
+
+        Both refer to the request, whose body would wait for a collection of
+        cycles.
+        """
+        self.admission = None
+        self.admitted = None
+
     def age_s(self) -> float:
         """Return the time since the first byte was read."""
         return monotonic_s() - self.received_s
