Bound the errors that a document may cause

A client of the control interface or the admin port could end an instance with one request below the limits: a PATCH of 0.9 MB took 1.8 GB.

Cause: validation collects an error for each item, and each holds a copy of the names of the objects around its item; the text of all of them is built for the response. Memory was bounded by the number of items only, and none of it is charged. Now the items times the longest name are bounded before the document is decoded, and more than 20 errors are counted instead of listed. The new error is raised outside of the handler, so that it does not hold the old one as its context.

--- a/oleanderpin/core/documents.py
+++ b/oleanderpin/core/documents.py
@@ -8,6 +8,10 @@
 
 # Even an empty item takes a hundred bytes in memory.
 _MAX_ITEMS = 100000
+# Each error holds a copy of the names of the objects around its item.
+_MAX_ERROR_BYTES = 16 * 1024 * 1024
+# A text of all errors takes some hundred bytes for each of them.
+_MAX_ERRORS = 20
 
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 
@@ -25,7 +29,7 @@
     Raises
     ------
     ValidationError
-        If it has too many items.
+        If it has too many items, items with long names, or errors.
     pydantic.ValidationError
         If it does not fit the model.
     """
@@ -35,4 +39,34 @@
             f'document of {item_count} items',
             remedy=f'send at most {_MAX_ITEMS}',
         )
-    return model.model_validate_json(document)
+    error_bytes = item_count * _longest_name_bytes(document)
+    if error_bytes > _MAX_ERROR_BYTES:
+        raise ValidationError(
+            f'document of {item_count} items with long names',
+            remedy='send shorter names, or fewer items at once',
+        )
+    try:
+        return model.model_validate_json(document)
+    except pydantic.ValidationError as error:
+        error_count = error.error_count()
+        if error_count <= _MAX_ERRORS:
+            raise
+    # Outside of the block above, so that it does not refer to all errors.
+    raise ValidationError(
+        f'{error_count} items do not fit',
+        remedy=f'correct the document; up to {_MAX_ERRORS} errors are listed',
+    )
+
+
+def _longest_name_bytes(document: bytes) -> int:
+    """Return the length of the longest name of a member of an object."""
+    unescaped = document.replace(rb'\\', b'--').replace(rb'\"', b'--')
+    parts = unescaped.split(b'"')
+    return max(
+        (
+            len(text)
+            for text, after in zip(parts[1::2], parts[2::2], strict=False)
+            if after.lstrip().startswith(b':')
+        ),
+        default=0,
+    )
--- a/platform_tests/test_crowds.py
+++ b/platform_tests/test_crowds.py
@@ -34,7 +34,13 @@
 MACHINE_MEMORY_MB = 296
 MB = 1024 * 1024
 PUT = b'PUT /config HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+PATCH = PUT.replace(b'PUT', b'PATCH')
 EMPTY_LISTS = b'{"routes": {"a": {"x": [[]%s]}}}' % (b',[]' * 600_000)
+# The error of each number refers to the long name.
+ERRORS_WITH_LONG_NAMES = b'{"version": 1, "remove": {"%s": [1%s]}}' % (
+    b'k' * 900_000,
+    b',1' * 500,
+)
 
 
 def start_adapter(daemon: DaemonProcess) -> None:
@@ -118,6 +124,19 @@
         assert is_alive(daemon)
 
 
+def test_errors_in_a_document_take_bounded_memory(tmp_path: Path) -> None:
+    """Guards against errors that take a thousand times the document."""
+    document = ERRORS_WITH_LONG_NAMES
+    with control_daemon(tmp_path, start=start_adapter) as daemon:
+        with crowd_at(daemon, CONTROL_PORT) as crowd:
+            crowd.connect(1)
+            crowd.send(PATCH % len(document) + document)
+            crowd.await_ends()
+            assert memory_mb(daemon) < MAX_MEMORY_MB
+            assert call(daemon, 'GET', '/rollouts/desk', b'') == 404
+        assert is_alive(daemon)
+
+
 def test_large_documents_at_once_take_bounded_memory(tmp_path: Path) -> None:
     """Guards against documents that are decoded and applied side by side."""
     document = configuration(5000)
