Refuse replies of peers with too many items

A peer, or whatever answers at its address, could end the process of a caller: a reply of 4.9 KB, which expands to 5 MB of empty records, took 500 MB, and a frame may expand to 64 MB.

Cause: the number of items in a container was limited for calls that arrive, not for the replies to own calls. An unreadable reply ends as PeerCallError, which callers handle, and its connection is closed; it ended as an error of the decoder.

Now the reply is refused.

--- a/oleanderpin/wire/network.py
+++ b/oleanderpin/wire/network.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from thrift.protocol.TMultiplexedProtocol import TMultiplexedProtocol
+from thrift.protocol.TProtocol import TProtocolException
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TTransport import TTransportException
 
@@ -17,6 +18,8 @@
 
 _MAX_IDLE_CONNECTIONS_PER_PEER = 4
 _GENERATED_PACKAGE = 'oleanderpin.wire.generated'
+# The decoder raises the last one for a container with too many items.
+_UNREADABLE = (TTransportException, TProtocolException, OSError, OverflowError)
 
 
 class PeerCallError(UnavailableError):
@@ -127,7 +130,7 @@
         try:
             result = connection.call(service_name, method, arguments)
             reusable = True
-        except (TTransportException, OSError) as error:
+        except _UNREADABLE as error:
             raise PeerCallError(
                 f'{service_name}.{method} at {address} failed: {error}',
                 sent=True,
--- a/oleanderpin/wire/transport.py
+++ b/oleanderpin/wire/transport.py
@@ -16,7 +16,7 @@
 # Larger frames are rejected before they are read; snapshots are sent in
 # chunks.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-# An item may take one byte of a call, and a hundred in memory.
+# An item may take one byte of a call or reply, and a hundred in memory.
 _MAX_CONTAINER_ITEMS = 100000
 # Thrift logs every failed connection attempt, which callers already report as
 # PeerCallError.
@@ -111,5 +111,5 @@
     return TCompactProtocolAccelerated(
         MessageTransport(frames),
         string_length_limit=MAX_FRAME_BYTES,
-        container_length_limit=_MAX_CONTAINER_ITEMS if inbound else None,
+        container_length_limit=_MAX_CONTAINER_ITEMS,
     )
