Keep no reply in an idle connection to a peer

Each of up to four idle connections to a peer held its last reply, up to 64 MB, until the next call, uncounted.

Cause: the framed transport keeps the frame that it has read, and only sending the next call cleared it. The frame is dropped with the end of the call now.

Now the test passes with its limit of 1 MB.

--- a/oleanderpin/tests/wire/test_endless_replies.py
+++ b/oleanderpin/tests/wire/test_endless_replies.py
@@ -9,13 +9,18 @@
 import pytest
 
 from ...testing.fleet import build_fleet
+from ...testing.garbage import traced_memory
 from ...testing.listener_crowds import framed, varint
 from ...wire.network import PeerCallError, PeerNetwork
 
 CALL_TIMEOUT_S = 5.0
+MB = 1024 * 1024
 # A reply to Idempotency.copy; its field 3 is a list of records.
 REPLY = b'\x82\x41\x00\x04copy\x0c\x00'
 RECORDS = b'\x39\xfc'
+ONE_RECORD = b'\x39\x1c'
+# The first field of a record.
+NAME = b'\x18'
 
 
 @contextmanager
@@ -55,3 +60,13 @@
     with peer_that_replies(framed(REPLY + records + bytes(2))) as address:
         with pytest.raises(PeerCallError):
             copy_records(network, address)
+
+
+def test_idle_connection_keeps_no_reply(network: PeerNetwork) -> None:
+    """Guards against large replies that each idle connection holds."""
+    size_bytes = 8 * MB
+    name = NAME + varint(size_bytes) + b'x' * size_bytes
+    reply = framed(REPLY + ONE_RECORD + name + bytes(3))
+    with peer_that_replies(reply) as address, traced_memory() as traced_bytes:
+        assert len(copy_records(network, address).records) == 1
+        assert traced_bytes() < MB
--- a/oleanderpin/wire/network.py
+++ b/oleanderpin/wire/network.py
@@ -64,7 +64,10 @@
     ) -> Any:
         protocol = TMultiplexedProtocol(self._protocol, service_name)
         client = _client_class(service_name)(protocol)
-        return getattr(client, method)(*arguments)
+        result = getattr(client, method)(*arguments)
+        # An idle connection would keep the frame of the reply.
+        self._protocol.trans.expect_message()
+        return result
 
     @property
     def byte_count(self) -> int:
