--- a/oleanderpin/gateway/caller_connection.py
+++ b/oleanderpin/gateway/caller_connection.py
@@ -88,6 +88,18 @@
         self.task: asyncio.Task[Any] | None = None
         self.response: Response | None = None
 
+    def cancel(self) -> None:
+        """Stop handling the request.
+
+        A cancelled task keeps its traceback, whose frames refer to the request
+        and its body, which would wait for a collection if it referred to the
+        task.
+        """
+        if self.task is not None:
+            self.task.cancel()
+        self.task = None
+        self.request.forget_decision()
+
 
 class CallerConnection(asyncio.Protocol):
     """Parses requests strictly and writes the responses in request order.
@@ -104,7 +116,8 @@
         self._options = listener.options
         self._transport: Any = None
         self._caller_host = ''
-        self._parser = httptools.HttpRequestParser(self)
+        # It refers to this connection and holds a field that has not ended.
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._pending: deque[_PendingRequest] = deque()
         self._incoming: IncomingRequest | None = None
         self._share = listener.memory.share(self._give_up)
@@ -176,6 +189,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel pending requests, except those that must finish."""
         self._is_closing = True
+        self._parser = None
         self._listener.remove(self)
         self._share.close()
         if self._timer is not None:
@@ -187,7 +201,7 @@
             if pending.request.must_finish:
                 self._keep_charge(pending, pending.task)
             else:
-                pending.task.cancel()
+                pending.cancel()
         if self._incoming is not None:
             self._abandon(self._incoming.request)
             self._incoming = None
@@ -421,6 +435,7 @@
             request.admission.cancel()
         if self._options.abandon is not None:
             self._options.abandon(request)
+        request.forget_decision()
 
     def _expect_body(self, request: CallerRequest) -> None:
         is_first = not self._pending and not self._is_closing
@@ -430,6 +445,7 @@
     def _refuse_unread(self, request: CallerRequest, refused: Response) -> None:
         """Respond to a request without reading the rest of its body."""
         self._drop_incoming()
+        self._parser = None
         self._is_closing = True
         self._write(refused, closes=True)
         self._await_delivery()
@@ -460,8 +476,7 @@
         for pending in list(self._pending)[: complete[-1]]:
             if pending.response is None:
                 pending.response = Response(HTTPStatus.GATEWAY_TIMEOUT)
-                if pending.task is not None:
-                    pending.task.cancel()
+                pending.cancel()
         self._write_completed()
         return True
 
@@ -490,8 +505,7 @@
             pending.response = await request.admission
         if pending.response is None:
             pending.response = await self._listener.serve(request)
-        # It refers to the request, whose body would wait for a collection.
-        request.admitted = None
+        request.forget_decision()
         self._charge_response(pending, pending.response)
         self._write_completed()
 
@@ -571,6 +585,7 @@
         if self._is_closing or self._is_rejected:
             return
         self._is_rejected = True
+        self._parser = None
         request = self._drop_incoming()
         if request is not None:
             self._abandon(request)
--- a/oleanderpin/wire/network.py
+++ b/oleanderpin/wire/network.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from thrift.protocol.TMultiplexedProtocol import TMultiplexedProtocol
+from thrift.protocol.TProtocol import TProtocolException
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TTransport import TTransportException
 
@@ -17,6 +18,8 @@
 
 _MAX_IDLE_CONNECTIONS_PER_PEER = 4
 _GENERATED_PACKAGE = 'oleanderpin.wire.generated'
+# The decoder raises the last one for a container with too many items.
+_UNREADABLE = (TTransportException, TProtocolException, OSError, OverflowError)
 
 
 class PeerCallError(UnavailableError):
@@ -61,7 +64,10 @@
     ) -> Any:
         protocol = TMultiplexedProtocol(self._protocol, service_name)
         client = _client_class(service_name)(protocol)
-        return getattr(client, method)(*arguments)
+        result = getattr(client, method)(*arguments)
+        # An idle connection would keep the frame of the reply.
+        self._protocol.trans.expect_message()
+        return result
 
     @property
     def byte_count(self) -> int:
@@ -127,7 +133,7 @@
         try:
             result = connection.call(service_name, method, arguments)
             reusable = True
-        except (TTransportException, OSError) as error:
+        except _UNREADABLE as error:
             raise PeerCallError(
                 f'{service_name}.{method} at {address} failed: {error}',
                 sent=True,
