--- a/oleanderpin/testing/entry_process.py
+++ b/oleanderpin/testing/entry_process.py
@@ -4,7 +4,10 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
+from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, Self
 
@@ -12,22 +15,27 @@
 
 from . import process_readings
 from .builders import free_ports, settings_text
+from .gateway import LoopbackTarget
 from .targets import Behaviour, FakeTarget, answer_ok
 
 SERVICE = 'desk'
+OTHER_SERVICE = 'other'
 ANSWER_TIMEOUT_S = 6.0
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
 _POLL_S = 0.1
+_ANNOUNCE_INTERVAL_S = 0.5
+_TARGET_SLOTS = 1000
 _BYTES_PER_MB = 1e6
 # The shell sets the limit of descriptors before it becomes the daemon.
 _LIMITED = 'ulimit -n "$1"; shift; exec "$@"'
 
 
 class EntryProcess:
-    """An entry instance that is its own control group and has one target.
+    """An entry instance that is its own control group.
 
-    Its service is open, so that requests need no key.
+    It has one target of the service ``desk``, and others on demand. Its
+    services are open, so that requests need no key.
 
     Parameters
     ----------
@@ -41,6 +49,8 @@
         Fields of the profile that differ from their defaults.
     behaviour : callable
         Returns the response of the target to each request.
+    others : mapping, optional
+        By name, targets of the service ``other``.
     """
 
     def __init__(
@@ -51,8 +61,11 @@
         extra: str = '',
         profile: dict[str, Any] | None = None,
         behaviour: Behaviour = answer_ok,
+        others: Mapping[str, LoopbackTarget] | None = None,
     ) -> None:
         """Write the settings."""
+        self._others = others or {}
+        self._stopped = threading.Event()
         ports = free_ports(3)
         self.caller = ('127.0.0.1', ports[0])
         self.admin = ('127.0.0.1', ports[1])
@@ -105,6 +118,7 @@
 
     def __exit__(self, *_exc_info: object) -> None:
         """End the process."""
+        self._stopped.set()
         if self._has_target:
             self.target.stop()
         if self._process is not None:
@@ -160,21 +174,44 @@
 
     def _set_up(self) -> None:
         end_s = time.monotonic() + _START_TIMEOUT_S
-        commands = (
-            ('profile.put', self._profile),
-            (
-                'service.put',
-                {'name': SERVICE, 'profile': 'p', 'is_open': True},
-            ),
+        commands = [('profile.put', self._profile)]
+        commands.extend(
+            ('service.put', {'name': name, 'profile': 'p', 'is_open': True})
+            for name in (SERVICE, OTHER_SERVICE)
         )
         for command, arguments in commands:
             while not self._changes(command, arguments):
                 self._wait(end_s, command)
         self.target.start()
         self._has_target = True
+        threading.Thread(target=self._keep_announcing, daemon=True).start()
         while not self._answers():
             self._wait(end_s, 'first answer')
 
+    def _keep_announcing(self) -> None:
+        with urllib3.PoolManager(retries=False, timeout=5.0) as http:
+            while self._others and not self._stopped.wait(_ANNOUNCE_INTERVAL_S):
+                # The test sees a process that has ended.
+                with suppress(urllib3.exceptions.HTTPError):
+                    self._announce_others(http)
+
+    def _announce_others(self, http: urllib3.PoolManager) -> None:
+        host, port = self.admin
+        for name, other in self._others.items():
+            document = {
+                'service': OTHER_SERVICE,
+                'target_id': name,
+                'address': f'127.0.0.1:{other.port}',
+                'region': 'north',
+                'failure_domain': 'north-a',
+                'slots': _TARGET_SLOTS,
+            }
+            http.request(
+                'POST',
+                f'http://{host}:{port}/targets/announce',
+                body=json.dumps(document),
+            )
+
     def _wait(self, end_s: float, awaited: str) -> None:
         if time.monotonic() > end_s or not self.is_alive():
             log = self._log.read_text()[-2000:]
@@ -184,7 +221,7 @@
     def _changes(self, command: str, arguments: dict[str, Any]) -> bool:
         host, port = self.admin
         document = {
-            'request_id': f'setup-{command}',
+            'request_id': f'setup-{command}-{arguments["name"]}',
             'command': command,
             'arguments': arguments,
             'wait': 'in_force',
