--- a/oleanderpin/testing/gateway_process.py
+++ b/oleanderpin/testing/gateway_process.py
@@ -36,6 +36,7 @@
 OTHER_SERVICE = 'other'
 # The line of the settings that the options replace.
 _SMALL_BUDGET = 'max_buffered_bytes = 1048576'
+_INSTANCE = '[instance]'
 _REPEATABLE = ProfileDocument(
     is_repeatable=True, max_attempts=1, request_timeout_s=_REQUEST_TIMEOUT_S
 )
@@ -84,6 +85,8 @@
     limits: LimitsDocument | None = None,
     max_descriptors: int | None = None,
     others: Mapping[str, LoopbackTarget] | None = None,
+    memory_mb: int | None = None,
+    has_control_role: bool = True,
 ) -> Iterator[GatewayProcess]:
     """Run a gateway in a process of its own until the block ends.
 
@@ -103,6 +106,11 @@
     others : mapping, optional
         By name, targets of the service ``other``, which serve the requests
         below ``/other/``.
+    memory_mb : int, optional
+        Memory that the process may use, in MiB.
+    has_control_role : bool
+        Whether the gateway is its own control group. Otherwise that is another
+        process.
 
     Raises
     ------
@@ -111,13 +119,25 @@
     """
     ports = free_ports(3)
     text = gateway_settings(ports, folder / 'data')
+    daemon = _daemon('gateway', folder / 'gateway.ini', ports)
+    control = daemon
+    if not has_control_role:
+        control_ports = free_ports(3)
+        control = _daemon('control', folder / 'control.ini', control_ports)
+        control.settings.write_text(
+            gateway_settings(control_ports, folder / 'data')
+        )
+        text = gateway_settings(
+            ports, folder / 'data', leader_port=control_ports[2]
+        )
     text = text.replace(_SMALL_BUDGET, '\n'.join(options))
-    path = folder / 'gateway.ini'
-    path.write_text(text)
-    daemon = DaemonProcess(
-        'g1', '127.0.0.1', 'gateway', path, admin_port=ports[1]
-    )
-    daemon.start()
+    if memory_mb is not None:
+        text = text.replace(_INSTANCE, f'{_INSTANCE}\nmemory_mb = {memory_mb}')
+    daemon.settings.write_text(text)
+    # Each daemon once, the control group first.
+    daemons = list({control.name: control, daemon.name: daemon}.values())
+    for each in daemons:
+        each.start()
     if max_descriptors is not None:
         _limit_descriptors(daemon.pid, max_descriptors)
     stopped = threading.Event()
@@ -127,7 +147,8 @@
         for name, other in (others or {}).items()
     )
     try:
-        _configure(daemon, _change(limits))
+        _configure(control, _change(limits))
+        _wait_until_fresh(daemon)
         _announce(daemon, documents)
         threading.Thread(
             target=_keep_announcing,
@@ -137,7 +158,13 @@
         yield GatewayProcess(daemon, ports[0])
     finally:
         stopped.set()
-        stop_all([daemon])
+        stop_all(daemons)
+
+
+def _daemon(name: str, path: Path, ports: list[int]) -> DaemonProcess:
+    return DaemonProcess(
+        name, '127.0.0.1', 'gateway', path, admin_port=ports[1]
+    )
 
 
 def _limit_descriptors(pid: int, count: int) -> None:
@@ -173,6 +200,14 @@
         time.sleep(_POLL_S)
 
 
+def _wait_until_fresh(daemon: DaemonProcess) -> None:
+    end_s = time.monotonic() + _START_TIMEOUT_S
+    while not daemon.is_fresh():
+        if time.monotonic() > end_s:
+            raise TimeoutError(f'{daemon.name} has no configuration in time')
+        time.sleep(_POLL_S)
+
+
 def _is_accepted(daemon: DaemonProcess, document: object) -> bool:
     try:
         daemon.call('POST', '/v1/changes', document)
