Return large freed blocks to the system without the control role too

Cause: a gateway frees the buffer of each response that it gives up. Without the control role, the allocator raised its threshold to the size of these buffers and kept them between blocks in use; the budget counted 50 MB of responses while the process held far more. In a trial with a watcher that ends a process above its machine's memory, a gateway with memory_mb = 200 was ended twice of two, and 18 requests on kept connections had no answer.

--- a/oleanderpin/daemon.py
+++ b/oleanderpin/daemon.py
@@ -22,7 +22,11 @@
     view,
 )
 from .core import event_loop, process_usage  # noqa: F401
-from .core.allocator import return_freed_memory
+from .core.allocator import (
+    LARGE_RETURNED_BLOCK_BYTES,
+    RETURNED_BLOCK_BYTES,
+    return_freed_memory,
+)
 from .core.errors import SettingsError
 from .core.kernel import Kernel
 from .core.logs import configure_logs, log_unhandled_errors
@@ -86,9 +90,11 @@
         stream=settings.log.stream,
     )
     log_unhandled_errors()
-    if _CONTROL in settings.instance.roles:
-        # A gateway reads into blocks that this would make slower to get.
-        return_freed_memory()
+    return_freed_memory(
+        RETURNED_BLOCK_BYTES
+        if _CONTROL in settings.instance.roles
+        else LARGE_RETURNED_BLOCK_BYTES
+    )
     exit_code = _run(settings)
     _LOG.info('process ends', extra={'exit_code': exit_code})
     return exit_code
