Break off lasting responses while requests wait for a worker thread

Callers saw no answer for 6 s and more from sound targets, once as many callers as an entry instance has worker threads were reading responses without end. Cause: a streamed response takes a worker thread for as long as its target sends and its caller reads, and nothing bounds how many threads do so. Change: while requests wait and no thread is idle, responses that have lasted for half a second are broken off, those of the target with most of them first, until half of the threads are left to others. The caller's connection is reset, also where the end of the target's connection would have ended the response. It does not count against the target.

--- a/oleanderpin/core/http.py
+++ b/oleanderpin/core/http.py
@@ -159,6 +159,9 @@
     whole_bodies : WholeBodies, optional
         Lets requests wait until their bodies have arrived; otherwise large
         ones are read while they arrive.
+    on_starved : callable, optional
+        Called with the number of requests that wait for a worker while none
+        is idle, again and again.
     """
 
     def __init__(
@@ -169,6 +172,7 @@
         threads: int,
         max_header_bytes: int,
         whole_bodies: WholeBodies | None = None,
+        on_starved: Callable[[int], None] | None = None,
     ) -> None:
         """Create the server; ``start`` binds the address."""
         host, port = address.split(':')
@@ -181,6 +185,7 @@
         )
         self._server.max_request_header_size = max_header_bytes
         self._server.whole_bodies = whole_bodies
+        self._server.on_starved = on_starved
         setattr(self._server, 'error_log', _log_error)  # noqa: B010
         self._server.expiration_interval = _WAKE_INTERVAL_S
         self._thread = threading.Thread(
--- a/oleanderpin/core/http_server.py
+++ b/oleanderpin/core/http_server.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from fractions import Fraction
 from typing import Any
 
@@ -121,8 +122,8 @@
 
     def _expire(self, threshold: float) -> None:
         requests = self.server.requests
-        if self.server.whole_bodies and requests.qsize and not requests.idle:
-            self.server.give_up_blocked()
+        if requests.qsize and not requests.idle:
+            self.server.free_workers()
         expired = [
             (descriptor, conn)
             for descriptor, conn in self._selector.connections
@@ -163,6 +164,7 @@
         self.in_flight_requests = InFlightRequests()
         self.waiting_bytes = WaitingBytes(max_bytes=_MAX_WAITING_BYTES)
         self.whole_bodies: WholeBodies | None = None
+        self.on_starved: Callable[[int], None] | None = None
         # Leaves half of the workers to requests that have arrived.
         self.slow_bodies = threading.BoundedSemaphore(
             max(1, int(self.requests.max) // 2)
@@ -196,6 +198,13 @@
                 max(1, self._max_connections // _ROOM_DIVISOR)
             )
 
+    def free_workers(self) -> None:
+        """Let requests that take workers for long end, since others wait."""
+        if self.whole_bodies is not None:
+            self.give_up_blocked()
+        if self.on_starved is not None:
+            self.on_starved(int(self.requests.qsize))
+
     def give_up_blocked(self) -> None:
         """Close callers for which a thread has waited in writing for long."""
         since_s = monotonic_s() - _MAX_BLOCKED_S
--- a/oleanderpin/forwarding/attempt.py
+++ b/oleanderpin/forwarding/attempt.py
@@ -140,6 +140,8 @@
             body,
             on_finish=lambda done: self._finish(head, done),
             on_part=self._wait_for_link_budget,
+            on_abort=connection.abort,
+            target=self.target.address,
         )
 
     def connection_lost(self, error: Exception) -> AttemptError:
--- a/oleanderpin/forwarding/connections.py
+++ b/oleanderpin/forwarding/connections.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 from collections import defaultdict, deque
+from contextlib import suppress
 from typing import Any
 
 from ..core.http_stream import SocketReader
@@ -56,6 +57,12 @@
         poller.register(self.sock, select.POLLIN | select.POLLRDHUP)
         return not poller.poll(0)
 
+    def abort(self) -> None:
+        """End a wait for the target in another thread."""
+        with suppress(OSError):
+            # The target may have closed it.
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the connection."""
         self._connection.close()
--- a/oleanderpin/forwarding/forwarder.py
+++ b/oleanderpin/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from .idempotency import IdempotencyRecords
 from .request import IDEMPOTENCY_HEADER, CallerRequest, parse_caller_request
 from .response import BrokenResponseError, Response, forward_response
+from .response_streams import ResponseStreams
 
 
 @plugins.register('forwarder')
@@ -45,6 +46,7 @@
         # senders leave the other half to small requests.
         max_transfers = max(1, kernel.settings.forwarding.threads // 2)
         self._transfers = threading.BoundedSemaphore(max_transfers)
+        self.streams = ResponseStreams(max_transfers)
 
     def forward(self, request: HttpRequest, request_id: str) -> None:
         """Forward one request and send the response to the caller.
@@ -99,7 +101,8 @@
                     # The target is done; a slow caller must not hold a permit.
                     permit.close()
                 guard.complete(response)
-                _send_response(request, response, call)
+                with self.streams.track(response):
+                    _send_response(request, response, call)
         return response.status
 
     @contextmanager
@@ -172,7 +175,8 @@
         forward_response(request, response, call)
         is_complete = True
     except BrokenResponseError as error:
-        is_complete = False
+        # A target is not at fault if others needed the thread.
+        is_complete = None if response.is_given_up else False
         if request.raw.sent_headers:
             raise
         raise AttemptError('answer_broken', str(error)).refusal(
--- a/oleanderpin/forwarding/pipeline.py
+++ b/oleanderpin/forwarding/pipeline.py
@@ -36,6 +36,7 @@
             self.handle,
             threads=forwarding.threads,
             max_header_bytes=forwarding.max_header_bytes,
+            on_starved=self._forwarder.streams.give_up,
         )
 
     def start(self) -> None:
--- a/oleanderpin/forwarding/response.py
+++ b/oleanderpin/forwarding/response.py
@@ -29,6 +29,10 @@
     """Do not limit the rate of the body."""
 
 
+def _ignore_abort() -> None:
+    """Let a response go on that was given up."""
+
+
 class Response:
     """A response whose body is buffered or still to be read.
 
@@ -44,6 +48,11 @@
     on_part : callable
         Called with the number of bytes of each part of the body that was
         read; may block to apply back-pressure to the target.
+    on_abort : callable
+        Called when the response is given up, from another thread; ends a wait
+        for the target.
+    target : str
+        Address of the target.
     """
 
     def __init__(
@@ -53,8 +62,13 @@
         *,
         on_finish: Callable[[bool | None], None],
         on_part: Callable[[int], None] = _ignore_part,
+        on_abort: Callable[[], None] = _ignore_abort,
+        target: str = '',
     ) -> None:
         """Start with no part of the body read."""
+        self.target = target
+        self.is_given_up = False
+        self._on_abort = on_abort
         self._on_part = on_part
         self.status = head.status
         self.head = head
@@ -111,9 +125,17 @@
             part = self._body.read_some(_MAX_PART_BYTES)
         except (StreamError, OSError) as error:
             raise BrokenResponseError(str(error)) from error
+        if self.is_given_up:
+            # What looks like the end may be that of the aborted connection.
+            raise BrokenResponseError('given up, requests wait for a thread')
         self._on_part(len(part))
         return part
 
+    def give_up(self) -> None:
+        """Break the response off, for the sake of other requests."""
+        self.is_given_up = True
+        self._on_abort()
+
     def finish(self, *, is_complete: bool | None) -> None:
         """Release the connection and the permits of the target."""
         on_finish = self._on_finish
