Do not set targets aside for a request with a large response

One caller that asked for a response beyond the limits, which every target gave, had all targets of the service set aside: others got 503 (ejected).

Cause: a response beyond a limit counts against its target, whichever request brings it. Now it does for the first two targets of a path only, until the path has had a response within the limits. Targets that respond to everything without end are set aside as before, since paths succeed elsewhere.

test_response_beyond_a_limit_does_not_eject_targets gets 503 at the ninth request on the code before.

--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -18,6 +18,7 @@
 from .connection_pool import ConnectionPool
 from .crash_guard import CrashGuard
 from .dialect import Dialect
+from .excess_paths import ExcessPaths
 from .known_gateways import KnownGateways
 from .messages import (
     Response,
@@ -40,7 +41,8 @@
 _DEADLINE_MARGIN_S = 0.1
 _MISDIRECTED_EJECTION_S = 5.0
 _FIRST_SERVER_ERROR = 500
-_UNREADABLE = frozenset(('bad_answer', 'too_large', 'too_fragmented'))
+_BEYOND_LIMITS = frozenset(('too_large', 'too_fragmented'))
+_UNREADABLE = _BEYOND_LIMITS | {'bad_answer'}
 # From this size on, sending the body to another failure domain costs more than
 # loading the object again at a local target.
 _LARGE_BODY_BYTES = 16384
@@ -95,6 +97,7 @@
         self._probes = Probes(
             kernel, dialect, self.pool, log, answers=self._answers
         )
+        self._excess_paths = ExcessPaths()
         self._router = kernel.plugin(Router)
         self._budget = RetryBudget(settings.retry_percent)
         self._retry_reserve = settings.retry_reserve
@@ -351,6 +354,9 @@
     ) -> None:
         health = candidate.health
         self._crash_guard.note_answer(routed)
+        self._excess_paths.note_success(
+            routed.service.name, routed.request.target
+        )
         if not routed.has_waited:
             work_s = duration_s - health.round_trip_s
             self._directory.durations.note(routed.route.route.name, work_s)
@@ -396,10 +402,14 @@
         self, routed: RoutedRequest, candidate: Candidate, result: str
     ) -> None:
         now_s = monotonic_s()
-        if result != 'timeout':
-            candidate.health.note_connection_failure(result, now_s)
-        else:
+        if result == 'timeout':
             candidate.health.note_failure()
+        elif result not in _BEYOND_LIMITS or self._excess_paths.is_of_target(
+            routed.service.name,
+            routed.request.target,
+            candidate.target.target_id,
+        ):
+            candidate.health.note_connection_failure(result, now_s)
         outcome = 'reset' if result in _UNREADABLE else result
         self._observe(routed, candidate, outcome, 0.0, None)  # type: ignore[arg-type]
         self._log.write(
--- a/oleanderpin/tests/gateway/test_response_bounds.py
+++ b/oleanderpin/tests/gateway/test_response_bounds.py
@@ -158,6 +158,35 @@
     target.stop()
 
 
+def test_response_beyond_a_limit_does_not_eject_targets(
+    tmp_path: Path,
+) -> None:
+    """Guards against one caller's large response that refuses others.
+
+    Every target responds so to that request.
+    """
+
+    def respond(request: bytes) -> bytes:
+        size = 200_000 if b'GET /desk/large' in request else 2
+        return answer_bytes(request, body=bytes(size))
+
+    targets = [ScriptedHttpTarget(respond).start() for _each in range(3)]
+    options = ('max_response_bytes = 100000',)
+    change = configuration(profile=REPEATABLE)
+    with started_gateway(tmp_path, change, options=options) as gateway:
+        for number, target in enumerate(targets):
+            gateway.announce(target, f't{number}')
+        for number in range(12):
+            large = request_bytes(
+                path='/desk/large', request_id=f'large-{number}'
+            )
+            assert status_of(gateway.ask(large)[0]) == 502
+            small = request_bytes(request_id=f'small-{number}')
+            assert status_of(gateway.ask(small)[0]) == 200
+    for target in targets:
+        target.stop()
+
+
 def test_body_counts_after_its_caller_has_left(tmp_path: Path) -> None:
     """Guards against requests that go on, uncounted, for callers that left."""
     released = threading.Event()
