Bound the responses that the command line reads

Whatever listens at an admin address could make a command read until its machine had no memory.

Cause: the whole response was read, whatever its size. Now at most 64 MB are read; a longer response counts as an instance that does not serve the request, so that the command asks the next one, and its bytes are not kept by the error.

Seen before: the new test fails, since the command takes all of the 128 MB that the server sends; now it ends with status 3 and the connection is closed.

--- a/oleanderpin/cli/client.py
+++ b/oleanderpin/cli/client.py
@@ -24,6 +24,9 @@
 _CONNECT_TIMEOUT_S = 2.0
 _REQUEST_ID_BYTES = 12
 _HTTP_STATUS_OK = 200
+# Larger than any table of the largest fleet; whatever listens at an address may
+# send without end.
+_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class AdminClient:
@@ -129,10 +132,14 @@
         self, address: str, method: str, path: str, body: bytes
     ) -> Any:
         response = self._http.request(
-            method, f'http://{address}{path}', body=body or None
+            method,
+            f'http://{address}{path}',
+            body=body or None,
+            preload_content=False,
         )
+        content = _read_bounded(response, address)
         try:
-            document = json.loads(response.data)
+            document = json.loads(content)
         except ValueError:
             raise UnavailableError(
                 f'{address} returned no JSON (HTTP status {response.status})',
@@ -143,6 +150,20 @@
         return document
 
 
+def _read_bounded(response: urllib3.BaseHTTPResponse, address: str) -> bytes:
+    content = response.read(_MAX_RESPONSE_BYTES + 1)
+    if len(content) > _MAX_RESPONSE_BYTES:
+        # The traceback of the error would keep it until the command ends.
+        del content
+        response.close()
+        raise UnavailableError(
+            f'{address} sent more than {_MAX_RESPONSE_BYTES} bytes',
+            remedy='check that this is an admin address',
+        )
+    response.release_conn()
+    return content
+
+
 def _to_typed_error(document: dict[str, Any]) -> OleanderpinError:
     problem = str(document.get('problem', ''))
     remedy = str(document.get('remedy', ''))
--- a/oleanderpin/tests/cli/test_main.py
+++ b/oleanderpin/tests/cli/test_main.py
@@ -1,8 +1,10 @@
 """Tests of the command line against a fake admin server."""
 
 import json
+import socket
 import threading
 from collections.abc import Iterator
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -12,6 +14,8 @@
 from ...cli.main import main
 from ...cli.output import render
 
+# More than a command takes and the kernel buffers.
+MAX_SENT_MB = 128
 KEYS = [
     {'key_hash': 'ab' * 32, 'account': 'shop', 'revision': 4},
     {'key_hash': 'cd' * 32, 'account': 'shop', 'revision': 5},
@@ -142,3 +146,24 @@
     path.write_text('[')
     assert admin.run('configuration', 'replace', str(path)) == 1
     assert not admin.changes
+
+
+def test_endless_response_ends_the_command() -> None:
+    """Guards against a command that reads until its machine has no memory."""
+    ended = threading.Event()
+
+    def serve(listener: socket.socket) -> None:
+        connection, _address = listener.accept()
+        connection.sendall(b'HTTP/1.1 200 OK\r\n\r\n')
+        with connection, suppress(OSError):
+            for _part in range(MAX_SENT_MB):
+                connection.sendall(bytes(1024 * 1024))
+            ended.set()
+
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        thread = threading.Thread(target=serve, args=(listener,))
+        thread.start()
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+        assert main([f'--instances={address}', 'key', 'list']) == 3
+        thread.join()
+    assert not ended.is_set()
