Pass small chunks on together, and bound how many are parsed

Cause: each chunk of a message cost a write to the caller, so that a response in chunks of a byte used processor time without end. Change: whole chunks that have arrived are read together, at most 1,024 of them. The new tests fail without the change.

--- a/oleanderpin/core/http_stream.py
+++ b/oleanderpin/core/http_stream.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+import time
 from collections.abc import Callable
 
 from .clock import monotonic_s
@@ -9,6 +10,10 @@
 _RECEIVE_BYTES = 65536
 _MAX_CHUNK_LINE_BYTES = 256
 _MAX_TRAILER_BYTES = 8192
+_MAX_CHUNKS_TAKEN = 1024
+# More chunks at once than this are small; a body gets 10,000 of them a second.
+_MAX_CHUNKS_WITHOUT_PAUSE = 64
+_PAUSE_FOR_CHUNK_S = 0.0001
 _HEAD_END = re.compile(rb'\n\r?\n')
 # Fifteen hex digits exceed any real chunk size and bound the cost of int().
 _CHUNK_SIZE = re.compile(
@@ -161,6 +166,36 @@
         del self._buffer[:size]
         return taken
 
+    def take_chunks(self, size: int) -> list[bytes]:
+        """Remove buffered whole chunks; return at most ``size`` bytes of them.
+
+        Empty if no chunk is whole, or the first is the last one, malformed or
+        too long.
+        """
+        parts: list[bytes] = []
+        position = 0
+        while size and len(parts) < _MAX_CHUNKS_TAKEN:
+            start, stop = self._whole_chunk(position)
+            if stop == start or stop - start > size:
+                break
+            parts.append(bytes(self._buffer[start:stop]))
+            size -= stop - start
+            position = stop + 2
+        del self._buffer[:position]
+        return parts
+
+    def _whole_chunk(self, position: int) -> tuple[int, int]:
+        """Return where a chunk's payload starts and stops; equal if not whole."""
+        buffer = self._buffer
+        end = buffer.find(b'\n', position, position + _MAX_CHUNK_LINE_BYTES)
+        line = bytes(buffer[position : max(position, end + 1)])
+        match = _CHUNK_SIZE.match(line[:-2])
+        if match is None or not line.endswith(b'\r\n'):
+            return 0, 0
+        stop = end + 1 + int(match.group(1), 16)
+        is_whole = buffer[stop : stop + 2] == b'\r\n'
+        return (end + 1, stop) if is_whole else (0, 0)
+
     def read_some(self, size: int) -> bytes:
         """Return between one and ``size`` bytes, or ``b''`` at the end."""
         if self._buffer:
@@ -313,6 +348,15 @@
         if self.is_finished:
             return b''
         if not self._chunk_remaining:
+            # Passing small chunks on one by one would cost a write for each.
+            if not self._reader.has_data():
+                self._reader.receive()
+            parts = self._reader.take_chunks(size)
+            if len(parts) > _MAX_CHUNKS_WITHOUT_PAUSE:
+                # Parsing holds the interpreter's lock, which others need.
+                time.sleep(len(parts) * _PAUSE_FOR_CHUNK_S)
+            if parts:
+                return b''.join(parts)
             self._start_chunk()
             if self.is_finished:
                 return b''
--- a/oleanderpin/tests/core/test_http_stream.py
+++ b/oleanderpin/tests/core/test_http_stream.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from ...core.http_stream import ChunkedBody, LengthBody, SocketReader
+from ...core.http_stream import (
+    ChunkedBody,
+    LengthBody,
+    SocketReader,
+    StreamError,
+)
 
 
 @pytest.fixture
@@ -63,3 +68,43 @@
     far.sendall(b'1;')
     with pytest.raises(TimeoutError, match='too slow'):
         body.read_some(1)
+
+
+def test_small_chunks_are_read_together(
+    ends: tuple[SocketReader, socket.socket],
+) -> None:
+    """Guards against a write to the caller for each byte of a response."""
+    reader, far = ends
+    far.sendall(b'1\r\nx\r\n' * 1000 + b'0\r\n\r\n')
+    body = ChunkedBody(reader)
+    assert body.read_some(65536) == b'x' * 1000
+    assert not body.read_some(65536)
+    assert body.is_finished
+
+
+@pytest.mark.parametrize('size', [1, 2, 4, 5, 100])
+def test_small_chunks_keep_their_bytes(
+    ends: tuple[SocketReader, socket.socket], size: int
+) -> None:
+    """Guards against bytes that are lost at the limit of a read."""
+    reader, far = ends
+    far.sendall(b'2\r\nab\r\n3;e=f\r\ncde\r\n1\r\nf\r\n0\r\nT: x\r\n\r\nrest')
+    body = ChunkedBody(reader)
+    assert b''.join(iter(lambda: body.read_some(size), b'')) == b'abcdef'
+    assert reader.take(10) == b'rest'
+
+
+@pytest.mark.parametrize(
+    'malformed', [b'x\r\ny\r\n', b'1\ny\r\n', b'1\r\nyy\r\n', b'\r\n']
+)
+def test_malformed_chunk_behind_small_ones_is_found(
+    ends: tuple[SocketReader, socket.socket], malformed: bytes
+) -> None:
+    """Guards against a body that seems whole although its framing is not."""
+    reader, far = ends
+    far.sendall(b'1\r\na\r\n1\r\nb\r\n' + malformed + b'0\r\n\r\n')
+    body = ChunkedBody(reader)
+    assert body.read_some(100) == b'ab'
+    with pytest.raises(StreamError):
+        while body.read_some(100):
+            continue
