Do not charge a target for a probe that found no memory

test_probe_without_memory_is_not_charged_to_its_target counts one failure on the code before, none now.

--- a/oleanderpin/gateway/messages.py
+++ b/oleanderpin/gateway/messages.py
@@ -226,6 +226,11 @@
         self.result = result
         self.may_have_run = may_have_run
 
+    @property
+    def is_of_target(self) -> bool:
+        """Whether the target, not this process, is the reason."""
+        return self.result != 'no_memory'
+
 
 class TargetDeclinedError(Exception):
     """An attempt that was not sent, since its target declines requests now.
--- a/oleanderpin/gateway/probes.py
+++ b/oleanderpin/gateway/probes.py
@@ -88,7 +88,7 @@
             return
         except (TargetFailure, TimeoutError) as error:
             EVENTS.labels('gateway', 'probe_failed').inc()
-            if isinstance(error, TargetFailure):
+            if isinstance(error, TargetFailure) and error.is_of_target:
                 now_s = monotonic_s()
                 candidate.health.note_connection_failure(error.result, now_s)
             return
--- a/oleanderpin/gateway/request_forwarder.py
+++ b/oleanderpin/gateway/request_forwarder.py
@@ -269,7 +269,7 @@
             self._place_again(routed, candidate, declined.reason)
             return None
         except TargetFailure as failure:
-            if failure.result == 'no_memory':
+            if not failure.is_of_target:
                 raise maybe_run_refusal(
                     'no_memory', 'no memory for the response of the target'
                 ) from None
--- a/oleanderpin/tests/gateway/test_response_bounds.py
+++ b/oleanderpin/tests/gateway/test_response_bounds.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ...control.configuration import ProfileDocument
+from ...core.event_loop import EventLoop
 from ...gateway.plugin import Gateway
 from ...testing.endless_targets import EndlessTarget
 from ...testing.gateway import (
@@ -158,6 +159,34 @@
     target.stop()
 
 
+def test_probe_without_memory_is_not_charged_to_its_target(
+    tmp_path: Path,
+) -> None:
+    """Guards against sound targets that are set aside for a full budget."""
+
+    def respond(request: bytes) -> bytes:
+        return answer_bytes(request, body=bytes(400_000))
+
+    target = ScriptedHttpTarget(respond).start()
+    with started_gateway(tmp_path, configuration()) as gateway:
+        gateway.announce(target, 't1')
+        forwarder = gateway.kernel.plugin(Gateway)._forwarder
+
+        async def probe() -> int:
+            memory = gateway.kernel.memory
+            share = memory.share()
+            share.charge(memory.max_bytes - 1000)
+            directory = forwarder._directory
+            (candidate,) = directory.for_service('desk').candidates
+            await forwarder._probes._probe(candidate)
+            share.close()
+            return int(candidate.health.consecutive_failures)
+
+        assert gateway.kernel.plugin(EventLoop).run(probe()) == 0
+        assert target.requests
+    target.stop()
+
+
 def test_response_beyond_a_limit_does_not_eject_targets(
     tmp_path: Path,
 ) -> None:
