Let a time-out of a remote party refer to no task once it is over

The body of a request whose caller had left stayed until a collection of cycles.

The two cases of test_request_of_a_caller_that_has_left_is_freed waited in vain (60 s) before and pass now.

--- a/oleanderpin/core/remote_timeout.py
+++ b/oleanderpin/core/remote_timeout.py
@@ -20,6 +20,13 @@
 _TIMER_ERROR_S = 0.002
 
 
+def _do_nothing() -> None:
+    """Stand for a callback that is over.
+
+    The callback would keep a request in memory until a collection of cycles.
+    """
+
+
 class RemoteTimer:
     """Calls back once a remote party has been silent for too long.
 
@@ -62,6 +69,7 @@
     def cancel(self) -> None:
         """Do not call back."""
         self._handle.cancel()
+        self._callback = _do_nothing
 
     def _start_passes(self) -> None:
         self._passes = 0
@@ -78,6 +86,7 @@
             self._handle = self._loop.call_later(left_s, self._start_passes)
         else:
             self._callback()
+            self._callback = _do_nothing
 
 
 class RemoteTimeout:
@@ -95,7 +104,7 @@
         """Store the time-out, which starts when the context is entered."""
         self._timeout_s = timeout_s
         self._is_extended = is_extended
-        self._timeout = asyncio.timeout(None)
+        self._timeout: asyncio.Timeout | None = None
         self._timer: RemoteTimer | None = None
 
     @property
@@ -109,12 +118,13 @@
         return self.late_s * 2 > self._timeout_s
 
     def end(self) -> None:
-        """End it now."""
-        if not self._timeout.expired():
+        """End it now, unless it is over."""
+        if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     async def __aenter__(self) -> Self:
         """Start the timer."""
+        self._timeout = asyncio.timeout(None)
         await self._timeout.__aenter__()
         self._timer = RemoteTimer(
             self._timeout_s, self.end, is_extended=self._is_extended
@@ -130,4 +140,9 @@
         """Raise TimeoutError in place of the cancellation by the timer."""
         if self._timer is not None:
             self._timer.cancel()
-        await self._timeout.__aexit__(kind, error, traceback)
+        timeout = self._timeout
+        # It refers to the task, whose exception would refer to this time-out
+        # and keep what the task has handled until a collection of cycles.
+        self._timeout = None
+        if timeout is not None:
+            await timeout.__aexit__(kind, error, traceback)
