Release the unfinished field of a response that is given up

It is dropped with the rest now, and callbacks behind the failure do nothing.

test_head_of_a_target_that_is_given_up_is_freed fails on the code before.

--- a/oleanderpin/gateway/target_connection.py
+++ b/oleanderpin/gateway/target_connection.py
@@ -62,7 +62,7 @@
         self._address = address
         self._meter: ResponseMeter | None = None
         self._transport: Any = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[TargetResponse] | None = None
         self._request_id = b''
         self._carried_ids: deque[bytes] = deque(maxlen=_MAX_CARRIED_IDS)
@@ -204,6 +204,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the status and determine how the end is marked."""
+        if self._waiter is None:
+            return
         self._has_head = True
         status = self._parser.get_status_code()
         if status not in _STATUSES:
@@ -233,6 +235,8 @@
 
     def on_message_complete(self) -> None:
         """Deliver the response, unless it is an interim one."""
+        if self._waiter is None:
+            return
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
             self._reset_message()
             return
@@ -298,9 +302,10 @@
         waiter = self._waiter
         self._waiter = None
         self._end_meter()
-        # The parser refers to this connection, so that what both hold would
-        # wait for a collection of cycles.
+        # The parser refers to this connection and holds a field that has not
+        # ended, so that what both hold would wait for a collection of cycles.
         self._reset_message()
+        self._parser = None
         if waiter is not None and not waiter.done():
             waiter.set_exception(TargetFailure(result, may_have_run=True))
         if not self.is_closed:
--- a/oleanderpin/tests/gateway/test_released_memory.py
+++ b/oleanderpin/tests/gateway/test_released_memory.py
@@ -4,12 +4,19 @@
 targets make a process hold more than its budget.
 """
 
+import asyncio
 import socket
 from pathlib import Path
 
 import pytest
 
 from ...control.configuration import ProfileDocument
+from ...core.memory_budget import MemoryBudget
+from ...core.settings import GatewaySettings
+from ...gateway.messages import EncodedRequest, TargetFailure
+from ...gateway.response_budget import ResponseBudget
+from ...gateway.target_connection import TargetConnection
+from ...gateway.traffic import TrafficMeter
 from ...testing.garbage import body_bytes, no_collections, traced_memory
 from ...testing.gateway import (
     GatewayFixture,
@@ -25,6 +32,7 @@
 REPEATABLE = ProfileDocument(is_repeatable=True, max_attempts=1)
 BODY = bytes(500_000)
 LONG_HEAD = b'GET /desk/1 HTTP/1.1\r\nX-Long: ' + b'x' * 250_000
+LONG_RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\nX-Long: ' + b'x' * 100_000
 REFUSED_CALLERS = 40
 MB = 1024 * 1024
 # Of the responses of the gateway itself, and of what its own loops hold.
@@ -85,3 +93,34 @@
                 assert response.startswith(b'HTTP/1.1 431 ')
         wait_until('nothing held', lambda: gateway.held_bytes() == 0)
         assert traced_bytes() < MB
+
+
+async def _bytes_after_failed_heads(count: int) -> int:
+    """Return what stays of connections whose targets sent endless fields."""
+    memory = MemoryBudget(100 * MB)
+    budget = ResponseBudget(GatewaySettings(), memory)
+    loop = asyncio.get_running_loop()
+    kept = []
+    with traced_memory() as traced_bytes:
+        for _connection in range(count):
+            own, other = socket.socketpair()
+            _transport, connection = await loop.create_connection(
+                lambda: TargetConnection(
+                    b'x-request-id', budget, TrafficMeter(), address='t1'
+                ),
+                sock=own,
+            )
+            request = EncodedRequest(b'GET / HTTP/1.1\r\n\r\n', b'')
+            failed = connection.send(b'r1', request, is_head=False)
+            other.sendall(LONG_RESPONSE_HEAD)
+            with pytest.raises(TargetFailure, match='too_large'):
+                await failed
+            other.close()
+            kept.append(connection)
+        assert not memory.held_bytes
+        return traced_bytes()
+
+
+def test_head_of_a_target_that_is_given_up_is_freed() -> None:
+    """Guards against fields that a failed connection goes on holding."""
+    assert asyncio.run(_bytes_after_failed_heads(20)) < MB
